--- /dev/null
+++ b/firwalk/__init__.py
@@ -0,0 +1,1 @@
+"""firwalk: a dispatcher that pushes tasks to executors."""
--- /dev/null
+++ b/firwalk/host.py
@@ -0,0 +1,87 @@
+"""What the decision module needs from whoever runs it, and the plain words both sides share.
+
+A host turns its own protocol into calls of `firwalk.logic.Node` and carries out what the node asks of it
+through this interface. Nothing here decides anything. Times are seconds as floats, on the host's clock.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import IntEnum
+from typing import TYPE_CHECKING, Any, Protocol
+
+if TYPE_CHECKING:
+    from firwalk.logic import Assignment, Executor, Task
+
+
+class Effect(IntEnum):
+    """What running a task twice would do."""
+
+    IDEMPOTENT = 0
+    FINGERPRINTED = 1
+    SIDE_EFFECTING = 2
+
+
+class Group(IntEnum):
+    """Which executors drop the repeats of a fingerprinted task."""
+
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class Condition(IntEnum):
+    """What the list of executors says of one of them."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Outcome(IntEnum):
+    """How an assignment ended. Only FULL, NO_CONNECTION and NOT_SENT prove that it never ran."""
+
+    FINISHED = 0
+    ERROR = 1
+    FULL = 2
+    TIMED_OUT = 3
+    NO_CONNECTION = 4
+    BROKEN = 5
+    CANCELLED = 6
+    NOT_SENT = 7
+
+
+class Host(Protocol):
+    """The acts a node can ask for; each takes effect at the time of the call that is being answered."""
+
+    def send(self, task: Task, executor: Executor, limit: float) -> None:
+        """Give the task to the executor, with a time-out in seconds (0: until its expiry)."""
+
+    def bounce(self, task: Task, wait: float) -> None:
+        """Final answer: trying again is harmless; `wait` is retry-after advice (0: none)."""
+
+    def abandon(self, task: Task) -> None:
+        """Final answer that promises nothing."""
+
+    def cancel(self, assignment: Assignment) -> None:
+        """Call off an assignment that is out; it still gets its one outcome."""
+
+    def probe(self, executor: Executor) -> None:
+        """Ask an executor for its load report."""
+
+    def close_idle(self, executor: Executor) -> None:
+        """Close this node's idle connections to an executor."""
+
+    def set_timer(self, when: float, act: Callable[[float, Any], None], about: Any) -> None:
+        """Call `act(now, about)` once, at `when` or soon after; it cannot be unset."""
+
+    def tell_peer(self, peer: int | None, content: bytes) -> None:
+        """Send a short message to one node of the tier, or to all (None)."""
+
+    def watch(self, on: bool) -> None:
+        """Open or close the standing subscription to the list of executors."""
+
+    def ask_list(self) -> None:
+        """Ask once for the whole list of executors."""
+
+    def note(self, line: str) -> None:
+        """Leave a line for the operators."""
--- /dev/null
+++ b/firwalk/logic.py
@@ -0,0 +1,423 @@
+"""firwalk's decisions: which executor gets a task, when to try again, and when to give it up.
+
+How to call it: make one `Node` with a host and the settings; then call one method for each thing that
+happens (`task_arrived`, `started`, `ended`, `probed`, `heard`, ...), with the time in seconds first. It
+acts only through the host it was given; that interface and all enums are in `firwalk/host.py`. Timers come
+back as calls of the function that was handed to `Host.set_timer`. `Executor.ref` and `Task.ref` are the
+host's own handles and mean nothing here. The design and each departure from it: `docs/design.md`.
+"""
+from __future__ import annotations
+
+from zlib import crc32
+
+from firwalk.host import Condition, Effect, Group, Host, Outcome
+
+WEIGHT = 0.2           # of a new sample in a learned speed (the design's start)
+FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
+REPORT_WEIGHT = 0.3    # of a new report in the load that others put on an executor
+CROSS_TIMES = 3.0      # how many times its price a crossing must win in time before it is made
+ERROR_WEIGHT = 0.3     # of one outcome in an executor's share of errors
+ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
+STRIKES = 2            # signs of silence in a row that set an executor aside
+AWAY = 3.0             # seconds an executor is set aside, plus up to as long again by chance
+MOST_AWAY = 0.34       # share of the ready executors that may be set aside at once
+PROBE_EVERY = 1.0      # seconds between probes of one executor
+COLD_PART = 0.4        # part of the pressure a cold executor bears that its node in turn may use
+FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
+OVERDUE = 2.0          # times its estimate after which running work counts as slow
+
+
+class Offering:
+    """A kind of task: when answers are wanted, what they earn, what a repeat would do."""
+
+    def __init__(self, due: float, expiry: float, *, importance: float = 1.0, late: float = 0.0,
+                 effect: Effect = Effect.SIDE_EFFECTING, group: Group = Group.CELL, remembered: float = 0.0,
+                 stretch: float = 0.0, kind: int = -1, rank: int = 0):
+        self.due, self.expiry, self.importance, self.late = due, expiry, importance, late
+        self.effect, self.group, self.remembered = effect, group, remembered
+        self.stretch, self.kind, self.rank = stretch, kind, rank
+
+
+class Tenant:
+    """A customer and its share, in tasks a second over all nodes."""
+
+    def __init__(self, quota: float):
+        self.quota = quota
+
+
+class Assignment:
+    """One sending of a task to one executor."""
+
+    __slots__ = ("task", "executor", "number", "sent", "estimate", "wait", "out",
+                 "started_at", "may_have_run")
+
+    def __init__(self, task: Task, executor: Executor, number: int, sent: float, estimate: float,
+                 wait: float):
+        self.task, self.executor, self.number = task, executor, number
+        self.sent, self.estimate, self.wait = sent, estimate, wait
+        self.out, self.started_at, self.may_have_run = True, 0.0, True
+
+
+class Task:
+    """What a client asked for, until its one final answer and the end of its last assignment."""
+
+    __slots__ = ("ref", "offering", "cost", "due", "expiry", "assignments", "still_out", "open", "bound")
+
+    def __init__(self, ref: object, offering: Offering, cost: float, due: float, expiry: float):
+        self.ref, self.offering, self.cost, self.due, self.expiry = ref, offering, cost, due, expiry
+        self.assignments: list[Assignment] = []
+        self.still_out, self.open, self.bound = 0, True, False
+
+
+class Executor:
+    """A worker as this node sees it."""
+
+    def __init__(self, ref: object, kind: int, zone: int, weight: float, cell: int, speed: float):
+        self.ref, self.kind, self.zone, self.weight, self.cell = ref, kind, zone, weight, cell
+        self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
+        self.work, self.held = 0.0, 0                    # own outstanding estimates, and how many
+        self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
+        self.slots, self.others, self.rate = 1.0, 0.0, speed
+        self.errors, self.strikes = 0.0, 0
+        self.away_until, self.full_until, self.on_trial = 0.0, 0.0, False
+        self.turn, self.turn_work = -1, 0.0
+
+    def learn(self, cost: float, took: float) -> None:
+        """Speed as the ratio of smoothed cost to smoothed time, so that light tasks do not rule it."""
+        if took <= 0.0:
+            return
+        if not self.time_mean:
+            self.cost_mean, self.time_mean = cost, cost / self.speed
+        self.cost_mean += WEIGHT * (cost - self.cost_mean)
+        self.time_mean += WEIGHT * (took - self.time_mean)
+        self.speed = self.cost_mean / self.time_mean
+        self.set_rate()
+
+    def set_rate(self) -> None:
+        busy = min(self.others / self.slots, 1.0)
+        self.rate = self.speed * max(1.0 - busy, FLOOR)
+
+    def report(self, values: dict[str, float]) -> None:
+        """Take the load that others put on it from a report: own work is in the sum already, and would
+        count twice (the paper names that as the weakness of its first version)."""
+        held, free, busy = values.get("held"), values.get("free_slots"), values.get("busy")
+        if free is not None:
+            self.slots = max(self.slots, round(free), round(held + free) if held and free >= 1.0 else 1.0)
+        if held is not None:
+            used = held
+        elif busy is not None:
+            used = busy * self.slots
+        elif free is not None:
+            used = self.slots - free
+        else:
+            return
+        self.others += REPORT_WEIGHT * (max(used - self.held, 0.0) - self.others)
+        self.set_rate()
+
+
+class Node:
+    """One dispatcher: all it knows for as long as it lives; one method for each thing that happens."""
+
+    def __init__(self, host: Host, seed: int, now: float, *, own_number: int, nodes: int, zone: int,
+                 offerings: list[Offering], tenants: list[Tenant], tick: float, most: int, copies: bool,
+                 may_cancel: bool, may_probe: bool, longest_advice: float, reports: str, tells_start: bool,
+                 weighted: bool, must_ask: bool, crossing: float, beyond_share: float, by_work: bool,
+                 cold_from: float, cold_for: float, fall_multiple: float, fall_window: float):
+        self.host, self.seed, self.counter = host, seed, 0
+        self.own_number, self.nodes, self.zone = own_number, max(nodes, 1), zone
+        self.offerings, self.tenants, self.tick = offerings, tenants, tick
+        self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
+        self.longest_advice, self.reports, self.tells_start = longest_advice, reports, tells_start
+        self.crossing, self.by_work = crossing, by_work
+        self.cold_from, self.cold_for = cold_from, cold_for
+        self.fall_multiple, self.fall_window = fall_multiple, fall_window
+        self.executors: list[Executor] = []
+        self.ready: list[Executor] = []
+        self.mean_cost, self.mean_worth, self.mean_run = 0.0, 0.0, 0.0
+        first = (own_number + 1) / self.nodes
+        if must_ask:
+            host.set_timer(now + tick * own_number, self._watch, None)
+        if may_probe:
+            host.set_timer(now + first * PROBE_EVERY, self._probe_round, None)
+
+    def _chance(self) -> float:
+        self.counter += 1
+        return crc32(b"%d:%d" % (self.seed, self.counter)) / 4294967296.0
+
+    # -- the list of executors ---------------------------------------------------------------------
+
+    def new_executor(self, now: float, ref: object, kind: int, zone: int, weight: float,
+                     cell: int) -> Executor:
+        """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1."""
+        known = [e.speed for e in self.executors if e.time_mean and e.kind == kind] or \
+                [e.speed for e in self.executors if e.time_mean]
+        executor = Executor(ref, kind, zone, weight, cell, sum(known) / len(known) if known else 1.0)
+        executor.slots = max((e.slots for e in self.executors if e.kind == kind), default=1.0)
+        self.executors.append(executor)
+        return executor
+
+    def heard(self, now: float, executor: Executor, condition: Condition, weight: float, came_up: float,
+              stale: bool) -> None:
+        executor.condition, executor.weight = condition, weight
+        if condition is Condition.READY and came_up > executor.came_up:
+            executor.came_up, executor.cold_until = came_up, came_up + self.cold_for
+            executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
+            executor.set_rate()
+
+    def list_heard(self, now: float, stale: bool) -> None:
+        self.ready = [e for e in self.executors if e.condition is Condition.READY]
+
+    def list_broken(self, now: float) -> None:
+        self.host.set_timer(now + 0.5 + self._chance(), self._watch, None)
+
+    def _watch(self, now: float, _: None) -> None:
+        self.host.watch(True)
+
+    # -- a task's life -------------------------------------------------------------------------------
+
+    def task_arrived(self, now: float, ref: object, offering: int, tenant: int, budget: float, cost: float,
+                     slots: float, memory: float, again: bool) -> Task:
+        kind = self.offerings[offering]
+        cost = cost or max(slots, 1.0)
+        gone = max(kind.expiry - budget, 0.0) if again else 0.0
+        task = Task(ref, kind, cost, now + kind.due + kind.stretch * cost - gone, now + budget)
+        worth = kind.importance * (cost if self.by_work else 1.0)
+        part = 0.02 if self.mean_cost else 1.0
+        self.mean_cost += part * (cost - self.mean_cost)
+        self.mean_worth += part * (worth - self.mean_worth)
+        self._place(now, task)
+        return task
+
+    def _place(self, now: float, task: Task) -> None:
+        executor, in_time = self._choose(now, task)
+        if executor is not None and (in_time or task.offering.late):
+            if self._send(now, task, executor):
+                return
+        if not task.still_out:
+            self._give_up(now, task)
+
+    def _choose(self, now: float, task: Task, idle: bool = False) -> tuple[Executor | None, bool]:
+        """The ordinary path: least own outstanding estimated work, plus what it takes to reach it (Recv),
+        among those that can still start it in time; failing these, the one that would answer first."""
+        best, best_load, best_run = None, 0.0, 0.0
+        late, late_at = None, task.expiry - now
+        cost, left, kind = task.cost, task.due - now, task.offering.kind
+        worth = task.offering.importance * (cost if self.by_work else 1.0)
+        recv = CROSS_TIMES * self.crossing * max(left, 0.0) * self.mean_worth / max(worth, 1e-9)
+        side = task.offering.effect is Effect.SIDE_EFFECTING
+        ready = self.ready
+        start = int(self._chance() * len(ready))
+        for executor in ready[start:] + ready[:start]:
+            if executor.away_until > now or executor.full_until > now:
+                continue
+            if executor.on_trial and (executor.held or side):
+                continue
+            if kind >= 0 and executor.kind != kind:
+                continue
+            if task.assignments and not self._may_repeat(now, task, executor):
+                continue
+            rate = executor.rate
+            if executor.cold_until > now:
+                if not self._cold_room(now, executor, cost):
+                    continue
+                rate *= self._warmth(now, executor)
+            run = cost / rate
+            wait = self._wait(executor)
+            if idle and wait:
+                continue
+            if wait + run <= left:
+                load = executor.work / executor.slots + (recv if executor.zone != self.zone else 0.0)
+                if best is None or load < best_load or (load == best_load and run < best_run):
+                    best, best_load, best_run = executor, load, run
+            elif wait + run < late_at:
+                late, late_at = executor, wait + run
+        return (best, True) if best else (late, False)
+
+    def _wait(self, executor: Executor) -> float:
+        """Seconds until a slot is free, by own tasks there and what reports tell of others'."""
+        over = executor.held + executor.others + 1.0 - executor.slots
+        if over <= 0.0 or not executor.held:
+            return max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
+        return over * executor.work / (executor.held * executor.slots)
+
+    def _warmth(self, now: float, executor: Executor) -> float:
+        part = max(now - executor.came_up, 0.0) / max(self.cold_for, 0.001)
+        return min(self.cold_from + (1.0 - self.cold_from) * part, 1.0)
+
+    def _cold_room(self, now: float, executor: Executor, cost: float) -> bool:
+        """A cold executor pushed over stays down, and no node sees what the others send it: so nodes take
+        turns at it by own number, a window each, and each keeps to a part of the budget in its turn."""
+        turn = int(max(now - executor.came_up, 0.0) / max(self.fall_window, 0.001))
+        if turn % self.nodes != self.own_number % self.nodes:
+            return False
+        if executor.turn != turn:
+            executor.turn, executor.turn_work = turn, 0.0
+        capacity = executor.slots * executor.speed * self._warmth(now, executor)
+        budget = COLD_PART * self.fall_multiple * capacity * self.fall_window
+        return executor.turn_work + cost <= budget
+
+    def _may_repeat(self, now: float, task: Task, executor: Executor) -> bool:
+        """Rule 2 and the limits on copies, for a task that was sent before."""
+        effect, group = task.offering.effect, task.offering.group
+        if len(task.assignments) >= self.most or (task.still_out and not self.copies):
+            return False
+        for earlier in task.assignments:
+            if earlier.executor is executor:
+                return False
+            if not earlier.may_have_run or effect is Effect.IDEMPOTENT:
+                continue
+            if effect is Effect.SIDE_EFFECTING:
+                return False
+            if now > earlier.sent + task.offering.remembered - 2 * self.tick:
+                return False
+            if group is Group.ZONE and earlier.executor.zone != executor.zone:
+                return False
+            if group is Group.CELL and earlier.executor.cell != executor.cell:
+                return False
+        return True
+
+    def _send(self, now: float, task: Task, executor: Executor) -> bool:
+        """The one gate that every send passes; it keeps the four rules whatever the choice was."""
+        if not task.open or now >= task.expiry or task.bound:
+            return False  # rule 1: nothing after the final answer or the expiry
+        if executor.condition is not Condition.READY:
+            return False  # rule 3: nothing to one that drains or is gone
+        if task.assignments and not self._may_repeat(now, task, executor):
+            return False  # rule 2: no effect twice
+        if executor.cold_until > now:
+            if not self._cold_room(now, executor, task.cost):
+                return False  # rule 4: a cold one is not pushed over
+            executor.turn_work += task.cost
+        estimate = task.cost / executor.rate
+        wait = self._wait(executor)
+        assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
+        task.assignments.append(assignment)
+        task.still_out += 1
+        executor.work += estimate
+        executor.held += 1
+        self.host.send(task, executor, 0.0)
+        left = task.due - now
+        patience = left - estimate if self.tells_start else max(left - estimate, wait + OVERDUE * estimate)
+        self.host.set_timer(now + max(patience, wait, 2 * self.tick), self._overdue, assignment)
+        return True
+
+    def _overdue(self, now: float, assignment: Assignment) -> None:
+        """An assignment shows no start (or, where starts are not told, no end) in the time it had."""
+        task, executor = assignment.task, assignment.executor
+        if not assignment.out or assignment.started_at or task.bound:
+            return
+        executor.strikes += 1
+        executor.learn(task.cost, now - assignment.sent)
+        if executor.strikes >= STRIKES:
+            self._set_aside(now, executor)
+        if not task.open:
+            return
+        other, in_time = self._choose(now, task, idle=True)
+        if other is not None and in_time and self._send(now, task, other) and self.tells_start:
+            self._cancel(assignment)
+
+    def _cancel(self, assignment: Assignment) -> None:
+        if self.may_cancel and assignment.out:
+            self.host.cancel(assignment)
+
+    def started(self, now: float, assignment: Assignment) -> None:
+        assignment.started_at = now
+        assignment.executor.strikes = 0
+
+    def progressed(self, now: float, assignment: Assignment, part: float) -> None:
+        assignment.executor.strikes = 0
+
+    def streaming(self, now: float, assignment: Assignment) -> None:
+        assignment.task.bound = True
+
+    def ended(self, now: float, assignment: Assignment, how: Outcome, took: float, complete: bool,
+              report: dict[str, float] | None) -> None:
+        task, executor = assignment.task, assignment.executor
+        assignment.out = False
+        task.still_out -= 1
+        executor.held -= 1
+        executor.work = executor.work - assignment.estimate if executor.held else 0.0
+        assignment.may_have_run = how not in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
+        self._judge(now, assignment, how, took)
+        if report:
+            executor.report(report)
+        if complete:
+            if task.open:
+                task.open = False
+                for other in task.assignments:
+                    self._cancel(other)
+        elif task.open:
+            if now >= task.expiry or task.bound:
+                self._give_up(now, task)
+            elif not task.still_out or how is not Outcome.CANCELLED:
+                self._place(now, task)
+
+    def _judge(self, now: float, assignment: Assignment, how: Outcome, took: float) -> None:
+        """What an outcome says of its executor."""
+        executor = assignment.executor
+        if how is Outcome.FINISHED:
+            if assignment.started_at:
+                took = now - assignment.started_at
+            else:
+                took = max(took - assignment.wait, took / 2)
+            executor.learn(assignment.task.cost, took)
+            executor.errors -= ERROR_WEIGHT * executor.errors
+            executor.strikes, executor.on_trial = 0, False
+        elif how is Outcome.FULL:
+            executor.full_until = now + FULL_PAUSE
+        elif how in (Outcome.ERROR, Outcome.BROKEN, Outcome.NO_CONNECTION):
+            # A quickly erroring executor sheds its sum and tops the list: it must not draw all tasks.
+            executor.errors += ERROR_WEIGHT * (1.0 - executor.errors)
+            if executor.errors > ERROR_LIMIT or how is Outcome.NO_CONNECTION or executor.on_trial:
+                self._set_aside(now, executor)
+
+    def _set_aside(self, now: float, executor: Executor) -> None:
+        """Keep tasks from a bad executor for a while, but never from so many that the rest tip over."""
+        away = sum(e.away_until > now for e in self.ready)
+        if executor.away_until > now or away + 1 > MOST_AWAY * len(self.ready):
+            return
+        executor.away_until = now + AWAY * (1.0 + self._chance())
+        executor.on_trial, executor.strikes, executor.errors = True, 0, 0.0
+
+    def withdrawn(self, now: float, task: Task) -> None:
+        """The client left: nothing is owed, and what still waits for a slot need not run."""
+        task.open = False
+        for assignment in task.assignments:
+            self._cancel(assignment)
+
+    def _give_up(self, now: float, task: Task) -> None:
+        """The one place of final answers: a bounce where a retry is sure to be harmless, else abandoned."""
+        if not task.open:
+            return
+        task.open = False
+        for assignment in task.assignments:
+            self._cancel(assignment)
+        effect = task.offering.effect
+        ran = any(a.may_have_run for a in task.assignments)
+        if not ran or effect is Effect.IDEMPOTENT or (
+                effect is Effect.FINGERPRINTED and task.offering.group is Group.ALL):
+            wait = min((self._wait(e) for e in self.ready), default=AWAY)
+            self.host.bounce(task, min(max(wait, self.tick), self.longest_advice))
+        else:
+            self.host.abandon(task)
+
+    # -- what executors and peers tell ---------------------------------------------------------------
+
+    def probed(self, now: float, executor: Executor, how: Outcome, took: float,
+               report: dict[str, float] | None) -> None:
+        if how is Outcome.FINISHED:
+            if report:
+                executor.report(report)
+        elif how is not Outcome.FULL:
+            executor.strikes += 1
+            if executor.strikes >= STRIKES or how is Outcome.NO_CONNECTION:
+                self._set_aside(now, executor)
+
+    def _probe_round(self, now: float, _: None) -> None:
+        if self.reports == "on_probe":
+            for executor in self.ready:
+                self.host.probe(executor)
+        self.host.set_timer(now + PROBE_EVERY, self._probe_round, None)
+
+    def peer_said(self, now: float, peer: int, content: bytes) -> None:
+        """Peers' messages are not used: each node can keep the rules and judge executors alone."""
--- /dev/null
+++ b/firwalk/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of firwalk on the wire of the operators' bench."""
--- /dev/null
+++ b/firwalk/wirehost/__main__.py
@@ -0,0 +1,286 @@
+"""Runs nodes on the bench's wire: frames in on standard input, one reply a batch on standard output.
+
+Translates ids to objects and the wire's units and words to ours; every decision is `firwalk.logic`'s.
+Instances share nothing but the numbered lists that the wire itself shares.
+"""
+from __future__ import annotations
+
+import sys
+from struct import error as StructError
+
+import orjson
+
+from firwalk.host import Condition, Effect, Group
+from firwalk.logic import Node, Offering, Tenant
+from firwalk.wirehost import codec as c
+
+MICRO = 1e-6
+LONGEST = 0xFFFFFFFF
+EFFECTS = {"safe": Effect.IDEMPOTENT, "keyed": Effect.FINGERPRINTED, "unsafe": Effect.SIDE_EFFECTING}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+REPORT_WORDS = {"rif": "held", "busy": "busy", "x0": "free_slots", "x1": "free_memory"}
+
+
+def _us(seconds: float) -> int:
+    return min(max(int(seconds * 1e6), 0), LONGEST)
+
+
+class Instance:
+    """One node: its objects by id, and the host through which it acts."""
+
+    def __init__(self, number: int, seed: int, settings: dict, now: float, out: list[bytes]):
+        self.number, self.out = number, out
+        self.tasks: dict[int, object] = {}
+        self.executors: dict[bytes, object] = {}
+        self.timers: dict[int, tuple] = {}
+        self.label = 0
+        self.names = [REPORT_WORDS.get(n, n) for n in settings.get("load-report", {}).get("names", [])]
+        self.node = self._start(seed, settings, now)
+
+    def _start(self, seed: int, s: dict, now: float) -> Node:
+        limits, rules = s.get("limits", {}), s.get("guarantees", {})
+        family, prices = s.get("specifics", {}), s.get("prices", {})
+        stretch = family.get("class-stretch", [])
+        kinds = family.get("class-kind", [])
+        rank = family.get("class-priority", [])
+        offerings = [
+            Offering(
+                o.get("due-time-us", o.get("expiry-us", 0)) * MICRO, o.get("expiry-us", 0) * MICRO,
+                importance=o.get("importance", 1.0), late=o.get("late-importance", 0.0),
+                effect=EFFECTS.get(o.get("repeat"), Effect.SIDE_EFFECTING),
+                group=GROUPS.get(o.get("group"), Group.CELL), remembered=o.get("key-ttl-us", 0) * MICRO,
+                stretch=o.get("aim-stretch", stretch[i] if i < len(stretch) else 0.0),
+                kind=kinds[i] if i < len(kinds) else -1, rank=rank[i] if i < len(rank) else 0)
+            for i, o in enumerate(s.get("offerings", []))]
+        tenants = [Tenant(t.get("quota-per-s", 0.0)) for t in s.get("tenants", [])]
+        return Node(
+            self, seed, now, own_number=s.get("self-index", 0), nodes=s.get("siblings", 1),
+            zone=s.get("az", 0), offerings=offerings, tenants=tenants,
+            tick=s.get("resolution-us", 0) * MICRO,
+            most=limits.get("most-assignments", 1), copies=limits.get("second-copies", False),
+            may_cancel=limits.get("cancel", False), may_probe=limits.get("probing", False),
+            longest_advice=limits.get("max-retry-after-us", 0) * MICRO if limits.get("retry-after") else 0.0,
+            reports=s.get("load-report", {}).get("how", "off"),
+            tells_start=bool(family.get("tells-start", False)),
+            weighted=s.get("weights", "off") in ("nominal", "rough"),
+            must_ask=s.get("discovery") == "ask", crossing=prices.get("cross-zone", 0.0),
+            beyond_share=s.get("excess-importance", 1.0), by_work=s.get("importance-by") == "work",
+            cold_from=rules.get("cold-from", 1.0), cold_for=rules.get("cold-us", 0) * MICRO,
+            fall_multiple=rules.get("fall-multiple", 1.0), fall_window=rules.get("tip-after-us", 0) * MICRO)
+
+    # -- the host's side: what the node asks for -------------------------------------------------------
+
+    def send(self, task, executor, limit):
+        self.out.append(c.HAND_OFF.pack(c.DO_HAND_OFF, self.number, task.ref, executor.ref, _us(limit)))
+
+    def bounce(self, task, wait):
+        self.out.append(c.OVERLOAD_REPLY.pack(c.DO_OVERLOAD_REPLY, self.number, task.ref, _us(wait)))
+        self._forget(task)
+
+    def abandon(self, task):
+        self.out.append(c.GIVE_UP.pack(c.DO_GIVE_UP, self.number, task.ref))
+        self._forget(task)
+
+    def cancel(self, assignment):
+        self.out.append(c.CALL_OFF.pack(c.DO_CALL_OFF, self.number, assignment.task.ref, assignment.number))
+
+    def probe(self, executor):
+        self.out.append(c.PING.pack(c.DO_PING, self.number, executor.ref))
+
+    def close_idle(self, executor):
+        self.out.append(c.PING.pack(c.DO_SHUT_IDLE, self.number, executor.ref))
+
+    def set_timer(self, when, act, about):
+        self.label += 1
+        self.timers[self.label] = (act, about)
+        self.out.append(c.DEFER.pack(c.DO_DEFER, self.number, int(when * 1e6) + 1, self.label))
+
+    def tell_peer(self, peer, content):
+        to = c.EVERY_PEER if peer is None else peer
+        self.out.append(c.ANNOUNCE.pack(c.DO_ANNOUNCE, self.number, to, len(content)) + content)
+
+    def watch(self, on):
+        self.out.append(c.WATCH.pack(c.DO_WATCH, self.number, on))
+
+    def ask_list(self):
+        self.out.append(c.QUERY_ALL.pack(c.DO_QUERY_ALL, self.number))
+
+    def note(self, line):
+        text = line.encode()[:LONGEST & 0xFFFF]
+        self.out.append(c.TEXT.pack(c.DO_TRACE, self.number, len(text)) + text)
+
+    # -- the wire's side: what has happened ------------------------------------------------------------
+
+    def _forget(self, task):
+        if not task.still_out:
+            self.tasks.pop(task.ref, None)
+
+    def item(self, now, xid, band, account, entity, budget, cost, slots, memory, attrs):
+        task = self.node.task_arrived(
+            now, xid, band, account, budget * MICRO, cost * MICRO if attrs & 1 and cost else 0.0,
+            slots, memory, bool(attrs & 2))
+        if task.open or task.still_out:
+            self.tasks[xid] = task
+
+    def response(self, now, xid, executor, taken, family, complete, trial, how, report):
+        task = self.tasks[xid]
+        self.node.ended(now, task.assignments[trial], c.OUTCOMES[how], taken * MICRO, complete, report)
+        if not task.open:
+            self._forget(task)
+
+    def dropped(self, now, xid):
+        task = self.tasks.get(xid)
+        if task is not None:
+            self.node.withdrawn(now, task)
+            self._forget(task)
+
+    def targets(self, now, scope, entries):
+        node, known = self.node, self.executors
+        if scope == 3:
+            node.list_broken(now)
+            return
+        named = {}
+        for kind, zone, condition, weight, address, came_up, cell in entries:
+            executor = known.get(address)
+            if executor is None:
+                executor = known[address] = node.new_executor(now, address, kind, zone, weight, cell)
+            named[address] = executor
+            node.heard(now, executor, c.CONDITIONS[condition], weight, came_up * MICRO, scope == 2)
+        if scope:
+            for address, executor in known.items():
+                if address not in named:
+                    node.heard(now, executor, Condition.GONE, executor.weight, executor.came_up, scope == 2)
+        node.list_heard(now, scope == 2)
+
+    def report(self, values):
+        return dict(zip(self.names, values, strict=False)) if values else None
+
+
+class Wire:
+    """The loop: takes batches apart in order and writes one reply for each."""
+
+    def __init__(self, source, sink):
+        self.source, self.sink = source, sink
+        self.instances: dict[int, Instance] = {}
+        self.lists: dict[int, list] = {}
+        self.out: list[bytes] = []
+
+    def _exactly(self, size: int, what: str) -> bytes:
+        data = self.source.read(size)
+        if len(data) < size and (data or what != "a batch header"):
+            raise c.Malformed(f"input ended inside {what}: {len(data)} of {size} bytes")
+        return data
+
+    def run(self) -> None:
+        while header := self._exactly(c.BATCH.size, "a batch header"):
+            number, size, records, clock = c.BATCH.unpack(header)
+            rest = c.AFTER_SIZE + size - c.BATCH.size
+            if rest < 0:
+                raise c.Malformed(f"batch {number}: size {size} is less than its header")
+            body = self._exactly(rest, f"batch {number}")
+            self.out.clear()
+            try:
+                used = self._batch(body, records, clock * MICRO, number)
+            except (StructError, IndexError) as problem:
+                raise c.Malformed(f"batch {number}: a malformed record ({problem})") from problem
+            if used != len(body):
+                raise c.Malformed(f"batch {number}: {len(body) - used} bytes after its last record")
+            payload = b"".join(self.out)
+            self.sink.write(c.REPLY.pack(number, len(payload) + 4, len(self.out)) + payload)
+            self.sink.flush()
+
+    def _batch(self, body: bytes, records: int, now: float, number: int) -> int:
+        at = 0
+        for _ in range(records):
+            code = body[at]
+            shape = c.EVENTS.get(code)
+            if shape is None:
+                raise c.Malformed(f"batch {number}: unknown record code {code} at byte {at}")
+            fields = shape.unpack_from(body, at)
+            at += shape.size
+            if code == c.SHEET:
+                end = at + fields[1] * c.ENTRY.size
+                if end > len(body):
+                    raise c.Malformed(f"batch {number}: a sheet is cut short")
+                self.lists[fields[0]] = list(c.ENTRY.iter_unpack(body[at:end]))
+                at = end
+            elif code == c.INIT:
+                end = at + fields[2]
+                self._init(fields[0], fields[1], body[at:end], now, number)
+                at = end
+            elif code == c.DOWN:
+                self.instances.pop(fields[0], None)
+            else:
+                extra = 0
+                if code == c.RESPONSE or code == c.PINGED:
+                    extra = 4 * fields[-1]
+                elif code == c.SAID:
+                    extra = fields[-1]
+                content = body[at:at + extra]
+                if len(content) < extra:
+                    raise c.Malformed(f"batch {number}: record {code} is cut short")
+                at += extra
+                self._event(code, fields, content, now)
+        return at
+
+    def _init(self, instance: int, seed: int, text: bytes, now: float, number: int) -> None:
+        try:
+            settings = orjson.loads(text)
+        except orjson.JSONDecodeError as problem:
+            raise c.Malformed(f"batch {number}: settings are not JSON ({problem})") from problem
+        if not isinstance(settings, dict):
+            raise c.Malformed(f"batch {number}: settings are not a JSON object")
+        self.instances[instance] = Instance(instance, seed, settings, now, self.out)
+
+    def _event(self, code: int, fields: tuple, content: bytes, now: float) -> None:
+        one = self.instances.get(fields[0])
+        if one is None:
+            raise c.Malformed(f"record {code} for instance {fields[0]}, which has not started")
+        try:
+            self._deliver(one, code, fields, content, now)
+        except c.Malformed:
+            raise
+        except Exception as problem:  # the wire wants an exception in the decisions told as Fatal
+            text = f"{type(problem).__name__}: {problem}".encode()[:2000]
+            self.out.append(c.TEXT.pack(c.DO_FATAL, fields[0], len(text)) + text)
+
+    def _deliver(self, one: Instance, code: int, f: tuple, content: bytes, now: float) -> None:
+        if code == c.TIMER:
+            act, about = one.timers.pop(f[1])
+            act(now, about)
+        elif code == c.ITEM:
+            one.item(now, *f[1:])
+        elif code == c.RESPONSE:
+            values = c.FLOATS[f[8]].unpack(content) if f[8] else None
+            one.response(now, *f[1:8], one.report(values))
+        elif code == c.HINT:
+            task = one.tasks.get(f[1])
+            if task is not None:
+                if f[4] == 1:
+                    one.node.started(now, task.assignments[f[5]])
+                elif f[4] == 2:
+                    one.node.progressed(now, task.assignments[f[5]], f[3])
+        elif code == c.PINGED:
+            values = c.FLOATS[f[4]].unpack(content) if f[4] else None
+            one.node.probed(now, one.executors[f[1]], c.OUTCOMES[f[2]], f[3] * MICRO, one.report(values))
+        elif code == c.TARGETS:
+            one.targets(now, f[1], () if f[1] == 3 else self.lists[f[3]])
+        elif code == c.DROPPED:
+            one.dropped(now, f[1])
+        elif code == c.ESTABLISHED:
+            one.node.streaming(now, one.tasks[f[1]].assignments[f[2]])
+        elif code == c.SAID:
+            one.node.peer_said(now, f[1], content)
+
+
+def main() -> int:
+    try:
+        Wire(sys.stdin.buffer, sys.stdout.buffer).run()
+    except c.Malformed as problem:
+        print(f"firwalk.wirehost: {problem}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
