--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -22,7 +22,7 @@
 AWAY = 3.0             # seconds an executor is set aside, plus up to as long again by chance
 MOST_AWAY = 0.34       # share of the ready executors that may be set aside at once
 PROBE_EVERY = 1.0      # seconds between probes of one executor
-COLD_PART = 0.4        # part of the pressure a cold executor bears that its node in turn may use
+COLD_PART = 0.25       # part of the pressure a cold executor bears that its node in turn may use
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
 OVERDUE = 2.0          # times its estimate after which running work counts as slow
 
@@ -102,7 +102,8 @@
         count twice (the paper names that as the weakness of its first version)."""
         held, free, busy = values.get("held"), values.get("free_slots"), values.get("busy")
         if free is not None:
-            self.slots = max(self.slots, round(free), round(held + free) if held and free >= 1.0 else 1.0)
+            # Free slots beside a long queue (a wide task waits at its head) must not pass for more slots.
+            self.slots = max(self.slots, round(free), round(held + free) if held and held <= free else 1.0)
         if held is not None:
             used = held
         elif busy is not None:
