Compare reports with an equally smoothed own count, and let others' load fade

Cause: a report older than the own count passed own tasks off as others', so idle executors looked full and, without sends, stayed so.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -15,6 +15,7 @@
 WEIGHT = 0.2           # of a new sample in a learned speed (the design's start)
 FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
 REPORT_WEIGHT = 0.3    # of a new report in the load that others put on an executor
+STALE = 1.0            # seconds without a report after which the others' load is halved
 CROSS_TIMES = 3.0      # how many times its price a crossing must win in time before it is made
 ERROR_WEIGHT = 0.3     # of one outcome in an executor's share of errors
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
@@ -78,6 +79,7 @@
         self.work, self.held = 0.0, 0                    # own outstanding estimates, and how many
         self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
         self.slots, self.others, self.rate = 1.0, 0.0, speed
+        self.used_mean, self.held_mean, self.reported_at = 0.0, 0.0, 0.0
         self.errors, self.strikes = 0.0, 0
         self.away_until, self.full_until, self.on_trial = 0.0, 0.0, False
         self.turn, self.turn_work = -1, 0.0
@@ -97,7 +99,7 @@
         busy = min(self.others / self.slots, 1.0)
         self.rate = self.speed * max(1.0 - busy, FLOOR)
 
-    def report(self, values: dict[str, float]) -> None:
+    def report(self, now: float, values: dict[str, float]) -> None:
         """Take the load that others put on it from a report: own work is in the sum already, and would
         count twice (the paper names that as the weakness of its first version)."""
         held, free, busy = values.get("held"), values.get("free_slots"), values.get("busy")
@@ -112,9 +114,21 @@
             used = self.slots - free
         else:
             return
-        self.others += REPORT_WEIGHT * (max(used - self.held, 0.0) - self.others)
+        # A report is older than the count it is compared with. Smoothing both before taking the
+        # difference keeps own tasks that have just ended from passing for work of others.
+        self.used_mean += REPORT_WEIGHT * (used - self.used_mean)
+        self.held_mean += REPORT_WEIGHT * (self.held - self.held_mean)
+        self.others, self.reported_at = max(self.used_mean - self.held_mean, 0.0), now
         self.set_rate()
 
+    def age(self, now: float) -> None:
+        """Without news, what others put there is believed less and less: else an executor that looks full
+        gets no task, so no report, and looks full for ever."""
+        if self.others and now - self.reported_at > STALE:
+            self.used_mean -= self.others / 2
+            self.others, self.reported_at = self.others / 2, now
+            self.set_rate()
+
 
 class Node:
     """One dispatcher: all it knows for as long as it lives; one method for each thing that happens."""
@@ -217,6 +231,7 @@
                 continue
             if task.assignments and not self._may_repeat(now, task, executor):
                 continue
+            executor.age(now)
             rate = executor.rate
             if executor.cold_until > now:
                 if not self._cold_room(now, executor, cost):
@@ -341,7 +356,7 @@
         assignment.may_have_run = how not in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
         self._judge(now, assignment, how, took)
         if report:
-            executor.report(report)
+            executor.report(now, report)
         if complete:
             if task.open:
                 task.open = False
@@ -408,7 +423,7 @@
                report: dict[str, float] | None) -> None:
         if how is Outcome.FINISHED:
             if report:
-                executor.report(report)
+                executor.report(now, report)
         elif how is not Outcome.FULL:
             executor.strikes += 1
             if executor.strikes >= STRIKES or how is Outcome.NO_CONNECTION:
