Try: slots from reports but no load of others

Knowing slots without the others' load makes queues look too short; where starts are told, their delay is the fresher sign.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -100,13 +100,13 @@
         self.rate = self.speed * max(1.0 - busy, FLOOR)
 
     def report(self, now: float, values: dict[str, float]) -> None:
-        return
         """Take the load that others put on it from a report: own work is in the sum already, and would
         count twice (the paper names that as the weakness of its first version)."""
         held, free, busy = values.get("held"), values.get("free_slots"), values.get("busy")
         if free is not None:
             # Free slots beside a long queue (a wide task waits at its head) must not pass for more slots.
             self.slots = max(self.slots, round(free), round(held + free) if held and held <= free else 1.0)
+        return
         if held is not None:
             used = held
         elif busy is not None:
