--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -16,6 +16,8 @@
 FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
 REPORT_WEIGHT = 0.3    # of a new report in the load that others put on an executor
 STALE = 1.0            # seconds without a report after which the others' load is halved
+LAG_WEIGHT = 0.5       # of one start's unexplained delay in an executor's lag
+LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
 CROSS_TIMES = 3.0      # how many times its price a crossing must win in time before it is made
 ERROR_WEIGHT = 0.3     # of one outcome in an executor's share of errors
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
@@ -80,6 +82,7 @@
         self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
         self.slots, self.others, self.rate = 1.0, 0.0, speed
         self.used_mean, self.held_mean, self.reported_at = 0.0, 0.0, 0.0
+        self.lag, self.lag_at = 0.0, 0.0                 # delay of starts beyond what own work explains
         self.errors, self.strikes = 0.0, 0
         self.away_until, self.full_until, self.on_trial = 0.0, 0.0, False
         self.turn, self.turn_work = -1, 0.0
@@ -99,14 +102,15 @@
         busy = min(self.others / self.slots, 1.0)
         self.rate = self.speed * max(1.0 - busy, FLOOR)
 
-    def report(self, now: float, values: dict[str, float]) -> None:
+    def report(self, now: float, values: dict[str, float], shares: bool) -> None:
         """Take the load that others put on it from a report: own work is in the sum already, and would
         count twice (the paper names that as the weakness of its first version)."""
         held, free, busy = values.get("held"), values.get("free_slots"), values.get("busy")
         if free is not None:
             # Free slots beside a long queue (a wide task waits at its head) must not pass for more slots.
             self.slots = max(self.slots, round(free), round(held + free) if held and held <= free else 1.0)
-        return
+        if not shares:
+            return
         if held is not None:
             used = held
         elif busy is not None:
@@ -122,6 +126,14 @@
         self.others, self.reported_at = max(self.used_mean - self.held_mean, 0.0), now
         self.set_rate()
 
+    def lagged(self, now: float, by: float) -> None:
+        """Where starts are told, their delay shows the others' queue fresher than any report does."""
+        self.lag = max(self.lag_now(now) + LAG_WEIGHT * by, 0.0)
+        self.lag_at = now
+
+    def lag_now(self, now: float) -> float:
+        return max(self.lag * (1.0 - (now - self.lag_at) / LAG_FADE), 0.0) if self.lag else 0.0
+
     def age(self, now: float) -> None:
         """Without news, what others put there is believed less and less: else an executor that looks full
         gets no task, so no report, and looks full for ever."""
@@ -239,7 +251,7 @@
                     continue
                 rate *= self._warmth(now, executor)
             run = cost / rate
-            wait = self._wait(executor)
+            wait = self._wait(now, executor)
             if idle and wait:
                 continue
             if wait + run <= left:
@@ -250,12 +262,13 @@
                 late, late_at = executor, wait + run
         return (best, True) if best else (late, False)
 
-    def _wait(self, executor: Executor) -> float:
+    def _wait(self, now: float, executor: Executor) -> float:
         """Seconds until a slot is free, by own tasks there and what reports tell of others'."""
         over = executor.held + executor.others + 1.0 - executor.slots
+        lag = executor.lag_now(now)
         if over <= 0.0 or not executor.held:
-            return max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
-        return over * executor.work / (executor.held * executor.slots)
+            return lag + max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
+        return lag + over * executor.work / (executor.held * executor.slots)
 
     def _warmth(self, now: float, executor: Executor) -> float:
         part = max(now - executor.came_up, 0.0) / max(self.cold_for, 0.001)
@@ -306,7 +319,7 @@
                 return False  # rule 4: a cold one is not pushed over
             executor.turn_work += task.cost
         estimate = task.cost / executor.rate
-        wait = self._wait(executor)
+        wait = self._wait(now, executor)
         assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
         task.assignments.append(assignment)
         task.still_out += 1
@@ -339,7 +352,9 @@
 
     def started(self, now: float, assignment: Assignment) -> None:
         assignment.started_at = now
-        assignment.executor.strikes = 0
+        executor = assignment.executor
+        executor.strikes = 0
+        executor.lagged(now, now - assignment.sent - assignment.wait)
 
     def progressed(self, now: float, assignment: Assignment, part: float) -> None:
         assignment.executor.strikes = 0
@@ -357,7 +372,7 @@
         assignment.may_have_run = how not in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
         self._judge(now, assignment, how, took)
         if report:
-            executor.report(now, report)
+            executor.report(now, report, not self.tells_start)
         if complete:
             if task.open:
                 task.open = False
@@ -413,7 +428,7 @@
         ran = any(a.may_have_run for a in task.assignments)
         if not ran or effect is Effect.IDEMPOTENT or (
                 effect is Effect.FINGERPRINTED and task.offering.group is Group.ALL):
-            wait = min((self._wait(e) for e in self.ready), default=AWAY)
+            wait = min((self._wait(now, e) for e in self.ready), default=AWAY)
             self.host.bounce(task, min(max(wait, self.tick), self.longest_advice))
         else:
             self.host.abandon(task)
@@ -424,7 +439,7 @@
                report: dict[str, float] | None) -> None:
         if how is Outcome.FINISHED:
             if report:
-                executor.report(now, report)
+                executor.report(now, report, not self.tells_start)
         elif how is not Outcome.FULL:
             executor.strikes += 1
             if executor.strikes >= STRIKES or how is Outcome.NO_CONNECTION:
