--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -326,9 +326,12 @@
         executor.work += estimate
         executor.held += 1
         self.host.send(task, executor, 0.0)
-        left = task.due - now
-        patience = left - estimate if self.tells_start else max(left - estimate, wait + OVERDUE * estimate)
-        self.host.set_timer(now + max(patience, wait, 2 * self.tick), self._overdue, assignment)
+        slack = max(task.due - now - estimate, 0.0)
+        if self.tells_start:
+            patience = slack / 2
+        else:
+            patience = max(slack, wait + OVERDUE * estimate)
+        self.host.set_timer(now + max(patience, 2 * self.tick), self._overdue, assignment)
         return True
 
     def _overdue(self, now: float, assignment: Assignment) -> None:
@@ -336,15 +339,25 @@
         task, executor = assignment.task, assignment.executor
         if not assignment.out or assignment.started_at or task.bound:
             return
-        executor.strikes += 1
-        executor.learn(task.cost, now - assignment.sent)
-        if executor.strikes >= STRIKES:
-            self._set_aside(now, executor)
+        if now - assignment.sent > assignment.wait + assignment.estimate:
+            executor.strikes += 1
+            if not self.tells_start:
+                executor.learn(task.cost, now - assignment.sent)
+            if executor.strikes >= STRIKES:
+                self._set_aside(now, executor)
         if not task.open:
             return
-        other, in_time = self._choose(now, task, idle=True)
-        if other is not None and in_time and self._send(now, task, other) and self.tells_start:
-            self._cancel(assignment)
+        other, in_time = self._choose(now, task, idle=not self.tells_start)
+        if other is not None and in_time and self._send(now, task, other):
+            if self.tells_start:
+                self._cancel(assignment)
+        elif self.tells_start and not task.offering.late and task.still_out == 1:
+            # Waiting work that can only end late and worthless makes all behind it late as well.
+            left = task.due - now - task.cost / executor.speed
+            if left > self.tick:
+                self.host.set_timer(now + left, self._overdue, assignment)
+            else:
+                self._give_up(now, task)
 
     def _cancel(self, assignment: Assignment) -> None:
         if self.may_cancel and assignment.out:
