--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -405,6 +405,9 @@
                 took = now - assignment.started_at
             else:
                 took = max(took - assignment.wait, took / 2)
+            # A cold executor's samples are scaled to warm ones; else its coldness would count twice.
+            if executor.cold_until > now:
+                took *= self._warmth(now, executor)
             executor.learn(assignment.task.cost, took)
             executor.errors -= ERROR_WEIGHT * executor.errors
             executor.strikes, executor.on_trial = 0, False
