--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -218,7 +218,7 @@
 
     def _place(self, now: float, task: Task) -> None:
         executor, in_time = self._choose(now, task)
-        if executor is not None and in_time:
+        if executor is not None and (in_time or task.offering.late):
             if self._send(now, task, executor):
                 return
         if not task.still_out:
