--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -156,7 +156,7 @@
         self.offerings, self.tenants, self.tick = offerings, tenants, tick
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
         self.longest_advice, self.reports, self.tells_start = longest_advice, reports, tells_start
-        self.crossing, self.by_work, self.weighted = crossing, by_work, weighted
+        self.crossing, self.by_work = crossing, by_work
         self.cold_from, self.cold_for = cold_from, cold_for
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
@@ -165,7 +165,8 @@
         first = (own_number + 1) / self.nodes
         if must_ask:
             host.set_timer(now + tick * own_number, self._watch, None)
-        host.set_timer(now + first * PROBE_EVERY, self._round, None)
+        if may_probe:
+            host.set_timer(now + first * PROBE_EVERY, self._probe_round, None)
 
     def _chance(self) -> float:
         self.counter += 1
@@ -175,29 +176,14 @@
 
     def new_executor(self, now: float, ref: object, kind: int, zone: int, weight: float,
                      cell: int) -> Executor:
-        """A new one has the slots of its kind; its speed is set when the list has been heard."""
-        executor = Executor(ref, kind, zone, weight, cell, 1.0)
+        """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1."""
+        known = [e.speed for e in self.executors if e.time_mean and e.kind == kind] or \
+                [e.speed for e in self.executors if e.time_mean]
+        executor = Executor(ref, kind, zone, weight, cell, sum(known) / len(known) if known else 1.0)
         executor.slots = max((e.slots for e in self.executors if e.kind == kind), default=1.0)
         self.executors.append(executor)
         return executor
 
-    def _start_speeds(self) -> None:
-        """Executors without a finished task take the mean speed of their kind; without one, that of all,
-        in proportion to the sizes the list states: else a fast machine looks no better than a slow one
-        until a node has sent it enough, which a node with little traffic never does."""
-        known = [e for e in self.executors if e.time_mean]
-        fresh = [e for e in self.executors if not e.time_mean]
-        if not fresh:
-            return
-        size = sum(e.weight for e in self.executors) / len(self.executors)
-        base = sum(e.speed * (size / e.weight if self.weighted and e.weight else 1.0) for e in known)
-        base = base / len(known) if known else 1.0
-        for executor in fresh:
-            alike = [e.speed for e in known if e.kind == executor.kind]
-            scale = executor.weight / size if self.weighted and executor.weight else 1.0
-            executor.speed = sum(alike) / len(alike) if alike else base * scale
-            executor.set_rate()
-
     def heard(self, now: float, executor: Executor, condition: Condition, weight: float, came_up: float,
               stale: bool) -> None:
         executor.condition, executor.weight = condition, weight
@@ -208,7 +194,6 @@
 
     def list_heard(self, now: float, stale: bool) -> None:
         self.ready = [e for e in self.executors if e.condition is Condition.READY]
-        self._start_speeds()
 
     def list_broken(self, now: float) -> None:
         self.host.set_timer(now + 0.5 + self._chance(), self._watch, None)
@@ -476,12 +461,11 @@
             if executor.strikes >= STRIKES or how is Outcome.NO_CONNECTION:
                 self._set_aside(now, executor)
 
-    def _round(self, now: float, _: None) -> None:
-        self._start_speeds()
-        if self.may_probe and self.reports == "on_probe":
+    def _probe_round(self, now: float, _: None) -> None:
+        if self.reports == "on_probe":
             for executor in self.ready:
                 self.host.probe(executor)
-        self.host.set_timer(now + PROBE_EVERY, self._round, None)
+        self.host.set_timer(now + PROBE_EVERY, self._probe_round, None)
 
     def peer_said(self, now: float, peer: int, content: bytes) -> None:
         """Peers' messages are not used: each node can keep the rules and judge executors alone."""
