--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -340,16 +340,15 @@
         if not assignment.out or assignment.started_at or task.bound:
             return
         if now - assignment.sent > assignment.wait + assignment.estimate:
-            executor.strikes += 1
-            if not self.tells_start:
-                executor.learn(task.cost, now - assignment.sent)
+            if self.tells_start or not self.may_probe:
+                executor.strikes += 1
             if executor.strikes >= STRIKES:
                 self._set_aside(now, executor)
         if not task.open:
             return
         other, in_time = self._choose(now, task, idle=not self.tells_start)
         if other is not None and in_time and self._send(now, task, other):
-            if self.tells_start:
+            if self.tells_start or not self.may_probe:
                 self._cancel(assignment)
         elif self.tells_start and not task.offering.late and task.still_out == 1:
             # Waiting work that can only end late and worthless makes all behind it late as well.
