--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -18,7 +18,8 @@
 STALE = 1.0            # seconds without a report after which the others' load is halved
 LAG_WEIGHT = 0.5       # of one start's unexplained delay in an executor's lag
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
-CROSS_TIMES = 8.0      # how many times its price a crossing must win in time before it is made
+CROSS_TIMES = 3.0      # how many times its price a crossing must win in time before it is made
+CROSS_PART = 0.5       # part of a task's worth that a crossing may cost, before it is kept in its zone
 ERROR_WEIGHT = 0.3     # of one outcome in an executor's share of errors
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
 STRIKES = 2            # signs of silence in a row that set an executor aside
@@ -161,6 +162,7 @@
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
         self.ready: list[Executor] = []
+        self.zones: list[int] = []
         self.mean_cost, self.mean_worth, self.mean_run = 0.0, 0.0, 0.0
         first = (own_number + 1) / self.nodes
         if must_ask:
@@ -194,6 +196,7 @@
 
     def list_heard(self, now: float, stale: bool) -> None:
         self.ready = [e for e in self.executors if e.condition is Condition.READY]
+        self.zones = [e.zone for e in self.ready]
 
     def list_broken(self, now: float) -> None:
         self.host.set_timer(now + 0.5 + self._chance(), self._watch, None)
@@ -232,6 +235,8 @@
         cost, left, kind = task.cost, task.due - now, task.offering.kind
         worth = task.offering.importance * (cost if self.by_work else 1.0)
         recv = CROSS_TIMES * self.crossing * max(left, 0.0) * self.mean_worth / max(worth, 1e-9)
+        # A light task is worth less than its crossing costs: it stays where its zone has an executor at all.
+        near = self.crossing * self.mean_worth > CROSS_PART * worth and self.zone in self.zones
         side = task.offering.effect is Effect.SIDE_EFFECTING
         ready = self.ready
         start = int(self._chance() * len(ready))
@@ -240,7 +245,7 @@
                 continue
             if executor.on_trial and (executor.held or side):
                 continue
-            if kind >= 0 and executor.kind != kind:
+            if near and executor.zone != self.zone or kind >= 0 and executor.kind != kind:
                 continue
             if task.assignments and not self._may_repeat(now, task, executor):
                 continue
