Late moves teach an executor's lag, and lags fade to the common one

Cause: unmet executors looked free, so tasks were moved from queue to queue; crashes and silent executors were ruled out by the outcomes (no time-outs, no resets).

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -17,6 +17,7 @@
 REPORT_WEIGHT = 0.3    # of a new report in the load that others put on an executor
 STALE = 1.0            # seconds without a report after which the others' load is halved
 LAG_WEIGHT = 0.5       # of one start's unexplained delay in an executor's lag
+COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
 CROSS_TIMES = 3.0      # how many times its price a crossing must win in time before it is made
 CROSS_PART = 1.0       # part of a task's worth that a crossing may cost, before it is kept in its zone
@@ -127,13 +128,15 @@
         self.others, self.reported_at = max(self.used_mean - self.held_mean, 0.0), now
         self.set_rate()
 
-    def lagged(self, now: float, by: float) -> None:
+    def lagged(self, now: float, by: float, common: float) -> None:
         """Where starts are told, their delay shows the others' queue fresher than any report does."""
-        self.lag = max(self.lag_now(now) + LAG_WEIGHT * by, 0.0)
+        self.lag = max(self.lag_now(now, common) + LAG_WEIGHT * by, 0.0)
         self.lag_at = now
 
-    def lag_now(self, now: float) -> float:
-        return max(self.lag * (1.0 - (now - self.lag_at) / LAG_FADE), 0.0) if self.lag else 0.0
+    def lag_now(self, now: float, common: float) -> float:
+        """Without news the lag fades to the common one: when all executors are late, those this node has
+        not met for a while are late too, and moving tasks to them only churns."""
+        return common + (self.lag - common) * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
 
     def age(self, now: float) -> None:
         """Without news, what others put there is believed less and less: else an executor that looks full
@@ -163,7 +166,8 @@
         self.executors: list[Executor] = []
         self.ready: list[Executor] = []
         self.zones: list[int] = []
-        self.mean_cost, self.mean_worth, self.mean_run = 0.0, 0.0, 0.0
+        self.mean_cost, self.mean_worth = 0.0, 0.0
+        self.lag, self.lag_at = 0.0, now                 # common to the executors met lately
         first = (own_number + 1) / self.nodes
         if must_ask:
             host.set_timer(now + tick * own_number, self._watch, None)
@@ -270,7 +274,7 @@
     def _wait(self, now: float, executor: Executor) -> float:
         """Seconds until a slot is free, by own tasks there and what reports tell of others'."""
         over = executor.held + executor.others + 1.0 - executor.slots
-        lag = executor.lag_now(now)
+        lag = executor.lag_now(now, self.lag_now(now)) if self.tells_start else 0.0
         if over <= 0.0 or not executor.held:
             return lag + max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
         return lag + over * executor.work / (executor.held * executor.slots)
@@ -344,6 +348,8 @@
         task, executor = assignment.task, assignment.executor
         if not assignment.out or assignment.started_at or task.bound:
             return
+        if self.tells_start:
+            self._lagged(now, assignment)
         if now - assignment.sent > assignment.wait + assignment.estimate:
             if self.tells_start or not self.may_probe:
                 executor.strikes += 1
@@ -371,7 +377,16 @@
         assignment.started_at = now
         executor = assignment.executor
         executor.strikes = 0
-        executor.lagged(now, now - assignment.sent - assignment.wait)
+        self._lagged(now, assignment)
+
+    def _lagged(self, now: float, assignment: Assignment) -> None:
+        by = now - assignment.sent - assignment.wait
+        assignment.executor.lagged(now, by, self.lag_now(now))
+        self.lag = max(self.lag_now(now) + COMMON_WEIGHT * by, 0.0)
+        self.lag_at = now
+
+    def lag_now(self, now: float) -> float:
+        return self.lag * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
 
     def progressed(self, now: float, assignment: Assignment, part: float) -> None:
         assignment.executor.strikes = 0
