--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -436,12 +436,13 @@
             # A quickly erroring executor sheds its sum and tops the list: it must not draw all tasks.
             executor.errors += ERROR_WEIGHT * (1.0 - executor.errors)
             if executor.errors > ERROR_LIMIT or how is Outcome.NO_CONNECTION or executor.on_trial:
-                self._set_aside(now, executor)
+                self._set_aside(now, executor, how is Outcome.NO_CONNECTION)
 
-    def _set_aside(self, now: float, executor: Executor) -> None:
-        """Keep tasks from a bad executor for a while, but never from so many that the rest tip over."""
+    def _set_aside(self, now: float, executor: Executor, unreachable: bool = False) -> None:
+        """Keep tasks from a bad executor for a while, but not from so many that the rest tip over; only
+        those that cannot be reached do no work anyway, be it a whole zone of them."""
         away = sum(e.away_until > now for e in self.ready)
-        if executor.away_until > now or away + 1 > MOST_AWAY * len(self.ready):
+        if executor.away_until > now or (away + 1 > MOST_AWAY * len(self.ready) and not unreachable):
             return
         executor.away_until = now + AWAY * (1.0 + self._chance())
         executor.on_trial, executor.strikes, executor.errors = True, 0, 0.0
