--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -420,16 +420,16 @@
         """What an outcome says of its executor."""
         executor = assignment.executor
         if how is Outcome.FINISHED:
+            executor.errors -= ERROR_WEIGHT * executor.errors
+            executor.strikes, executor.on_trial = 0, False
             if assignment.started_at:
                 took = now - assignment.started_at
-            else:
-                took = max(took - assignment.wait, took / 2)
+            elif assignment.wait:
+                return  # time in a queue is not slowness: such samples made all look slow, and none in time
             # A cold executor's samples are scaled to warm ones; else its coldness would count twice.
             if executor.cold_until > now:
                 took *= self._warmth(now, executor)
             executor.learn(assignment.task.cost, took)
-            executor.errors -= ERROR_WEIGHT * executor.errors
-            executor.strikes, executor.on_trial = 0, False
         elif how is Outcome.FULL:
             executor.full_until = now + FULL_PAUSE
         elif how in (Outcome.ERROR, Outcome.BROKEN, Outcome.NO_CONNECTION):
