Hold tasks that can only be late at the node until a slot is free

Cause: all nodes sent their late tasks to the executor that would answer first; slow machines were ruled out as its queue was others' tasks.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -19,6 +19,7 @@
 LAG_WEIGHT = 0.5       # of one start's unexplained delay in an executor's lag
 COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
+HOLD_PART = 0.25       # part of its time left for which a task that can only be late waits for a free slot
 CROSS_TIMES = 3.0      # how many times its price a crossing must win in time before it is made
 CROSS_PART = 1.0       # part of a task's worth that a crossing may cost, before it is kept in its zone
 ERROR_WEIGHT = 0.3     # of one outcome in an executor's share of errors
@@ -166,6 +167,7 @@
         self.executors: list[Executor] = []
         self.ready: list[Executor] = []
         self.zones: list[int] = []
+        self.waiting, self.room = [], 0.0                # tasks held for a free slot, and how many may be
         self.mean_cost, self.mean_worth = 0.0, 0.0
         self.lag, self.lag_at = 0.0, now                 # common to the executors met lately
         first = (own_number + 1) / self.nodes
@@ -201,6 +203,7 @@
     def list_heard(self, now: float, stale: bool) -> None:
         self.ready = [e for e in self.executors if e.condition is Condition.READY]
         self.zones = [e.zone for e in self.ready]
+        self.room = sum(e.slots for e in self.ready) / self.nodes
 
     def list_broken(self, now: float) -> None:
         self.host.set_timer(now + 0.5 + self._chance(), self._watch, None)
@@ -225,12 +228,31 @@
 
     def _place(self, now: float, task: Task) -> None:
         executor, in_time = self._choose(now, task)
-        if executor is not None and (in_time or task.offering.late):
-            if self._send(now, task, executor):
-                return
-        if not task.still_out:
+        if executor is not None and in_time and self._send(now, task, executor):
+            return
+        if task.still_out:
+            return
+        if executor is not None and task.offering.late and len(self.waiting) < self.room:
+            # It can only be late, and late answers earn something. In an executor's queue it would make
+            # those behind it late too, and all nodes' late tasks would pile up at the fastest one.
+            self.waiting.append(task)
+            self.host.set_timer(now + HOLD_PART * (task.expiry - now), self._waited, task)
+        else:
             self._give_up(now, task)
 
+    def _waited(self, now: float, task: Task) -> None:
+        if task in self.waiting:
+            self.waiting.remove(task)
+            self._give_up(now, task)
+
+    def _release(self, now: float) -> None:
+        """Give slots that nothing in time wants to the tasks that wait to be late."""
+        waiting, self.waiting = self.waiting, []
+        for task in waiting:
+            executor, _ = self._choose(now, task, idle=True)
+            if task.open and (executor is None or not self._send(now, task, executor)):
+                self.waiting.append(task)
+
     def _choose(self, now: float, task: Task, idle: bool = False) -> tuple[Executor | None, bool]:
         """The ordinary path: least own outstanding estimated work, plus what it takes to reach it (Recv),
         among those that can still start it in time; failing these, the one that would answer first."""
@@ -415,6 +437,8 @@
                 self._give_up(now, task)
             elif not task.still_out or how is not Outcome.CANCELLED:
                 self._place(now, task)
+        if self.waiting:
+            self._release(now)
 
     def _judge(self, now: float, assignment: Assignment, how: Outcome, took: float) -> None:
         """What an outcome says of its executor."""
@@ -476,6 +500,8 @@
         if how is Outcome.FINISHED:
             if report:
                 executor.report(now, report, not self.tells_start)
+                if self.waiting:
+                    self._release(now)
         elif how is not Outcome.FULL:
             executor.strikes += 1
             if executor.strikes >= STRIKES or how is Outcome.NO_CONNECTION:
