--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -173,8 +173,7 @@
         first = (own_number + 1) / self.nodes
         if must_ask:
             host.set_timer(now + tick * own_number, self._watch, None)
-        if may_probe:
-            host.set_timer(now + first * PROBE_EVERY, self._probe_round, None)
+        host.set_timer(now + first * PROBE_EVERY, self._round, None)
 
     def _chance(self) -> float:
         self.counter += 1
@@ -203,7 +202,6 @@
     def list_heard(self, now: float, stale: bool) -> None:
         self.ready = [e for e in self.executors if e.condition is Condition.READY]
         self.zones = [e.zone for e in self.ready]
-        self.room = sum(e.slots for e in self.ready) / self.nodes
 
     def list_broken(self, now: float) -> None:
         self.host.set_timer(now + 0.5 + self._chance(), self._watch, None)
@@ -507,11 +505,12 @@
             if executor.strikes >= STRIKES or how is Outcome.NO_CONNECTION:
                 self._set_aside(now, executor)
 
-    def _probe_round(self, now: float, _: None) -> None:
-        if self.reports == "on_probe":
+    def _round(self, now: float, _: None) -> None:
+        self.room = sum(e.slots for e in self.ready) / self.nodes
+        if self.reports == "on_probe" and self.may_probe:
             for executor in self.ready:
                 self.host.probe(executor)
-        self.host.set_timer(now + PROBE_EVERY, self._probe_round, None)
+        self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
     def peer_said(self, now: float, peer: int, content: bytes) -> None:
         """Peers' messages are not used: each node can keep the rules and judge executors alone."""
