--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -373,7 +373,7 @@
         if now - assignment.sent > assignment.wait + assignment.estimate:
             if self.tells_start or not self.may_probe:
                 executor.strikes += 1
-            if executor.strikes >= STRIKES:
+            if executor.strikes >= STRIKES or executor.on_trial:
                 self._set_aside(now, executor)
         if not task.open:
             return
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,232 @@
+"""The decisions, one short trace each; the kept traces in `traces/` are for reading."""
+import pytest
+from helpers import Fake, offering
+
+from firwalk.host import Condition, Effect, Group, Outcome
+
+IDEMPOTENT, FINGERPRINTED, SIDE_EFFECTING = Effect.IDEMPOTENT, Effect.FINGERPRINTED, Effect.SIDE_EFFECTING
+
+
+def test_least_outstanding_work_wins():
+    f = Fake()
+    f.hear("A", "B")
+    first, *_ = [f.task(f"t{n}", cost) for n, cost in enumerate((0.3, 0.1, 0.1, 0.1))]
+    f.start(first)
+    f.until(0.2)
+    f.end(first, Outcome.FINISHED)
+    f.task("t4")
+    f.compare("least_work")
+
+
+def test_estimate_is_kept_and_taken_off_on_any_outcome():
+    f = Fake()
+    f.hear("A")
+    a = f.executors["A"]
+    one, two = f.task("one", 0.3), f.task("two", 0.2)
+    assert a.work == pytest.approx(0.5)
+    a.speed = a.rate = 2.0
+    f.end(one, Outcome.FULL)
+    assert a.work == pytest.approx(0.2)
+    f.end(two, Outcome.FINISHED)
+    assert (a.work, a.held) == (0.0, 0)
+
+
+def test_crossing_needs_more_than_a_little_work_and_is_not_for_light_tasks():
+    f = Fake(crossing=0.1)
+    f.hear("near", slots=1)
+    f.hear("far", zone=1, slots=1)
+    for n in range(4):
+        f.task(f"t{n}", 0.3)
+    f.node.mean_worth = 100.0
+    f.task("light", 0.01)
+    f.compare("crossing")
+
+
+OUTCOMES = [Outcome.FULL, Outcome.NO_CONNECTION, Outcome.ERROR, Outcome.BROKEN, Outcome.TIMED_OUT,
+            Outcome.CANCELLED]
+
+
+@pytest.mark.parametrize("name, kind", [
+    ("idempotent", offering(IDEMPOTENT)), ("side_effecting", offering(SIDE_EFFECTING)),
+    ("fingerprinted_all", offering(FINGERPRINTED)),
+    ("fingerprinted_zone", offering(FINGERPRINTED, Group.ZONE)),
+    ("fingerprinted_cell", offering(FINGERPRINTED, Group.CELL))])
+def test_rule_2_each_effect_after_each_outcome(name, kind):
+    lines = []
+    for how in OUTCOMES:
+        f = Fake(offerings=[kind])
+        f.hear("A", cell=1)
+        task = f.task("t")
+        f.hear("B", zone=1, cell=2)
+        f.hear("C", zone=0, cell=1)
+        f.executors["C"].work = 0.01  # B, outside the group, would be the ordinary choice
+        f.end(task, how)
+        lines += f.lines
+    f.lines = lines
+    f.compare(name)
+
+
+def test_rule_2_a_fingerprint_is_trusted_only_while_remembered():
+    f = Fake(offerings=[offering(FINGERPRINTED, due=9.0, expiry=9.0, remembered=3.0)])
+    f.hear("A", "B")
+    task = f.task("t")
+    f.start(task)
+    f.until(3.1)
+    f.end(task, Outcome.BROKEN)
+    f.compare("forgotten")
+
+
+def test_rule_1_nothing_after_the_final_answer_or_the_expiry():
+    f = Fake()
+    f.hear("A", "B")
+    gone, late = f.task("gone"), f.task("late")
+    f.node.withdrawn(f.now, gone)
+    f.end(gone, Outcome.CANCELLED)
+    f.start(late)
+    f.until(5.0)
+    f.end(late, Outcome.TIMED_OUT)
+    assert not f.node._send(f.now, gone, f.executors["B"])
+    f.compare("after_the_end")
+
+
+def test_rule_3_nothing_new_to_one_that_drains_or_is_gone():
+    f = Fake()
+    f.hear("A", "B")
+    f.task("t0")
+    f.hear("A", condition=Condition.DRAINING)
+    f.hear("B", condition=Condition.GONE)
+    task = f.task("t1")
+    task.open = True
+    assert not f.node._send(f.now, task, f.executors["A"])
+    f.compare("drain")
+
+
+def test_rule_4_nodes_take_turns_at_a_cold_executor_within_a_budget():
+    f = Fake(nodes=2, own_number=1)
+    f.until(100.0)
+    f.hear("cold", came_up=100.0, slots=4)
+    for n in range(12):
+        f.until(100.0 + n / 2)
+        for m in range(4):
+            f.task(f"t{n}.{m}", 0.2)
+    f.compare("cold")
+
+
+def test_silent_executor_is_left_and_set_aside_and_tried_again():
+    f = Fake()
+    f.hear("good", "hung", "other")
+    f.executors["good"].work = f.executors["other"].work = 0.05
+    for n in range(60):
+        f.until(n * 0.25)
+        while f.called:
+            a = f.called.pop()
+            f.node.ended(f.now, a, Outcome.CANCELLED, 0.3, not a.task.open, None)
+        task = f.task(f"t{n}")
+        if task.assignments and task.assignments[0].executor.ref != "hung":
+            f.start(task)
+            f.end(task, Outcome.FINISHED)
+    f.lines = [line for line in f.lines if "hung" in line]
+    f.compare("silent")
+
+
+def test_erring_executor_does_not_draw_all_tasks():
+    f = Fake()
+    f.hear("good", "bad", "other")
+    for n in range(20):
+        f.until(n * 0.1)
+        task = f.task(f"t{n}")
+        for number in range(5):
+            if number < len(task.assignments) and task.open:
+                bad = task.assignments[number].executor.ref == "bad"
+                f.end(task, Outcome.ERROR if bad else Outcome.FINISHED, number)
+    assert sum("to bad" in line for line in f.lines) == 2
+
+
+def test_a_whole_zone_out_of_reach_is_set_aside():
+    f = Fake()
+    f.hear("A", "B", "C", "D")
+    for name in "ABC":
+        task = f.task(name)
+        where = task.assignments[0].executor
+        f.node.ended(f.now, task.assignments[0], Outcome.NO_CONNECTION, 0.25, False, None)
+        assert where.away_until > f.now
+
+
+def test_hopeless_waiting_is_answered_at_once():
+    f = Fake(offerings=[offering(IDEMPOTENT), offering(SIDE_EFFECTING)])
+    f.hear("A", slots=1)
+    f.task("one"), f.task("two", kind=1)
+    f.until(3.0)
+    f.compare("hopeless")
+
+
+def test_overload_bounces_with_advice():
+    f = Fake()
+    f.hear("A", "B", slots=1)
+    for n in range(12):
+        f.task(f"t{n}", 0.2)
+    f.compare("overload")
+
+
+def test_late_tasks_wait_for_a_free_slot_and_not_for_ever():
+    f = Fake(offerings=[offering(late=0.5)], tells_start=False)
+    f.hear("A", slots=1)
+    f.until(1.1)
+    tasks = [f.task(f"t{n}", 1.2 - n / 10) for n in range(5)]
+    f.node.room = 2
+    for n in range(2):
+        f.until(1.4 + n / 2)
+        f.end(tasks[n], Outcome.FINISHED)
+    f.until(6.0)
+    f.compare("held")
+
+
+def test_lag_of_the_fleet_is_believed_of_executors_not_met():
+    f = Fake()
+    f.hear("A", "B")
+    task = f.task("t", 0.2)
+    f.until(0.4)
+    f.start(task)
+    other = f.executors["B" if task.assignments[0].executor.ref == "A" else "A"]
+    assert 0.0 < f.node._wait(f.now, other) < f.node._wait(f.now, task.assignments[0].executor)
+
+
+def test_own_work_in_reports_is_not_counted_as_others():
+    f = Fake(tells_start=False)
+    f.hear("A", slots=4)
+    f.task("one"), f.task("two")
+    a = f.executors["A"]
+    for _ in range(20):
+        a.report(f.now, {"held": 2.0, "free_slots": 2.0}, True)
+    assert a.others == pytest.approx(0.0, abs=0.01)
+    a.report(f.now, {"held": 9.0, "free_slots": 1.0}, True)
+    assert (a.slots, a.others > 1.0) == (4, True)
+    for second in range(1, 9):
+        a.age(f.now + 2.0 * second)
+    assert a.others < 0.1
+
+
+def test_cold_samples_and_queued_samples_do_not_slow_an_executor():
+    f = Fake(tells_start=False)
+    f.hear("A", slots=1)
+    a, one = f.executors["A"], f.task("one", 0.2)
+    two = f.task("two", 0.2)
+    f.until(0.2)
+    f.end(one, Outcome.FINISHED)
+    f.until(0.4)
+    f.end(two, Outcome.FINISHED)
+    assert a.speed == pytest.approx(1.0)
+    a.came_up, a.cold_until = f.now, f.now + 10.0
+    f.node.nodes = 1
+    three = f.task("three", 0.05)
+    f.until(0.4 + 0.05 / 0.2)
+    f.end(three, Outcome.FINISHED)
+    assert a.speed == pytest.approx(1.0, abs=0.05)
+
+
+def test_list_is_asked_for_again_after_a_break():
+    f = Fake(must_ask=True)
+    f.until(0.1)
+    f.node.list_broken(f.now)
+    f.until(3.0)
+    f.compare("watch")
