Count the price of a new connection in what it takes to reach an executor

Cause: least work alone spreads a node's tasks over executors it has no open connection to. The same term as for crossings; acts where the settings price connections.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -84,6 +84,7 @@
         self.work, self.held = 0.0, 0                    # own outstanding estimates, and how many
         self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
         self.slots, self.others, self.rate = 1.0, 0.0, speed
+        self.idle = 0                                    # connections to it that should be open and free
         self.used_mean, self.held_mean, self.reported_at = 0.0, 0.0, 0.0
         self.lag, self.lag_at = 0.0, 0.0                 # delay of starts beyond what own work explains
         self.errors, self.strikes = 0.0, 0
@@ -154,14 +155,14 @@
     def __init__(self, host: Host, seed: int, now: float, *, own_number: int, nodes: int, zone: int,
                  offerings: list[Offering], tenants: list[Tenant], tick: float, most: int, copies: bool,
                  may_cancel: bool, may_probe: bool, longest_advice: float, reports: str, tells_start: bool,
-                 weighted: bool, must_ask: bool, crossing: float, beyond_share: float, by_work: bool,
+                 must_ask: bool, crossing: float, handshake: float, beyond_share: float, by_work: bool,
                  cold_from: float, cold_for: float, fall_multiple: float, fall_window: float):
         self.host, self.seed, self.counter = host, seed, 0
         self.own_number, self.nodes, self.zone = own_number, max(nodes, 1), zone
         self.offerings, self.tenants, self.tick = offerings, tenants, tick
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
         self.longest_advice, self.reports, self.tells_start = longest_advice, reports, tells_start
-        self.crossing, self.by_work = crossing, by_work
+        self.crossing, self.handshake, self.by_work = crossing, handshake, by_work
         self.cold_from, self.cold_for = cold_from, cold_for
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
@@ -258,7 +259,8 @@
         late, late_at = None, task.expiry - now
         cost, left, kind = task.cost, task.due - now, task.offering.kind
         worth = task.offering.importance * (cost if self.by_work else 1.0)
-        recv = CROSS_TIMES * self.crossing * max(left, 0.0) * self.mean_worth / max(worth, 1e-9)
+        price = CROSS_TIMES * max(left, 0.0) * self.mean_worth / max(worth, 1e-9)
+        recv, anew = price * self.crossing, price * self.handshake
         # A light task is worth less than its crossing costs: it stays where its zone has an executor at all.
         near = self.crossing * self.mean_worth > CROSS_PART * worth and self.zone in self.zones
         side = task.offering.effect is Effect.SIDE_EFFECTING
@@ -284,7 +286,11 @@
             if idle and wait:
                 continue
             if wait + run <= left:
-                load = executor.work / executor.slots + (recv if executor.zone != self.zone else 0.0)
+                load = executor.work / executor.slots
+                if executor.zone != self.zone:
+                    load += recv
+                if not executor.idle:
+                    load += anew
                 if best is None or load < best_load or (load == best_load and run < best_run):
                     best, best_load, best_run = executor, load, run
             elif wait + run < late_at:
@@ -354,6 +360,7 @@
         task.still_out += 1
         executor.work += estimate
         executor.held += 1
+        executor.idle = max(executor.idle - 1, 0)
         self.host.send(task, executor, 0.0)
         slack = max(task.due - now - estimate, 0.0)
         if self.tells_start:
@@ -441,6 +448,8 @@
     def _judge(self, now: float, assignment: Assignment, how: Outcome, took: float) -> None:
         """What an outcome says of its executor."""
         executor = assignment.executor
+        if how in (Outcome.FINISHED, Outcome.ERROR, Outcome.FULL):
+            executor.idle += 1  # other ends close the connection
         if how is Outcome.FINISHED:
             executor.errors -= ERROR_WEIGHT * executor.errors
             executor.strikes, executor.on_trial = 0, False
--- a/firwalk/wirehost/__main__.py
+++ b/firwalk/wirehost/__main__.py
@@ -62,8 +62,8 @@
             longest_advice=limits.get("max-retry-after-us", 0) * MICRO if limits.get("retry-after") else 0.0,
             reports=s.get("load-report", {}).get("how", "off"),
             tells_start=bool(family.get("tells-start", False)),
-            weighted=s.get("weights", "off") in ("nominal", "rough"),
             must_ask=s.get("discovery") == "ask", crossing=prices.get("cross-zone", 0.0),
+            handshake=prices.get("handshake", 0.0),
             beyond_share=s.get("excess-importance", 1.0), by_work=s.get("importance-by") == "work",
             cold_from=rules.get("cold-from", 1.0), cold_for=rules.get("cold-us", 0) * MICRO,
             fall_multiple=rules.get("fall-multiple", 1.0), fall_window=rules.get("tip-after-us", 0) * MICRO)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,7 +17,7 @@
         self.quiet = True  # leave probes out of the trace
         known = dict(own_number=0, nodes=1, zone=0, offerings=[offering()], tenants=[Tenant(10.0)],
                      tick=0.005, most=5, copies=True, may_cancel=True, may_probe=True, longest_advice=2.0,
-                     reports="on_probe", tells_start=True, weighted=False, must_ask=False, crossing=0.0,
+                     reports="on_probe", tells_start=True, must_ask=False, crossing=0.0, handshake=0.0,
                      beyond_share=1.0, by_work=True, cold_from=0.2, cold_for=10.0, fall_multiple=3.0,
                      fall_window=2.0)
         known.update(settings)
