--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -20,6 +20,7 @@
 COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
 HOLD_PART = 0.25       # part of its time left for which a task that can only be late waits for a free slot
+SHARE_WINDOW = 3.0     # seconds of its share that a tenant may use at once
 CROSS_TIMES = 3.0      # how many times its price a crossing must win in time before it is made
 CROSS_PART = 1.0       # part of a task's worth that a crossing may cost, before it is kept in its zone
 ERROR_WEIGHT = 0.3     # of one outcome in an executor's share of errors
@@ -48,7 +49,17 @@
     """A customer and its share, in tasks a second over all nodes."""
 
     def __init__(self, quota: float):
-        self.quota = quota
+        self.quota, self.tokens, self.at = quota, 1.0, 0.0
+
+    def within(self, now: float, part: float) -> bool:
+        """Whether one more task is inside this node's part of the share, by a bucket of some seconds."""
+        rate = self.quota * part
+        self.tokens = min(self.tokens + rate * (now - self.at), max(rate * SHARE_WINDOW, 1.0))
+        self.at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
 
 
 class Assignment:
@@ -67,12 +78,14 @@
 class Task:
     """What a client asked for, until its one final answer and the end of its last assignment."""
 
-    __slots__ = ("ref", "offering", "cost", "due", "expiry", "assignments", "still_out", "open", "bound")
+    __slots__ = ("ref", "offering", "cost", "due", "expiry", "assignments", "still_out", "open", "bound",
+                 "worth", "beyond")
 
     def __init__(self, ref: object, offering: Offering, cost: float, due: float, expiry: float):
         self.ref, self.offering, self.cost, self.due, self.expiry = ref, offering, cost, due, expiry
         self.assignments: list[Assignment] = []
         self.still_out, self.open, self.bound = 0, True, False
+        self.worth, self.beyond = 0.0, False             # beyond: over its tenant's share, worth less
 
 
 class Executor:
@@ -113,8 +126,6 @@
         if free is not None:
             # Free slots beside a long queue (a wide task waits at its head) must not pass for more slots.
             self.slots = max(self.slots, round(free), round(held + free) if held and held <= free else 1.0)
-        if not shares:
-            return
         if held is not None:
             used = held
         elif busy is not None:
@@ -127,6 +138,8 @@
         # difference keeps own tasks that have just ended from passing for work of others.
         self.used_mean += REPORT_WEIGHT * (used - self.used_mean)
         self.held_mean += REPORT_WEIGHT * (self.held - self.held_mean)
+        if not shares:
+            return
         self.others, self.reported_at = max(self.used_mean - self.held_mean, 0.0), now
         self.set_rate()
 
@@ -163,6 +176,8 @@
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
         self.longest_advice, self.reports, self.tells_start = longest_advice, reports, tells_start
         self.crossing, self.handshake, self.by_work = crossing, handshake, by_work
+        self.beyond_share = beyond_share
+        self.part = 1.0 / self.nodes                     # of all traffic, this node's
         self.cold_from, self.cold_for = cold_from, cold_for
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
@@ -222,11 +237,16 @@
         part = 0.02 if self.mean_cost else 1.0
         self.mean_cost += part * (cost - self.mean_cost)
         self.mean_worth += part * (worth - self.mean_worth)
+        if self.beyond_share < 1.0 and 0 <= tenant < len(self.tenants):
+            task.beyond = not self.tenants[tenant].within(now, self.part)
+        task.worth = worth * (self.beyond_share if task.beyond else 1.0)
         self._place(now, task)
         return task
 
     def _place(self, now: float, task: Task) -> None:
-        executor, in_time = self._choose(now, task)
+        # Beyond its tenant's share a task is worth little: it gets free slots, but no place in a queue,
+        # or one tenant's crowd would make everybody late.
+        executor, in_time = self._choose(now, task, idle=task.beyond)
         if executor is not None and in_time and self._send(now, task, executor):
             return
         if task.still_out:
@@ -258,7 +278,7 @@
         best, best_load, best_run = None, 0.0, 0.0
         late, late_at = None, task.expiry - now
         cost, left, kind = task.cost, task.due - now, task.offering.kind
-        worth = task.offering.importance * (cost if self.by_work else 1.0)
+        worth = task.worth
         price = CROSS_TIMES * max(left, 0.0) * self.mean_worth / max(worth, 1e-9)
         recv, anew = price * self.crossing, price * self.handshake
         # A light task is worth less than its crossing costs: it stays where its zone has an executor at all.
@@ -515,6 +535,9 @@
                 self._set_aside(now, executor)
 
     def _round(self, now: float, _: None) -> None:
+        used = sum(e.used_mean for e in self.ready)
+        if used > 1.0:
+            self.part = min(max(sum(e.held_mean for e in self.ready) / used, 0.5 / self.nodes), 1.0)
         self.room = sum(e.slots for e in self.ready) / self.nodes
         if self.reports == "on_probe" and self.may_probe:
             for executor in self.ready:
