--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -244,9 +244,7 @@
         return task
 
     def _place(self, now: float, task: Task) -> None:
-        # Beyond its tenant's share a task is worth little: it gets free slots, but no place in a queue,
-        # or one tenant's crowd would make everybody late.
-        executor, in_time = self._choose(now, task, idle=task.beyond)
+        executor, in_time = self._choose(now, task)
         if executor is not None and in_time and self._send(now, task, executor):
             return
         if task.still_out:
@@ -279,6 +277,9 @@
         late, late_at = None, task.expiry - now
         cost, left, kind = task.cost, task.due - now, task.offering.kind
         worth = task.worth
+        # Beyond its tenant's share a task is worth little: it may wait only that part of its slack for
+        # others, or one tenant's crowd would make everybody late.
+        part = self.beyond_share if task.beyond else 1.0
         price = CROSS_TIMES * max(left, 0.0) * self.mean_worth / max(worth, 1e-9)
         recv, anew = price * self.crossing, price * self.handshake
         # A light task is worth less than its crossing costs: it stays where its zone has an executor at all.
@@ -305,7 +306,7 @@
             wait = self._wait(now, executor)
             if idle and wait:
                 continue
-            if wait + run <= left:
+            if wait <= (left - run) * part:
                 load = executor.work / executor.slots
                 if executor.zone != self.zone:
                     load += recv
