--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -249,7 +249,7 @@
             return
         if task.still_out:
             return
-        if executor is not None and task.offering.late and not task.beyond and len(self.waiting) < self.room:
+        if executor is not None and task.offering.late and len(self.waiting) < self.room:
             # It can only be late, and late answers earn something. In an executor's queue it would make
             # those behind it late too, and all nodes' late tasks would pile up at the fastest one.
             self.waiting.append(task)
