--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -383,10 +383,11 @@
         executor.held += 1
         executor.idle = max(executor.idle - 1, 0)
         self.host.send(task, executor, 0.0)
+        slack = max(task.due - now - estimate, 0.0)
         if self.tells_start:
-            patience = max(task.due - now - estimate, 0.0) / 2
+            patience = slack / 2
         else:
-            patience = wait + OVERDUE * estimate
+            patience = max(slack, wait + OVERDUE * estimate)
         self.host.set_timer(now + max(patience, 2 * self.tick), self._overdue, assignment)
         return True
 
@@ -405,7 +406,7 @@
         if not task.open:
             return
         other, in_time = self._choose(now, task, idle=not self.tells_start)
-        if other is not None and (in_time or task.offering.late) and self._send(now, task, other):
+        if other is not None and in_time and self._send(now, task, other):
             if self.tells_start or not self.may_probe:
                 self._cancel(assignment)
         elif self.tells_start and not task.offering.late and task.still_out == 1:
@@ -481,10 +482,6 @@
             if executor.cold_until > now:
                 took *= self._warmth(now, executor)
             executor.learn(assignment.task.cost, took)
-        elif how in (Outcome.CANCELLED, Outcome.TIMED_OUT):
-            # A slow executor loses to the second copy, so its slowness never shows in a finished task.
-            if not assignment.wait and took > OVERDUE * assignment.estimate:
-                executor.learn(assignment.task.cost, took)
         elif how is Outcome.FULL:
             executor.full_until = now + FULL_PAUSE
         elif how in (Outcome.ERROR, Outcome.BROKEN, Outcome.NO_CONNECTION):
