Utilisation no longer lengthens the time a task is expected to run; slower smoothing

Cause: with the others' load in the running time, most executors looked too slow to answer in time, and all nodes chased the rest; herding by the tie-break, slow probes and silent machines were ruled out by runs with each changed alone. Utilisation stays in the stored estimate, as the design has it.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -14,7 +14,7 @@
 
 WEIGHT = 0.2           # of a new sample in a learned speed (the design's start)
 FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
-REPORT_WEIGHT = 0.3    # of a new report in the load that others put on an executor
+REPORT_WEIGHT = 0.1    # of a new report in the load that others put on an executor
 STALE = 1.0            # seconds without a report after which the others' load is halved
 LAG_WEIGHT = 0.5       # of one start's unexplained delay in an executor's lag
 COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
@@ -297,12 +297,12 @@
             if task.assignments and not self._may_repeat(now, task, executor):
                 continue
             executor.age(now)
-            rate = executor.rate
+            speed = executor.speed  # not the rate: a busy executor makes a task wait, it does not run slower
             if executor.cold_until > now:
                 if not self._cold_room(now, executor, cost):
                     continue
-                rate *= self._warmth(now, executor)
-            run = cost / rate
+                speed *= self._warmth(now, executor)
+            run = cost / speed
             wait = self._wait(now, executor)
             if idle and wait:
                 continue
