Try: a saved-up budget for cold executors at all nodes instead of turns

Symptom (incidents on all three deployments): during rolling deploys the successors stand idle while tasks are bounced.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -29,7 +29,7 @@
 AWAY = 3.0             # seconds an executor is set aside, plus up to as long again by chance
 MOST_AWAY = 0.34       # share of the ready executors that may be set aside at once
 PROBE_EVERY = 1.0      # seconds between probes of one executor
-COLD_PART = 0.25       # part of the pressure a cold executor bears that its node in turn may use
+COLD_PART = 0.3        # part of the pressure a cold executor bears that all nodes together may use
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
 OVERDUE = 2.0          # times its estimate after which running work counts as slow
 
@@ -102,7 +102,7 @@
         self.lag, self.lag_at = 0.0, 0.0                 # delay of starts beyond what own work explains
         self.errors, self.strikes = 0.0, 0
         self.away_until, self.full_until, self.on_trial = 0.0, 0.0, False
-        self.turn, self.turn_work = -1, 0.0
+        self.credit, self.credited = 0.0, 0.0             # work that a cold one may still be sent
 
     def learn(self, cost: float, took: float) -> None:
         """Speed as the ratio of smoothed cost to smoothed time, so that light tasks do not rule it."""
@@ -213,6 +213,7 @@
         if condition is Condition.READY and came_up > executor.came_up:
             executor.came_up, executor.cold_until = came_up, came_up + self.cold_for
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
+            executor.credit, executor.credited = -self.mean_cost * self.own_number / self.nodes, came_up
             executor.set_rate()
 
     def list_heard(self, now: float, stale: bool) -> None:
@@ -331,16 +332,14 @@
         return min(self.cold_from + (1.0 - self.cold_from) * part, 1.0)
 
     def _cold_room(self, now: float, executor: Executor, cost: float) -> bool:
-        """A cold executor pushed over stays down, and no node sees what the others send it: so nodes take
-        turns at it by own number, a window each, and each keeps to a part of the budget in its turn."""
-        turn = int(max(now - executor.came_up, 0.0) / max(self.fall_window, 0.001))
-        if turn % self.nodes != self.own_number % self.nodes:
-            return False
-        if executor.turn != turn:
-            executor.turn, executor.turn_work = turn, 0.0
+        """A cold executor pushed over stays down, and no node sees what the others send it: each keeps to
+        its part of the traffic of a budget, saved up from the start; by own number they begin in turn."""
         capacity = executor.slots * executor.speed * self._warmth(now, executor)
-        budget = COLD_PART * self.fall_multiple * capacity * self.fall_window
-        return executor.turn_work + cost <= budget
+        rate = COLD_PART * self.fall_multiple * capacity * (self.part + 1.0 / self.nodes) / 2
+        saved = executor.credit + rate * max(now - executor.credited, 0.0)
+        executor.credit = min(saved, max(self.mean_cost, rate * self.fall_window))
+        executor.credited = now
+        return cost <= executor.credit
 
     def _may_repeat(self, now: float, task: Task, executor: Executor) -> bool:
         """Rule 2 and the limits on copies, for a task that was sent before."""
@@ -373,7 +372,7 @@
         if executor.cold_until > now:
             if not self._cold_room(now, executor, task.cost):
                 return False  # rule 4: a cold one is not pushed over
-            executor.turn_work += task.cost
+            executor.credit -= task.cost
         estimate = task.cost / executor.rate
         wait = self._wait(now, executor)
         assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
