--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -30,6 +30,8 @@
 MOST_AWAY = 0.34       # share of the ready executors that may be set aside at once
 PROBE_EVERY = 1.0      # seconds between probes of one executor
 COLD_PART = 0.3        # part of the pressure a cold executor bears that all nodes together may use
+SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
+SURPRISE_FADE = 20.0   # seconds in which the worst miss of a hint fades to nothing
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
 OVERDUE = 2.0          # times its estimate after which running work counts as slow
 
@@ -185,6 +187,7 @@
         self.zones: list[int] = []
         self.waiting, self.room = [], 0.0                # tasks held for a free slot, and how many may be
         self.mean_cost, self.mean_worth = 0.0, 0.0
+        self.surprise, self.surprised = 0.0, now         # work beyond its hint that a task turned out to be
         self.lag, self.lag_at = 0.0, now                 # common to the executors met lately
         first = (own_number + 1) / self.nodes
         if must_ask:
@@ -339,7 +342,12 @@
         saved = executor.credit + rate * max(now - executor.credited, 0.0)
         executor.credit = min(saved, max(self.mean_cost, rate * self.fall_window))
         executor.credited = now
-        return cost <= executor.credit
+        # Hints can miss by far: one task as heavy as the worst lately must not tip it over either.
+        bears = SURPRISE_PART * self.fall_multiple * capacity * self.fall_window
+        return cost <= executor.credit and cost + self._surprise_now(now) <= bears
+
+    def _surprise_now(self, now: float) -> float:
+        return self.surprise * max(1.0 - (now - self.surprised) / SURPRISE_FADE, 0.0)
 
     def _may_repeat(self, now: float, task: Task, executor: Executor) -> bool:
         """Rule 2 and the limits on copies, for a task that was sent before."""
@@ -480,6 +488,9 @@
             # A cold executor's samples are scaled to warm ones; else its coldness would count twice.
             if executor.cold_until > now:
                 took *= self._warmth(now, executor)
+            over = took * executor.speed - assignment.task.cost
+            if over > self._surprise_now(now):
+                self.surprise, self.surprised = over, now
             executor.learn(assignment.task.cost, took)
         elif how is Outcome.FULL:
             executor.full_until = now + FULL_PAUSE
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -112,6 +112,22 @@
     f.compare("cold")
 
 
+def test_rule_4_a_bad_hint_lately_keeps_tasks_from_a_cold_executor():
+    f = Fake()
+    f.hear("warm")
+    task = f.task("heavy", 0.1)
+    f.start(task)
+    f.until(9.0)
+    f.hear("cold", came_up=5.0, slots=4)
+    cold = f.executors["cold"]
+    f.node.part = 1.0
+    assert f.node._cold_room(f.now, cold, 0.1)
+    f.end(task, Outcome.FINISHED)
+    assert not f.node._cold_room(f.now, cold, 0.1)
+    f.until(14.0)
+    assert f.node._cold_room(f.now, cold, 0.1)
+
+
 def test_silent_executor_is_left_and_set_aside_and_tried_again():
     f = Fake()
     f.hear("good", "hung", "other")
