At a cold executor a node keeps no more tasks than it has slots

Cause: nothing it had been sent ended, so neither its slowness nor the weight of its tasks was known, while the budget grew on.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -344,7 +344,9 @@
         executor.credited = now
         # Hints can miss by far: one task as heavy as the worst lately must not tip it over either.
         bears = SURPRISE_PART * self.fall_multiple * capacity * self.fall_window
-        return cost <= executor.credit and cost + self._surprise_now(now) <= bears
+        # And no queue at it: what it has not finished yet may be heavier, or it slower, than it looks.
+        return (cost <= executor.credit and cost + self._surprise_now(now) <= bears
+                and executor.held < executor.slots)
 
     def _surprise_now(self, now: float) -> float:
         return self.surprise * max(1.0 - (now - self.surprised) / SURPRISE_FADE, 0.0)
