--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -343,6 +343,8 @@
         executor.credit = min(saved, max(self.mean_cost, rate * self.fall_window))
         executor.credited = now
         # Hints can miss by far: one task as heavy as the worst lately must not tip it over either.
+        # Light hints miss most, and every task sent is a chance of a miss: so charge half the mean at least.
+        cost = (cost + self.mean_cost) / 2
         bears = SURPRISE_PART * self.fall_multiple * capacity * self.fall_window
         # And no queue at it: what it has not finished yet may be heavier, or it slower, than it looks.
         return (cost <= executor.credit and cost + self._surprise_now(now) <= bears
@@ -382,7 +384,7 @@
         if executor.cold_until > now:
             if not self._cold_room(now, executor, task.cost):
                 return False  # rule 4: a cold one is not pushed over
-            executor.credit -= task.cost
+            executor.credit -= (task.cost + self.mean_cost) / 2
         estimate = task.cost / executor.rate
         wait = self._wait(now, executor)
         assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
