Least charge for tasks sent to cold executors, and a larger budget

Each send is such a chance, and light tasks drained the budget; now each is charged a quarter of the mean at least.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -29,7 +29,8 @@
 AWAY = 3.0             # seconds an executor is set aside, plus up to as long again by chance
 MOST_AWAY = 0.34       # share of the ready executors that may be set aside at once
 PROBE_EVERY = 1.0      # seconds between probes of one executor
-COLD_PART = 0.3        # part of the pressure a cold executor bears that all nodes together may use
+COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
+LEAST_CHARGE = 0.25    # of the mean cost, for each task sent to a cold executor
 SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
 SURPRISE_FADE = 20.0   # seconds in which the worst miss of a hint fades to nothing
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
@@ -343,8 +344,8 @@
         executor.credit = min(saved, max(self.mean_cost, rate * self.fall_window))
         executor.credited = now
         # Hints can miss by far: one task as heavy as the worst lately must not tip it over either.
-        # Light hints miss most, and every task sent is a chance of a miss: so charge half the mean at least.
-        cost = (cost + self.mean_cost) / 2
+        # Every task sent is a chance of a bad hint: light ones must not be many.
+        cost = max(cost, LEAST_CHARGE * self.mean_cost)
         bears = SURPRISE_PART * self.fall_multiple * capacity * self.fall_window
         # And no queue at it: what it has not finished yet may be heavier, or it slower, than it looks.
         return (cost <= executor.credit and cost + self._surprise_now(now) <= bears
@@ -384,7 +385,7 @@
         if executor.cold_until > now:
             if not self._cold_room(now, executor, task.cost):
                 return False  # rule 4: a cold one is not pushed over
-            executor.credit -= (task.cost + self.mean_cost) / 2
+            executor.credit -= max(task.cost, LEAST_CHARGE * self.mean_cost)
         estimate = task.cost / executor.rate
         wait = self._wait(now, executor)
         assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -234,7 +234,7 @@
     f.end(two, Outcome.FINISHED)
     assert a.speed == pytest.approx(1.0)
     a.came_up, a.cold_until = f.now, f.now + 10.0
-    f.node.nodes = 1
+    a.credit = 1.0
     three = f.task("three", 0.05)
     f.until(0.4 + 0.05 / 0.2)
     f.end(three, Outcome.FINISHED)
