Cheaper decisions in large fleets: pruned scan, release by the freed executor, bounded probes

Cause, by the report's CPU lines: every choice priced every executor, each outcome tried all waiting tasks on all executors, and probes grew with the fleet. A second copy also no longer calls off the first where probing is not allowed.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -28,7 +28,9 @@
 STRIKES = 2            # signs of silence in a row that set an executor aside
 AWAY = 3.0             # seconds an executor is set aside, plus up to as long again by chance
 MOST_AWAY = 0.34       # share of the ready executors that may be set aside at once
-PROBE_EVERY = 1.0      # seconds between probes of one executor
+PROBE_EVERY = 1.0      # seconds between rounds of probes
+PROBES_A_TASK = 2.0    # probes in a round for each task that arrived since the last
+PROBES_LEAST = 4       # and so many in any case
 COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
 LEAST_CHARGE = 0.25    # of the mean cost, for each task sent to a cold executor
 SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
@@ -129,16 +131,10 @@
         if free is not None:
             # Free slots beside a long queue (a wide task waits at its head) must not pass for more slots.
             self.slots = max(self.slots, round(free), round(held + free) if held and held <= free else 1.0)
-        if held is not None:
-            used = held
-        elif busy is not None:
-            used = busy * self.slots
-        elif free is not None:
-            used = self.slots - free
-        else:
+        if held is None and free is None and busy is None:
             return
-        # A report is older than the count it is compared with. Smoothing both before taking the
-        # difference keeps own tasks that have just ended from passing for work of others.
+        used = held if held is not None else self.slots - free if busy is None else busy * self.slots
+        # A report is older than the count: smoothed alike, own tasks just ended do not pass for others'.
         self.used_mean += REPORT_WEIGHT * (used - self.used_mean)
         self.held_mean += REPORT_WEIGHT * (self.held - self.held_mean)
         if not shares:
@@ -156,14 +152,6 @@
         not met for a while are late too, and moving tasks to them only churns."""
         return common + (self.lag - common) * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
 
-    def age(self, now: float) -> None:
-        """Without news, what others put there is believed less and less: else an executor that looks full
-        gets no task, so no report, and looks full for ever."""
-        if self.others and now - self.reported_at > STALE:
-            self.used_mean -= self.others / 2
-            self.others, self.reported_at = self.others / 2, now
-            self.set_rate()
-
 
 class Node:
     """One dispatcher: all it knows for as long as it lives; one method for each thing that happens."""
@@ -187,7 +175,7 @@
         self.ready: list[Executor] = []
         self.zones: list[int] = []
         self.waiting, self.room = [], 0.0                # tasks held for a free slot, and how many may be
-        self.mean_cost, self.mean_worth = 0.0, 0.0
+        self.mean_cost, self.mean_worth, self.arrived, self.probed_last = 0.0, 0.0, 0, 0
         self.surprise, self.surprised = 0.0, now         # work beyond its hint that a task turned out to be
         self.lag, self.lag_at = 0.0, now                 # common to the executors met lately
         first = (own_number + 1) / self.nodes
@@ -239,6 +227,7 @@
         gone = max(kind.expiry - budget, 0.0) if again else 0.0
         task = Task(ref, kind, cost, now + kind.due + kind.stretch * cost - gone, now + budget)
         worth = kind.importance * (cost if self.by_work else 1.0)
+        self.arrived += 1
         part = 0.02 if self.mean_cost else 1.0
         self.mean_cost += part * (cost - self.mean_cost)
         self.mean_worth += part * (worth - self.mean_worth)
@@ -267,15 +256,17 @@
             self.waiting.remove(task)
             self._give_up(now, task)
 
-    def _release(self, now: float) -> None:
-        """Give slots that nothing in time wants to the tasks that wait to be late."""
-        waiting, self.waiting = self.waiting, []
-        for task in waiting:
-            executor, _ = self._choose(now, task, idle=True)
-            if task.open and (executor is None or not self._send(now, task, executor)):
-                self.waiting.append(task)
-
-    def _choose(self, now: float, task: Task, idle: bool = False) -> tuple[Executor | None, bool]:
+    def _release(self, now: float, executor: Executor) -> None:
+        """Give a slot that nothing in time wants to the tasks that wait to be late."""
+        for task in list(self.waiting):
+            if self._wait(now, executor):
+                return
+            fits = task.open and self._choose(now, task, True, [executor])[0]
+            if not task.open or fits and self._send(now, task, executor):
+                self.waiting.remove(task)
+
+    def _choose(self, now: float, task: Task, idle: bool = False,
+                among: list[Executor] | None = None) -> tuple[Executor | None, bool]:
         """The ordinary path: least own outstanding estimated work, plus what it takes to reach it (Recv),
         among those that can still start it in time; failing these, the one that would answer first."""
         best, best_load, best_run = None, 0.0, 0.0
@@ -290,18 +281,26 @@
         # A light task is worth less than its crossing costs: it stays where its zone has an executor at all.
         near = self.crossing * self.mean_worth > CROSS_PART * worth and self.zone in self.zones
         side = task.offering.effect is Effect.SIDE_EFFECTING
-        ready = self.ready
+        ready = among or self.ready
         start = int(self._chance() * len(ready))
         for executor in ready[start:] + ready[:start]:
             if executor.away_until > now or executor.full_until > now:
                 continue
-            if executor.on_trial and (executor.held or side):
+            load = executor.work / executor.slots
+            if executor.zone != self.zone:
+                if near:
+                    continue
+                load += recv
+            if not executor.idle:
+                load += anew
+            # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
+            if best is not None and (load > best_load
+                                     or load == best_load and cost >= best_run * executor.speed):
                 continue
-            if near and executor.zone != self.zone or kind >= 0 and executor.kind != kind:
+            if executor.on_trial and (executor.held or side) or kind >= 0 and executor.kind != kind:
                 continue
             if task.assignments and not self._may_repeat(now, task, executor):
                 continue
-            executor.age(now)
             speed = executor.speed  # not the rate: a busy executor makes a task wait, it does not run slower
             if executor.cold_until > now:
                 if not self._cold_room(now, executor, cost):
@@ -312,12 +311,7 @@
             if idle and wait:
                 continue
             if wait <= (left - run) * part:
-                load = executor.work / executor.slots
-                if executor.zone != self.zone:
-                    load += recv
-                if not executor.idle:
-                    load += anew
-                if best is None or load < best_load or (load == best_load and run < best_run):
+                if best is None or load < best_load or run < best_run:
                     best, best_load, best_run = executor, load, run
             elif wait + run < late_at:
                 late, late_at = executor, wait + run
@@ -419,8 +413,8 @@
             return
         other, in_time = self._choose(now, task, idle=not self.tells_start)
         if other is not None and in_time and self._send(now, task, other):
-            if self.tells_start or not self.may_probe:
-                self._cancel(assignment)
+            if self.tells_start and self.may_cancel:
+                self.host.cancel(assignment)
         elif self.tells_start and not task.offering.late and task.still_out == 1:
             # Waiting work that can only end late and worthless makes all behind it late as well.
             left = task.due - now - task.cost / executor.speed
@@ -429,10 +423,6 @@
             else:
                 self._give_up(now, task)
 
-    def _cancel(self, assignment: Assignment) -> None:
-        if self.may_cancel and assignment.out:
-            self.host.cancel(assignment)
-
     def started(self, now: float, assignment: Assignment) -> None:
         assignment.started_at = now
         executor = assignment.executor
@@ -466,17 +456,14 @@
         if report:
             executor.report(now, report, not self.tells_start)
         if complete:
-            if task.open:
-                task.open = False
-                for other in task.assignments:
-                    self._cancel(other)
+            self._close(task)
         elif task.open:
             if now >= task.expiry or task.bound:
                 self._give_up(now, task)
             elif not task.still_out or how is not Outcome.CANCELLED:
                 self._place(now, task)
         if self.waiting:
-            self._release(now)
+            self._release(now, executor)
 
     def _judge(self, now: float, assignment: Assignment, how: Outcome, took: float) -> None:
         """What an outcome says of its executor."""
@@ -516,22 +503,25 @@
 
     def withdrawn(self, now: float, task: Task) -> None:
         """The client left: nothing is owed, and what still waits for a slot need not run."""
-        task.open = False
-        for assignment in task.assignments:
-            self._cancel(assignment)
+        self._close(task)
+
+    def _close(self, task: Task) -> None:
+        if task.open:
+            task.open = False
+            for assignment in task.assignments:
+                if self.may_cancel and assignment.out:
+                    self.host.cancel(assignment)
 
     def _give_up(self, now: float, task: Task) -> None:
         """The one place of final answers: a bounce where a retry is sure to be harmless, else abandoned."""
         if not task.open:
             return
-        task.open = False
-        for assignment in task.assignments:
-            self._cancel(assignment)
+        self._close(task)
         effect = task.offering.effect
         ran = any(a.may_have_run for a in task.assignments)
-        if not ran or effect is Effect.IDEMPOTENT or (
-                effect is Effect.FINGERPRINTED and task.offering.group is Group.ALL):
-            wait = min((self._wait(now, e) for e in self.ready), default=AWAY)
+        dropped = effect is Effect.FINGERPRINTED and task.offering.group is Group.ALL
+        if not ran or effect is Effect.IDEMPOTENT or dropped:
+            wait = min((e.work / e.slots for e in self.ready), default=AWAY)
             self.host.bounce(task, min(max(wait, self.tick), self.longest_advice))
         else:
             self.host.abandon(task)
@@ -544,7 +534,7 @@
             if report:
                 executor.report(now, report, not self.tells_start)
                 if self.waiting:
-                    self._release(now)
+                    self._release(now, executor)
         elif how is not Outcome.FULL:
             executor.strikes += 1
             if executor.strikes >= STRIKES or how is Outcome.NO_CONNECTION:
@@ -555,9 +545,19 @@
         if used > 1.0:
             self.part = min(max(sum(e.held_mean for e in self.ready) / used, 0.5 / self.nodes), 1.0)
         self.room = sum(e.slots for e in self.ready) / self.nodes
+        for executor in self.ready:
+            # Without news others' load fades: else what looks full gets no task, so no report, for ever.
+            if executor.others and now - executor.reported_at > STALE:
+                executor.used_mean -= executor.others / 2
+                executor.others, executor.reported_at = executor.others / 2, now
+                executor.set_rate()
         if self.reports == "on_probe" and self.may_probe:
-            for executor in self.ready:
-                self.host.probe(executor)
+            # As many as tasks pay for: in a large fleet, probes would take a node all its time.
+            count = min(len(self.ready), PROBES_LEAST + int(PROBES_A_TASK * self.arrived))
+            for n in range(count):
+                self.host.probe(self.ready[(self.probed_last + n) % len(self.ready)])
+            self.probed_last += count
+        self.arrived = 0
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
     def peer_said(self, now: float, peer: int, content: bytes) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -218,8 +218,7 @@
     for _ in range(5):
         a.report(f.now, {"held": 9.0, "free_slots": 1.0}, True)
     assert (a.slots, a.others > 1.0) == (4, True)
-    for second in range(1, 9):
-        a.age(f.now + 2.0 * second)
+    f.until(20.0)
     assert a.others < 0.1
 
 
@@ -247,3 +246,20 @@
     f.node.list_broken(f.now)
     f.until(3.0)
     f.compare("watch")
+
+
+def test_a_large_fleet_does_not_take_a_node_all_its_time_in_probes():
+    f = Fake()
+    f.quiet = False
+    f.hear(*(f"e{n}" for n in range(50)))
+    f.until(2.5)
+    assert [sum(line.startswith(f"  {at}.000 probe") for line in f.lines) for at in (1, 2)] == [4, 4]
+    assert len({line.split()[-1] for line in f.lines}) == 8
+
+
+def test_a_copy_leaves_the_first_assignment_running():
+    f = Fake(offerings=[offering(due=5.0, expiry=9.0)], tells_start=False, may_probe=False)
+    f.hear("A", "B")
+    task = f.task("t", 0.3)
+    f.until(5.4)
+    assert [a.out for a in task.assignments] == [True, True] and not f.called
