--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -261,5 +261,7 @@
     f = Fake(offerings=[offering(due=5.0, expiry=9.0)], tells_start=False, may_probe=False)
     f.hear("A", "B")
     task = f.task("t", 0.3)
+    for executor in f.executors.values():
+        executor.speed = 2.0
     f.until(5.4)
     assert [a.out for a in task.assignments] == [True, True] and not f.called
