--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -33,7 +33,6 @@
 PROBES_LEAST = 4       # and so many in any case
 COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
 LEAST_CHARGE = 0.25    # of the mean cost, for each task sent to a cold executor
-PACE_WEIGHT = 0.05     # of one task in how far all executors lag behind their learned speeds
 SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
 SURPRISE_FADE = 20.0   # seconds in which the worst miss of a hint fades to nothing
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
@@ -45,10 +44,10 @@
 
     def __init__(self, due: float, expiry: float, *, importance: float = 1.0, late: float = 0.0,
                  effect: Effect = Effect.SIDE_EFFECTING, group: Group = Group.CELL, remembered: float = 0.0,
-                 stretch: float = 0.0, kind: int = -1, rank: int = 0):
+                 stretch: float = 0.0, kind: int = -1):
         self.due, self.expiry, self.importance, self.late = due, expiry, importance, late
         self.effect, self.group, self.remembered = effect, group, remembered
-        self.stretch, self.kind, self.rank = stretch, kind, rank
+        self.stretch, self.kind = stretch, kind
 
 
 class Tenant:
@@ -177,13 +176,12 @@
         self.zones: list[int] = []
         self.waiting, self.room = [], 0.0                # tasks held for a free slot, and how many may be
         self.mean_cost, self.mean_worth, self.arrived, self.probed_last = 0.0, 0.0, 0, 0
-        self.expected, self.taken = 0.0, 0.0             # running times by learned speeds, and as they are
         self.surprise, self.surprised = 0.0, now         # work beyond its hint that a task turned out to be
         self.lag, self.lag_at = 0.0, now                 # common to the executors met lately
-        self._watch = lambda _, on: host.watch(on)
+        first = (own_number + 1) / self.nodes
         if must_ask:
-            host.set_timer(now + tick * own_number, self._watch, True)
-        host.set_timer(now + PROBE_EVERY * (own_number + 1) / self.nodes, self._round, None)
+            host.set_timer(now + tick * own_number, self._watch, None)
+        host.set_timer(now + first * PROBE_EVERY, self._round, None)
 
     def _chance(self) -> float:
         self.counter += 1
@@ -215,7 +213,10 @@
         self.zones = [e.zone for e in self.ready]
 
     def list_broken(self, now: float) -> None:
-        self.host.set_timer(now + 0.5 + self._chance(), self._watch, True)
+        self.host.set_timer(now + 0.5 + self._chance(), self._watch, None)
+
+    def _watch(self, now: float, _: None) -> None:
+        self.host.watch(True)
 
     # -- a task's life -------------------------------------------------------------------------------
 
@@ -280,7 +281,6 @@
         # A light task is worth less than its crossing costs: it stays where its zone has an executor at all.
         near = self.crossing * self.mean_worth > CROSS_PART * worth and self.zone in self.zones
         side = task.offering.effect is Effect.SIDE_EFFECTING
-        pace = min(self.expected / self.taken, 1.0) if self.taken else 1.0
         ready = among or self.ready
         start = int(self._chance() * len(ready))
         for executor in ready[start:] + ready[:start]:
@@ -306,7 +306,7 @@
                 if not self._cold_room(now, executor, cost):
                     continue
                 speed *= self._warmth(now, executor)
-            run = cost / (speed * pace)
+            run = cost / speed
             wait = self._wait(now, executor)
             if idle and wait:
                 continue
@@ -390,7 +390,10 @@
         executor.idle = max(executor.idle - 1, 0)
         self.host.send(task, executor, 0.0)
         slack = max(task.due - now - estimate, 0.0)
-        patience = slack / 2 if self.tells_start else max(slack, wait + OVERDUE * estimate)
+        if self.tells_start:
+            patience = slack / 2
+        else:
+            patience = max(slack, wait + OVERDUE * estimate)
         self.host.set_timer(now + max(patience, 2 * self.tick), self._overdue, assignment)
         return True
 
@@ -477,9 +480,6 @@
             # A cold executor's samples are scaled to warm ones; else its coldness would count twice.
             if executor.cold_until > now:
                 took *= self._warmth(now, executor)
-            # When what all executors share is slow, each one's speed is learned too late: learn it for all.
-            self.expected += PACE_WEIGHT * (assignment.task.cost / executor.speed - self.expected)
-            self.taken += PACE_WEIGHT * (took - self.taken)
             over = took * executor.speed - assignment.task.cost
             if over > self._surprise_now(now):
                 self.surprise, self.surprised = over, now
--- a/firwalk/wirehost/__main__.py
+++ b/firwalk/wirehost/__main__.py
@@ -42,7 +42,6 @@
         family, prices = s.get("specifics", {}), s.get("prices", {})
         stretch = family.get("class-stretch", [])
         kinds = family.get("class-kind", [])
-        rank = family.get("class-priority", [])
         offerings = [
             Offering(
                 o.get("due-time-us", o.get("expiry-us", 0)) * MICRO, o.get("expiry-us", 0) * MICRO,
@@ -50,7 +49,7 @@
                 effect=EFFECTS.get(o.get("repeat"), Effect.SIDE_EFFECTING),
                 group=GROUPS.get(o.get("group"), Group.CELL), remembered=o.get("key-ttl-us", 0) * MICRO,
                 stretch=o.get("aim-stretch", stretch[i] if i < len(stretch) else 0.0),
-                kind=kinds[i] if i < len(kinds) else -1, rank=rank[i] if i < len(rank) else 0)
+                kind=kinds[i] if i < len(kinds) else -1)
             for i, o in enumerate(s.get("offerings", []))]
         tenants = [Tenant(t.get("quota-per-s", 0.0)) for t in s.get("tenants", [])]
         return Node(
