Ties among executors without own work: four by chance are compared

Cause: with hundreds of nodes most own sums are zero, and every node gave its ties to the fastest executor.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -35,6 +35,7 @@
 LEAST_CHARGE = 0.25    # of the mean cost, for each task sent to a cold executor
 SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
 SURPRISE_FADE = 20.0   # seconds in which the worst miss of a hint fades to nothing
+TIES = 4               # executors without own work that are compared with each other
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
 OVERDUE = 2.0          # times its estimate after which running work counts as slow
 
@@ -282,7 +283,7 @@
         near = self.crossing * self.mean_worth > CROSS_PART * worth and self.zone in self.zones
         side = task.offering.effect is Effect.SIDE_EFFECTING
         ready = among or self.ready
-        start = int(self._chance() * len(ready))
+        start, ties = int(self._chance() * len(ready)), 0
         for executor in ready[start:] + ready[:start]:
             if executor.away_until > now or executor.full_until > now:
                 continue
@@ -294,8 +295,7 @@
             if not executor.idle:
                 load += anew
             # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
-            if best is not None and (load > best_load
-                                     or load == best_load and cost >= best_run * executor.speed):
+            if best is not None and load > best_load:
                 continue
             if executor.on_trial and (executor.held or side) or kind >= 0 and executor.kind != kind:
                 continue
@@ -311,8 +311,13 @@
             if idle and wait:
                 continue
             if wait <= (left - run) * part:
-                if best is None or load < best_load or run < best_run:
-                    best, best_load, best_run = executor, load, run
+                # A node with a few tasks a second has nothing outstanding mostly. If each of hundreds gave
+                # its ties to the fastest executor, that one would drown: a few by chance are compared.
+                ties = ties + 1 if best is not None and load == best_load else 1
+                if ties == 1 or wait + run < best_run:
+                    best, best_load, best_run = executor, load, wait + run
+                if ties >= TIES and not load:
+                    break
             elif wait + run < late_at:
                 late, late_at = executor, wait + run
         return (best, True) if best else (late, False)
