--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -14,8 +14,8 @@
 
 WEIGHT = 0.2           # of a new sample in a learned speed (the design's start)
 FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
-REPORT_WEIGHT = 0.1    # of a new report in the load that others put on an executor
-STALE = 1.0            # seconds without a report after which the others' load is halved
+REPORT_AGE = 10.0      # seconds in which reports settle, were all traffic this node's
+STALE = 10.0           # seconds without a report after which the others' load is halved
 LAG_WEIGHT = 0.5       # of one start's unexplained delay in an executor's lag
 COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
@@ -125,7 +125,7 @@
         busy = min(self.others / self.slots, 1.0)
         self.rate = self.speed * max(1.0 - busy, FLOOR)
 
-    def report(self, now: float, values: dict[str, float], shares: bool) -> None:
+    def report(self, now: float, values: dict[str, float], part: float) -> None:
         """Take the load that others put on it from a report: own work is in the sum already, and would
         count twice (the paper names that as the weakness of its first version)."""
         held, free, busy = values.get("held"), values.get("free_slots"), values.get("busy")
@@ -136,11 +136,13 @@
             return
         used = held if held is not None else self.slots - free if busy is None else busy * self.slots
         # A report is older than the count: smoothed alike, own tasks just ended do not pass for others'.
-        self.used_mean += REPORT_WEIGHT * (used - self.used_mean)
-        self.held_mean += REPORT_WEIGHT * (self.held - self.held_mean)
-        if not shares:
-            return
-        self.others, self.reported_at = max(self.used_mean - self.held_mean, 0.0), now
+        # The less of the traffic is own, the less there is to mistake, and the sooner a report is believed.
+        gap = now - self.reported_at
+        weight = gap / (gap + REPORT_AGE * part)
+        self.used_mean += weight * (used - self.used_mean)
+        self.held_mean += weight * (self.held - self.held_mean)
+        self.reported_at = now
+        self.others = max(self.used_mean - self.held_mean, 0.0)
         self.set_rate()
 
     def lagged(self, now: float, by: float, common: float) -> None:
@@ -206,7 +208,7 @@
         if condition is Condition.READY and came_up > executor.came_up:
             executor.came_up, executor.cold_until = came_up, came_up + self.cold_for
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
-            executor.credit, executor.credited = -self.mean_cost * self.own_number / self.nodes, came_up
+            executor.credit, executor.credited = self.mean_cost * self.own_number / self.nodes, came_up
             executor.set_rate()
 
     def list_heard(self, now: float, stale: bool) -> None:
@@ -287,7 +289,8 @@
         for executor in ready[start:] + ready[:start]:
             if executor.away_until > now or executor.full_until > now:
                 continue
-            load = executor.work / executor.slots
+            # What others have waiting there is not in the own sum: with hundreds of nodes it is most of all.
+            load = executor.work / executor.slots + self._queue(now, executor)
             if executor.zone != self.zone:
                 if near:
                     continue
@@ -322,6 +325,12 @@
                 late, late_at = executor, wait + run
         return (best, True) if best else (late, False)
 
+    def _queue(self, now: float, executor: Executor) -> float:
+        """Seconds that others' tasks alone would make a task wait, by reports or delays of starts."""
+        over = executor.others + 1.0 - executor.slots
+        queue = over * self.mean_cost / (executor.speed * executor.slots) if over > 0.0 else 0.0
+        return queue + (executor.lag_now(now, self.lag_now(now)) if self.tells_start else 0.0)
+
     def _wait(self, now: float, executor: Executor) -> float:
         """Seconds until a slot is free, by own tasks there and what reports tell of others'."""
         over = executor.held + executor.others + 1.0 - executor.slots
@@ -336,7 +345,8 @@
 
     def _cold_room(self, now: float, executor: Executor, cost: float) -> bool:
         """A cold executor pushed over stays down, and no node sees what the others send it: each keeps to
-        its part of the traffic of a budget, saved up from the start; by own number they begin in turn."""
+        its part of the traffic of a budget, and sends when a mean task is saved up. By own number they
+        begin with a part of one, so that even hundreds send in turn from the start, none before."""
         capacity = executor.slots * executor.speed * self._warmth(now, executor)
         rate = COLD_PART * self.fall_multiple * capacity * (self.part + 1.0 / self.nodes) / 2
         saved = executor.credit + rate * max(now - executor.credited, 0.0)
@@ -347,7 +357,7 @@
         cost = max(cost, LEAST_CHARGE * self.mean_cost)
         bears = SURPRISE_PART * self.fall_multiple * capacity * self.fall_window
         # And no queue at it: what it has not finished yet may be heavier, or it slower, than it looks.
-        return (cost <= executor.credit and cost + self._surprise_now(now) <= bears
+        return (max(cost, self.mean_cost) <= executor.credit and cost + self._surprise_now(now) <= bears
                 and executor.held < executor.slots)
 
     def _surprise_now(self, now: float) -> float:
@@ -459,7 +469,7 @@
         assignment.may_have_run = how not in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
         self._judge(now, assignment, how, took)
         if report:
-            executor.report(now, report, not self.tells_start)
+            executor.report(now, report, self.part)
         if complete:
             self._close(task)
         elif task.open:
@@ -537,7 +547,7 @@
                report: dict[str, float] | None) -> None:
         if how is Outcome.FINISHED:
             if report:
-                executor.report(now, report, not self.tells_start)
+                executor.report(now, report, self.part)
                 if self.waiting:
                     self._release(now, executor)
         elif how is not Outcome.FULL:
