Where starts are told, others' queue is read from their delays only

Cause: reports of executors that a node meets seldom are old; counted as a queue they made nodes open connections and cross in overload.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -125,7 +125,7 @@
         busy = min(self.others / self.slots, 1.0)
         self.rate = self.speed * max(1.0 - busy, FLOOR)
 
-    def report(self, now: float, values: dict[str, float], part: float) -> None:
+    def report(self, now: float, values: dict[str, float], shares: bool, part: float) -> None:
         """Take the load that others put on it from a report: own work is in the sum already, and would
         count twice (the paper names that as the weakness of its first version)."""
         held, free, busy = values.get("held"), values.get("free_slots"), values.get("busy")
@@ -142,6 +142,8 @@
         self.used_mean += weight * (used - self.used_mean)
         self.held_mean += weight * (self.held - self.held_mean)
         self.reported_at = now
+        if not shares:
+            return
         self.others = max(self.used_mean - self.held_mean, 0.0)
         self.set_rate()
 
@@ -469,7 +471,7 @@
         assignment.may_have_run = how not in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
         self._judge(now, assignment, how, took)
         if report:
-            executor.report(now, report, self.part)
+            executor.report(now, report, not self.tells_start, self.part)
         if complete:
             self._close(task)
         elif task.open:
@@ -547,7 +549,7 @@
                report: dict[str, float] | None) -> None:
         if how is Outcome.FINISHED:
             if report:
-                executor.report(now, report, self.part)
+                executor.report(now, report, not self.tells_start, self.part)
                 if self.waiting:
                     self._release(now, executor)
         elif how is not Outcome.FULL:
