Ties go by the design's estimate; patience for a start does not shrink with utilisation

Cause: with sums of zero the utilisation of an executor decided nothing; and where it is in the estimate, a busy fleet's tasks had no patience left and moved up to four times.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -125,7 +125,7 @@
         busy = min(self.others / self.slots, 1.0)
         self.rate = self.speed * max(1.0 - busy, FLOOR)
 
-    def report(self, now: float, values: dict[str, float], shares: bool, part: float) -> None:
+    def report(self, now: float, values: dict[str, float], part: float) -> None:
         """Take the load that others put on it from a report: own work is in the sum already, and would
         count twice (the paper names that as the weakness of its first version)."""
         held, free, busy = values.get("held"), values.get("free_slots"), values.get("busy")
@@ -142,8 +142,6 @@
         self.used_mean += weight * (used - self.used_mean)
         self.held_mean += weight * (self.held - self.held_mean)
         self.reported_at = now
-        if not shares:
-            return
         self.others = max(self.used_mean - self.held_mean, 0.0)
         self.set_rate()
 
@@ -319,8 +317,9 @@
                 # A node with a few tasks a second has nothing outstanding mostly. If each of hundreds gave
                 # its ties to the fastest executor, that one would drown: a few by chance are compared.
                 ties = ties + 1 if best is not None and load == best_load else 1
-                if ties == 1 or wait + run < best_run:
-                    best, best_load, best_run = executor, load, wait + run
+                answer = wait + cost / executor.rate
+                if ties == 1 or answer < best_run:
+                    best, best_load, best_run = executor, load, answer
                 if ties >= TIES and not load:
                     break
             elif wait + run < late_at:
@@ -329,14 +328,18 @@
 
     def _queue(self, now: float, executor: Executor) -> float:
         """Seconds that others' tasks alone would make a task wait, by reports or delays of starts."""
+        if self.tells_start:
+            return executor.lag_now(now, self.lag_now(now))
         over = executor.others + 1.0 - executor.slots
-        queue = over * self.mean_cost / (executor.speed * executor.slots) if over > 0.0 else 0.0
-        return queue + (executor.lag_now(now, self.lag_now(now)) if self.tells_start else 0.0)
+        return over * self.mean_cost / (executor.speed * executor.slots) if over > 0.0 else 0.0
 
     def _wait(self, now: float, executor: Executor) -> float:
         """Seconds until a slot is free, by own tasks there and what reports tell of others'."""
-        over = executor.held + executor.others + 1.0 - executor.slots
-        lag = executor.lag_now(now, self.lag_now(now)) if self.tells_start else 0.0
+        lag, over = 0.0, executor.held + 1.0 - executor.slots
+        if self.tells_start:
+            lag = executor.lag_now(now, self.lag_now(now))
+        else:
+            over += executor.others
         if over <= 0.0 or not executor.held:
             return lag + max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
         return lag + over * executor.work / (executor.held * executor.slots)
@@ -406,7 +409,7 @@
         executor.held += 1
         executor.idle = max(executor.idle - 1, 0)
         self.host.send(task, executor, 0.0)
-        slack = max(task.due - now - estimate, 0.0)
+        slack = max(task.due - now - task.cost / executor.speed, 0.0)
         if self.tells_start:
             patience = slack / 2
         else:
@@ -471,7 +474,7 @@
         assignment.may_have_run = how not in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
         self._judge(now, assignment, how, took)
         if report:
-            executor.report(now, report, not self.tells_start, self.part)
+            executor.report(now, report, self.part)
         if complete:
             self._close(task)
         elif task.open:
@@ -549,7 +552,7 @@
                report: dict[str, float] | None) -> None:
         if how is Outcome.FINISHED:
             if report:
-                executor.report(now, report, not self.tells_start, self.part)
+                executor.report(now, report, self.part)
                 if self.waiting:
                     self._release(now, executor)
         elif how is not Outcome.FULL:
