A cold executor is fed by the nodes of its own zone, which share all of its budget

Cause: where crossings cost, two thirds of the nodes never spent their part of a cold executor's budget, and successors stood idle while the warm ones drowned.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -171,7 +171,7 @@
         self.longest_advice, self.reports, self.tells_start = longest_advice, reports, tells_start
         self.crossing, self.handshake, self.by_work = crossing, handshake, by_work
         self.beyond_share = beyond_share
-        self.part = 1.0 / self.nodes                     # of all traffic, this node's
+        self.part = self.zone_part = 1.0 / self.nodes    # of all traffic, this node's, and of its zone's
         self.cold_from, self.cold_for = cold_from, cold_for
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
@@ -306,6 +306,8 @@
                 continue
             speed = executor.speed  # not the rate: a busy executor makes a task wait, it does not run slower
             if executor.cold_until > now:
+                if executor.zone != self.zone and self.crossing and self.zone in self.zones:
+                    continue  # the nodes of its own zone have all of its budget
                 if not self._cold_room(now, executor, cost):
                     continue
                 speed *= self._warmth(now, executor)
@@ -353,7 +355,7 @@
         its part of the traffic of a budget, and sends when a mean task is saved up. By own number they
         begin with a part of one, so that even hundreds send in turn from the start, none before."""
         capacity = executor.slots * executor.speed * self._warmth(now, executor)
-        rate = COLD_PART * self.fall_multiple * capacity * (self.part + 1.0 / self.nodes) / 2
+        rate = COLD_PART * self.fall_multiple * capacity * min(self.zone_part, 1.0)
         saved = executor.credit + rate * max(now - executor.credited, 0.0)
         executor.credit = min(saved, max(self.mean_cost, rate * self.fall_window))
         executor.credited = now
@@ -564,6 +566,7 @@
         used = sum(e.used_mean for e in self.ready)
         if used > 1.0:
             self.part = min(max(sum(e.held_mean for e in self.ready) / used, 0.5 / self.nodes), 1.0)
+        self.zone_part = (self.part + 1.0 / self.nodes) / 2 * (len(dict.fromkeys(self.zones)) if self.crossing else 1)
         self.room = sum(e.slots for e in self.ready) / self.nodes
         for executor in self.ready:
             # Without news others' load fades: else what looks full gets no task, so no report, for ever.
