Probes go out with each task, own zone first; the newest reports are looked at first

Cause: a node probed all executors in one order, the same at each node, and had reports up to seven seconds old; its choices went by those of other zones as well.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -29,8 +29,8 @@
 AWAY = 3.0             # seconds an executor is set aside, plus up to as long again by chance
 MOST_AWAY = 0.34       # share of the ready executors that may be set aside at once
 PROBE_EVERY = 1.0      # seconds between rounds of probes
-PROBES_A_TASK = 2.0    # probes in a round for each task that arrived since the last
-PROBES_LEAST = 4       # and so many in any case
+PROBES_NEAR = 2        # probes for each task and each round, in the own zone
+PROBES_FAR = 1         # and in others
 COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
 LEAST_CHARGE = 0.25    # of the mean cost, for each task sent to a cold executor
 SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
@@ -168,7 +168,8 @@
         self.own_number, self.nodes, self.zone = own_number, max(nodes, 1), zone
         self.offerings, self.tenants, self.tick = offerings, tenants, tick
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
-        self.longest_advice, self.reports, self.tells_start = longest_advice, reports, tells_start
+        self.longest_advice, self.tells_start = longest_advice, tells_start
+        self.asks = reports == "on_probe" and may_probe
         self.crossing, self.handshake, self.by_work = crossing, handshake, by_work
         self.beyond_share = beyond_share
         self.part = self.zone_part = 1.0 / self.nodes    # of all traffic, this node's, and of its zone's
@@ -176,9 +177,12 @@
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
         self.ready: list[Executor] = []
+        self.near: list[Executor] = []
+        self.far: list[Executor] = []
         self.zones: list[int] = []
+        self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.waiting, self.room = [], 0.0                # tasks held for a free slot, and how many may be
-        self.mean_cost, self.mean_worth, self.arrived, self.probed_last = 0.0, 0.0, 0, 0
+        self.mean_cost, self.mean_worth = 0.0, 0.0
         self.surprise, self.surprised = 0.0, now         # work beyond its hint that a task turned out to be
         self.lag, self.lag_at = 0.0, now                 # common to the executors met lately
         first = (own_number + 1) / self.nodes
@@ -212,8 +216,11 @@
             executor.set_rate()
 
     def list_heard(self, now: float, stale: bool) -> None:
-        self.ready = [e for e in self.executors if e.condition is Condition.READY]
-        self.zones = [e.zone for e in self.ready]
+        ready = [e for e in self.executors if e.condition is Condition.READY]
+        self.near = [e for e in ready if e.zone == self.zone]
+        self.far = [e for e in ready if e.zone != self.zone]
+        self.ready = self.near + self.far
+        self.zones = [e.zone for e in ready]
 
     def list_broken(self, now: float) -> None:
         self.host.set_timer(now + 0.5 + self._chance(), self._watch, None)
@@ -230,7 +237,8 @@
         gone = max(kind.expiry - budget, 0.0) if again else 0.0
         task = Task(ref, kind, cost, now + kind.due + kind.stretch * cost - gone, now + budget)
         worth = kind.importance * (cost if self.by_work else 1.0)
-        self.arrived += 1
+        if self.asks:
+            self._probe(PROBES_NEAR, PROBES_FAR)  # the next task finds new reports
         part = 0.02 if self.mean_cost else 1.0
         self.mean_cost += part * (cost - self.mean_cost)
         self.mean_worth += part * (worth - self.mean_worth)
@@ -284,9 +292,8 @@
         # A light task is worth less than its crossing costs: it stays where its zone has an executor at all.
         near = self.crossing * self.mean_worth > CROSS_PART * worth and self.zone in self.zones
         side = task.offering.effect is Effect.SIDE_EFFECTING
-        ready = among or self.ready
-        start, ties = int(self._chance() * len(ready)), 0
-        for executor in ready[start:] + ready[:start]:
+        ties = 0
+        for executor in among or self._order():
             if executor.away_until > now or executor.full_until > now:
                 continue
             # What others have waiting there is not in the own sum: with hundreds of nodes it is most of all.
@@ -322,12 +329,29 @@
                 answer = wait + cost / executor.rate
                 if ties == 1 or answer < best_run:
                     best, best_load, best_run = executor, load, answer
-                if ties >= TIES and not load:
+                if ties >= TIES and load <= (0.0 if executor.zone == self.zone else recv):
                     break
             elif wait + run < late_at:
                 late, late_at = executor, wait + run
         return (best, True) if best else (late, False)
 
+    def _order(self) -> list[Executor]:
+        """Those of the own zone first, in each part the ones with the newest reports first, which differ
+        from node to node; without probes from any place by chance."""
+        near, far = self.near, self.far
+        if not self.asks:
+            self.near_at = self.far_at = int(self._chance() * 4294967296.0)
+        i, j = self.near_at % (len(near) or 1), self.far_at % (len(far) or 1)
+        return near[:i][::-1] + near[i:][::-1] + far[:j][::-1] + far[j:][::-1]
+
+    def _probe(self, near: int, far: int) -> None:
+        for _ in range(min(near, len(self.near))):
+            self.host.probe(self.near[self.near_at % len(self.near)])
+            self.near_at += 1
+        for _ in range(min(far, len(self.far))):
+            self.host.probe(self.far[self.far_at % len(self.far)])
+            self.far_at += 1
+
     def _queue(self, now: float, executor: Executor) -> float:
         """Seconds that others' tasks alone would make a task wait, by reports or delays of starts."""
         if self.tells_start:
@@ -574,13 +598,9 @@
                 executor.used_mean -= executor.others / 2
                 executor.others, executor.reported_at = executor.others / 2, now
                 executor.set_rate()
-        if self.reports == "on_probe" and self.may_probe:
+        if self.asks:
             # As many as tasks pay for: in a large fleet, probes would take a node all its time.
-            count = min(len(self.ready), PROBES_LEAST + int(PROBES_A_TASK * self.arrived))
-            for n in range(count):
-                self.host.probe(self.ready[(self.probed_last + n) % len(self.ready)])
-            self.probed_last += count
-        self.arrived = 0
+            self._probe(PROBES_NEAR, PROBES_FAR)
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
     def peer_said(self, now: float, peer: int, content: bytes) -> None:
