--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -21,7 +21,6 @@
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
 HOLD_PART = 0.25       # part of its time left for which a task that can only be late waits for a free slot
 SHARE_WINDOW = 3.0     # seconds of its share that a tenant may use at once
-CROSS_TIMES = 3.0      # how many times its price a crossing must win in time before it is made
 CROSS_PART = 1.0       # part of a task's worth that a crossing may cost, before it is kept in its zone
 ERROR_WEIGHT = 0.3     # of one outcome in an executor's share of errors
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
@@ -287,7 +286,7 @@
         # Beyond its tenant's share a task is worth little: it may wait only that part of its slack for
         # others, or one tenant's crowd would make everybody late.
         part = self.beyond_share if task.beyond else 1.0
-        price = CROSS_TIMES * max(left, 0.0) * self.mean_worth / max(worth, 1e-9)
+        price = max(left, 0.0) * self.mean_worth / max(worth, 1e-9)
         recv, anew = price * self.crossing, price * self.handshake
         # A light task is worth less than its crossing costs: it stays where its zone has an executor at all.
         near = self.crossing * self.mean_worth > CROSS_PART * worth and self.zone in self.zones
