--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -8,6 +8,7 @@
 """
 from __future__ import annotations
 
+from math import exp, log
 from zlib import crc32
 
 from firwalk.host import Condition, Effect, Group, Host, Outcome
@@ -35,6 +36,8 @@
 SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
 SURPRISE_FADE = 20.0   # seconds in which the worst miss of a hint fades to nothing
 TIES = 4               # executors without own work that are compared with each other
+TRUST = 4.0            # tasks' weight of the trust that hints begin with
+HINT_WEIGHT = 0.01     # of a new hint in their mean and spread, at least
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
 OVERDUE = 2.0          # times its estimate after which running work counts as slow
 
@@ -48,6 +51,32 @@
         self.due, self.expiry, self.importance, self.late = due, expiry, importance, late
         self.effect, self.group, self.remembered = effect, group, remembered
         self.stretch, self.kind = stretch, kind
+        self.met, self.log_mean, self.log_spread = 0, 0.0, 0.0     # of the hints that arrived
+        self.log_work, self.hint_spread, self.together = 0.0, TRUST, TRUST  # of the tasks that finished
+        self.log_hint, self.finished = 0.0, 0.0
+
+    def cost(self, hint: float) -> float:
+        """The cost that a hint stands for: where hints miss, a light one is mostly of a heavier task and
+        a heavy one of a lighter, so it is drawn to the offering's mean as far as finished tasks show."""
+        x = log(hint)
+        self.met += 1
+        part = max(1.0 / self.met, HINT_WEIGHT)
+        off = x - self.log_mean
+        self.log_mean += part * off
+        self.log_spread += part * (off * off * (1.0 - part) - self.log_spread)
+        slope = min(max(self.together / self.hint_spread, 0.0), 1.0)
+        return exp(self.log_mean + slope * (x - self.log_mean) + (1.0 - slope * slope) * self.log_spread / 2)
+
+    def learn(self, hint: float, work: float) -> None:
+        """The slope of the finished work over its hint, both in logarithms."""
+        x, y = log(hint), log(max(work, 1e-6))
+        self.finished += 1.0
+        part = 1.0 / self.finished
+        off = x - self.log_hint
+        self.log_hint += part * off
+        self.log_work += part * (y - self.log_work)
+        self.hint_spread += off * (x - self.log_hint)
+        self.together += off * (y - self.log_work)
 
 
 class Tenant:
@@ -83,11 +112,12 @@
 class Task:
     """What a client asked for, until its one final answer and the end of its last assignment."""
 
-    __slots__ = ("ref", "offering", "cost", "due", "expiry", "assignments", "still_out", "open", "bound",
+    __slots__ = ("ref", "offering", "hint", "cost", "due", "expiry", "assignments", "still_out", "open", "bound",
                  "worth", "beyond")
 
     def __init__(self, ref: object, offering: Offering, cost: float, due: float, expiry: float):
         self.ref, self.offering, self.cost, self.due, self.expiry = ref, offering, cost, due, expiry
+        self.hint = cost
         self.assignments: list[Assignment] = []
         self.still_out, self.open, self.bound = 0, True, False
         self.worth, self.beyond = 0.0, False             # beyond: over its tenant's share, worth less
@@ -211,7 +241,8 @@
         if condition is Condition.READY and came_up > executor.came_up:
             executor.came_up, executor.cold_until = came_up, came_up + self.cold_for
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
-            executor.credit, executor.credited = self.mean_cost * self.own_number / self.nodes, came_up
+            executor.credit = self.mean_cost * (LEAST_CHARGE - self.own_number / self.nodes)
+            executor.credited = came_up
             executor.set_rate()
 
     def list_heard(self, now: float, stale: bool) -> None:
@@ -232,9 +263,11 @@
     def task_arrived(self, now: float, ref: object, offering: int, tenant: int, budget: float, cost: float,
                      slots: float, memory: float, again: bool) -> Task:
         kind = self.offerings[offering]
-        cost = cost or max(slots, 1.0)
+        hint = cost or max(slots, 1.0)
+        cost = kind.cost(hint)
         gone = max(kind.expiry - budget, 0.0) if again else 0.0
         task = Task(ref, kind, cost, now + kind.due + kind.stretch * cost - gone, now + budget)
+        task.hint = hint
         worth = kind.importance * (cost if self.by_work else 1.0)
         if self.asks:
             self._probe(PROBES_NEAR, PROBES_FAR)  # the next task finds new reports
@@ -387,7 +420,7 @@
         cost = max(cost, LEAST_CHARGE * self.mean_cost)
         bears = SURPRISE_PART * self.fall_multiple * capacity * self.fall_window
         # And no queue at it: what it has not finished yet may be heavier, or it slower, than it looks.
-        return (max(cost, self.mean_cost) <= executor.credit and cost + self._surprise_now(now) <= bears
+        return (cost <= executor.credit and cost + self._surprise_now(now) <= bears
                 and executor.held < executor.slots)
 
     def _surprise_now(self, now: float) -> float:
@@ -529,6 +562,7 @@
             if over > self._surprise_now(now):
                 self.surprise, self.surprised = over, now
             executor.learn(assignment.task.cost, took)
+            assignment.task.offering.learn(assignment.task.hint, took * executor.speed)
         elif how is Outcome.FULL:
             executor.full_until = now + FULL_PAUSE
         elif how in (Outcome.ERROR, Outcome.BROKEN, Outcome.NO_CONNECTION):
