Cold executors: a grant for each window, lost if not used, instead of saving up

Cause: credit was dated from the start, before nodes had heard, and kept while the executor looked busy, so it was spent by all nodes within half a second.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -31,8 +31,7 @@
 PROBE_EVERY = 1.0      # seconds between rounds of probes
 PROBES_NEAR = 2        # probes for each task and each round, in the own zone
 PROBES_FAR = 1         # and in others
-COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
-LEAST_CHARGE = 0.25    # of the mean cost, for each task sent to a cold executor
+COLD_PART = 0.6        # part of the pressure a cold executor bears that all nodes together may use
 SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
 SURPRISE_FADE = 20.0   # seconds in which the worst miss of a hint fades to nothing
 TIES = 4               # executors without own work that are compared with each other
@@ -137,7 +136,8 @@
         self.lag, self.lag_at = 0.0, 0.0                 # delay of starts beyond what own work explains
         self.errors, self.strikes = 0.0, 0
         self.away_until, self.full_until, self.on_trial = 0.0, 0.0, False
-        self.credit, self.credited = 0.0, 0.0             # work that a cold one may still be sent
+        self.heard_at, self.turn = 0.0, -1                # of its start, and the last turn at it
+        self.credit, self.owed = 0.0, 0.0                 # work it may be sent this turn, and later
 
     def learn(self, cost: float, took: float) -> None:
         """Speed as the ratio of smoothed cost to smoothed time, so that light tasks do not rule it."""
@@ -241,8 +241,8 @@
         if condition is Condition.READY and came_up > executor.came_up:
             executor.came_up, executor.cold_until = came_up, came_up + self.cold_for
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
-            executor.credit = self.mean_cost * (LEAST_CHARGE - self.own_number / self.nodes)
-            executor.credited = came_up
+            executor.heard_at, executor.turn = now, -1
+            executor.credit, executor.owed = 0.0, self.mean_cost * self.own_number / self.nodes
             executor.set_rate()
 
     def list_heard(self, now: float, stale: bool) -> None:
@@ -408,19 +408,23 @@
 
     def _cold_room(self, now: float, executor: Executor, cost: float) -> bool:
         """A cold executor pushed over stays down, and no node sees what the others send it: each keeps to
-        its part of the traffic of a budget, and sends when a mean task is saved up. By own number they
-        begin with a part of one, so that even hundreds send in turn from the start, none before."""
+        its part of what may be sent in a window, and what it does not use in its turn is lost; saved up at
+        hundreds of nodes, it would come all at once. Less than a task is granted as one task in some
+        turns, by own number."""
         capacity = executor.slots * executor.speed * self._warmth(now, executor)
-        rate = COLD_PART * self.fall_multiple * capacity * min(self.zone_part, 1.0)
-        saved = executor.credit + rate * max(now - executor.credited, 0.0)
-        executor.credit = min(saved, max(self.mean_cost, rate * self.fall_window))
-        executor.credited = now
-        # Hints can miss by far: one task as heavy as the worst lately must not tip it over either.
-        # Every task sent is a chance of a bad hint: light ones must not be many.
-        cost = max(cost, LEAST_CHARGE * self.mean_cost)
-        bears = SURPRISE_PART * self.fall_multiple * capacity * self.fall_window
-        # And no queue at it: what it has not finished yet may be heavier, or it slower, than it looks.
-        return (cost <= executor.credit and cost + self._surprise_now(now) <= bears
+        bears = self.fall_multiple * capacity * self.fall_window
+        turn = int((now - executor.heard_at) / self.fall_window + self.own_number / self.nodes)
+        if turn != executor.turn:
+            grant = COLD_PART * bears * min(self.zone_part, 1.0)
+            missed = executor.owed + grant * max(turn - executor.turn - 1, 0)
+            missed = missed % self.mean_cost if missed > 0.0 else missed
+            tasks = max(int((missed + grant) / self.mean_cost), 0)
+            executor.credit = max(tasks * self.mean_cost, grant if grant > self.mean_cost else 0.0)
+            executor.owed = missed + grant - executor.credit
+            executor.turn = turn
+        # Hints can miss by far: one task as heavy as the worst lately must not tip it over either, and no
+        # queue at it: what it has not finished yet may be heavier, or it slower, than it looks.
+        return (executor.credit > 0.0 and cost + self._surprise_now(now) <= SURPRISE_PART * bears
                 and executor.held < executor.slots)
 
     def _surprise_now(self, now: float) -> float:
@@ -457,7 +461,9 @@
         if executor.cold_until > now:
             if not self._cold_room(now, executor, task.cost):
                 return False  # rule 4: a cold one is not pushed over
-            executor.credit -= max(task.cost, LEAST_CHARGE * self.mean_cost)
+            executor.credit -= task.cost
+            if executor.credit < 0.0:
+                executor.owed, executor.credit = executor.owed + executor.credit, 0.0
         estimate = task.cost / executor.rate
         wait = self._wait(now, executor)
         assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
