--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -14,8 +14,6 @@
 from firwalk.host import Condition, Effect, Group, Host, Outcome
 
 WEIGHT = 0.2           # of a new sample in a learned speed (the design's start)
-KIND_WEIGHT = 0.05     # of the same in the pace of its kind
-PRIOR = 1.0            # tasks that the pace of its kind weighs in an executor's speed
 FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
 REPORT_AGE = 10.0      # seconds in which reports settle, were all traffic this node's
 STALE = 10.0           # seconds without a report after which the others' load is halved
@@ -124,26 +122,14 @@
         self.worth, self.beyond = 0.0, False             # beyond: over its tenant's share, worth less
 
 
-class Pace:
-    """How fast the executors of one kind are, by all that they finished."""
-
-    def __init__(self, speed: float):
-        self.cost, self.time = speed * PRIOR, PRIOR
-
-    def learn(self, cost: float, took: float) -> None:
-        self.cost += KIND_WEIGHT * (PRIOR * cost - self.cost)
-        self.time += KIND_WEIGHT * (PRIOR * took - self.time)
-
-
 class Executor:
     """A worker as this node sees it."""
 
-    def __init__(self, ref: object, kind: int, zone: int, weight: float, cell: int, pace: Pace):
-        self.pace, speed = pace, pace.cost / pace.time
+    def __init__(self, ref: object, kind: int, zone: int, weight: float, cell: int, speed: float):
         self.ref, self.kind, self.zone, self.weight, self.cell = ref, kind, zone, weight, cell
         self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
         self.work, self.held = 0.0, 0                    # own outstanding estimates, and how many
-        self.speed, self.cost, self.time = speed, 0.0, 0.0
+        self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
         self.slots, self.others, self.rate = 1.0, 0.0, speed
         self.idle = 0                                    # connections to it that should be open and free
         self.used_mean, self.held_mean, self.reported_at = 0.0, 0.0, 0.0
@@ -154,17 +140,14 @@
         self.credit, self.owed = 0.0, 0.0                 # work it may be sent this turn, and later
 
     def learn(self, cost: float, took: float) -> None:
-        """Speed as the ratio of smoothed cost to smoothed time, so that light tasks do not rule it. A node
-        among hundreds meets each executor seldom: the pace of its kind weighs in as some tasks more."""
+        """Speed as the ratio of smoothed cost to smoothed time, so that light tasks do not rule it."""
         if took <= 0.0:
             return
-        self.pace.learn(cost, took)
-        self.cost += cost - WEIGHT * self.cost
-        self.time += took - WEIGHT * self.time
-        self.set_speed()
-
-    def set_speed(self) -> None:
-        self.speed = (self.cost + self.pace.cost) / (self.time + self.pace.time)
+        if not self.time_mean:
+            self.cost_mean, self.time_mean = cost, cost / self.speed
+        self.cost_mean += WEIGHT * (cost - self.cost_mean)
+        self.time_mean += WEIGHT * (took - self.time_mean)
+        self.speed = self.cost_mean / self.time_mean
         self.set_rate()
 
     def set_rate(self) -> None:
@@ -223,7 +206,6 @@
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
         self.ready: list[Executor] = []
-        self.paces: dict[int, Pace] = {}
         self.near: list[Executor] = []
         self.far: list[Executor] = []
         self.zones: list[int] = []
@@ -245,11 +227,10 @@
 
     def new_executor(self, now: float, ref: object, kind: int, zone: int, weight: float,
                      cell: int) -> Executor:
-        """A new one starts at the pace of its kind; a kind at the pace of the others; the first at 1."""
-        if kind not in self.paces:
-            known = list(self.paces.values())
-            self.paces[kind] = Pace(sum(p.cost for p in known) / sum(p.time for p in known) if known else 1.0)
-        executor = Executor(ref, kind, zone, weight, cell, self.paces[kind])
+        """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1."""
+        known = [e.speed for e in self.executors if e.time_mean and e.kind == kind] or \
+                [e.speed for e in self.executors if e.time_mean]
+        executor = Executor(ref, kind, zone, weight, cell, sum(known) / len(known) if known else 1.0)
         executor.slots = max((e.slots for e in self.executors if e.kind == kind), default=1.0)
         self.executors.append(executor)
         return executor
