--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -29,9 +29,10 @@
 AWAY = 3.0             # seconds an executor is set aside, plus up to as long again by chance
 MOST_AWAY = 0.34       # share of the ready executors that may be set aside at once
 PROBE_EVERY = 1.0      # seconds between rounds of probes
+PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
 PROBES_NEAR = 2        # probes for each task and each round, in the own zone
 PROBES_FAR = 1         # and in others
-COLD_PART = 0.6        # part of the pressure a cold executor bears that all nodes together may use
+COLD_PART = 0.9        # part of the pressure a cold executor bears that all nodes together may use
 SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
 SURPRISE_FADE = 20.0   # seconds in which the worst miss of a hint fades to nothing
 TIES = 4               # executors without own work that are compared with each other
@@ -625,10 +626,8 @@
                 self._set_aside(now, executor)
 
     def _round(self, now: float, _: None) -> None:
-        used = sum(e.used_mean for e in self.ready)
-        if used > 1.0:
-            self.part = min(max(sum(e.held_mean for e in self.ready) / used, 0.5 / self.nodes), 1.0)
-        self.zone_part = (self.part + 1.0 / self.nodes) / 2 * (len(dict.fromkeys(self.zones)) if self.crossing else 1)
+        self.part = self._part(self.ready, self.part)
+        self.zone_part = self._part(self.near, self.zone_part) if self.crossing else self.part
         self.room = sum(e.slots for e in self.ready) / self.nodes
         for executor in self.ready:
             # Without news others' load fades: else what looks full gets no task, so no report, for ever.
@@ -641,5 +640,13 @@
             self._probe(PROBES_NEAR, PROBES_FAR)
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
+    def _part(self, among: list[Executor], before: float) -> float:
+        """This node's part of the work at some executors, as their reports show it."""
+        used = sum(e.used_mean for e in among)
+        if used <= 1.0:
+            return before
+        part = min(max(sum(e.held_mean for e in among) / used, 0.5 / self.nodes), 1.0)
+        return before + PART_WEIGHT * (part - before)
+
     def peer_said(self, now: float, peer: int, content: bytes) -> None:
         """Peers' messages are not used: each node can keep the rules and judge executors alone."""
