--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -16,7 +16,7 @@
 WEIGHT = 0.2           # of a new sample in a learned speed (the design's start)
 FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
 REPORT_AGE = 10.0      # seconds in which reports settle, were all traffic this node's
-STALE = 10.0           # seconds without a report after which the others' load is halved
+STALE = 0.3            # of its distance from the mean that others' load fades in a second without a report
 LAG_WEIGHT = 0.5       # of one start's unexplained delay in an executor's lag
 COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
@@ -32,7 +32,7 @@
 PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
 PROBES_NEAR = 2        # probes for each task and each round, in the own zone
 PROBES_FAR = 1         # and in others
-COLD_PART = 0.9        # part of the pressure a cold executor bears that all nodes together may use
+COLD_PART = 0.7        # part of the pressure a cold executor bears that all nodes together may use
 SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
 SURPRISE_FADE = 20.0   # seconds in which the worst miss of a hint fades to nothing
 TIES = 4               # executors without own work that are compared with each other
@@ -629,12 +629,16 @@
         self.part = self._part(self.ready, self.part)
         self.zone_part = self._part(self.near, self.zone_part) if self.crossing else self.part
         self.room = sum(e.slots for e in self.ready) / self.nodes
-        for executor in self.ready:
-            # Without news others' load fades: else what looks full gets no task, so no report, for ever.
-            if executor.others and now - executor.reported_at > STALE:
-                executor.used_mean -= executor.others / 2
-                executor.others, executor.reported_at = executor.others / 2, now
-                executor.set_rate()
+        for among in (self.near, self.far):
+            slots = sum(e.slots for e in among)
+            mean = sum(e.others for e in among) / slots if slots else 0.0
+            for executor in among:
+                # Without news others' load fades to the mean: a queue forgotten at once, or an old report
+                # of free slots still believed, draws the tasks of hundreds of nodes; and what looks full
+                # gets no task, so no report, for ever.
+                if now - executor.reported_at > PROBE_EVERY:
+                    executor.others += STALE * (mean * executor.slots - executor.others)
+                    executor.set_rate()
         if self.asks:
             # As many as tasks pay for: in a large fleet, probes would take a node all its time.
             self._probe(PROBES_NEAR, PROBES_FAR)
