Reports that a node can ask for count as others' queue, also where starts are told

Cause: where starts are told, the module knew others' queues only from its own few starts; probes show machines shared with other programs too.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -387,18 +387,15 @@
 
     def _queue(self, now: float, executor: Executor) -> float:
         """Seconds that others' tasks alone would make a task wait, by reports or delays of starts."""
-        if self.tells_start:
-            return executor.lag_now(now, self.lag_now(now))
-        over = executor.others + 1.0 - executor.slots
-        return over * self.mean_cost / (executor.speed * executor.slots) if over > 0.0 else 0.0
+        over = executor.others + 1.0 - executor.slots if self.asks or not self.tells_start else 0.0
+        queue = over * self.mean_cost / (executor.speed * executor.slots) if over > 0.0 else 0.0
+        return queue + (executor.lag_now(now, self.lag_now(now)) if self.tells_start else 0.0)
 
     def _wait(self, now: float, executor: Executor) -> float:
         """Seconds until a slot is free, by own tasks there and what reports tell of others'."""
-        lag, over = 0.0, executor.held + 1.0 - executor.slots
-        if self.tells_start:
-            lag = executor.lag_now(now, self.lag_now(now))
-        else:
-            over += executor.others
+        others = executor.others if self.asks or not self.tells_start else 0.0
+        over = executor.held + others + 1.0 - executor.slots
+        lag = executor.lag_now(now, self.lag_now(now)) if self.tells_start else 0.0
         if over <= 0.0 or not executor.held:
             return lag + max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
         return lag + over * executor.work / (executor.held * executor.slots)
