--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -131,7 +131,7 @@
         self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
         self.work, self.held = 0.0, 0                    # own outstanding estimates, and how many
         self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
-        self.slots, self.others, self.rate = 1.0, 0.0, speed
+        self.slots, self.others = 1.0, 0.0
         self.idle = 0                                    # connections to it that should be open and free
         self.used_mean, self.held_mean, self.reported_at = 0.0, 0.0, 0.0
         self.lag, self.lag_at = 0.0, 0.0                 # delay of starts beyond what own work explains
@@ -149,11 +149,10 @@
         self.cost_mean += WEIGHT * (cost - self.cost_mean)
         self.time_mean += WEIGHT * (took - self.time_mean)
         self.speed = self.cost_mean / self.time_mean
-        self.set_rate()
 
-    def set_rate(self) -> None:
-        busy = min(self.others / self.slots, 1.0)
-        self.rate = self.speed * max(1.0 - busy, FLOOR)
+    def rate(self) -> float:
+        """Speed times what others leave of it."""
+        return self.speed * max(1.0 - self.others / self.slots, FLOOR)
 
     def report(self, now: float, values: dict[str, float], part: float) -> None:
         """Take the load that others put on it from a report: own work is in the sum already, and would
@@ -173,7 +172,6 @@
         self.held_mean += weight * (self.held - self.held_mean)
         self.reported_at = now
         self.others = max(self.used_mean - self.held_mean, 0.0)
-        self.set_rate()
 
     def lagged(self, now: float, by: float, common: float) -> None:
         """Where starts are told, their delay shows the others' queue fresher than any report does."""
@@ -183,7 +181,8 @@
     def lag_now(self, now: float, common: float) -> float:
         """Without news the lag fades to the common one: when all executors are late, those this node has
         not met for a while are late too, and moving tasks to them only churns."""
-        return common + (self.lag - common) * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
+        fresh = 1.0 - (now - self.lag_at) / LAG_FADE
+        return common + (self.lag - common) * fresh if fresh > 0.0 else common
 
 
 class Node:
@@ -200,6 +199,8 @@
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
         self.longest_advice, self.tells_start = longest_advice, tells_start
         self.asks = reports == "on_probe" and may_probe
+        # Reports that come only with answers are of executors just used and older than starts tell.
+        self.reports_count = self.asks or not tells_start
         self.crossing, self.handshake, self.by_work = crossing, handshake, by_work
         self.beyond_share = beyond_share
         self.part = self.zone_part = 1.0 / self.nodes    # of all traffic, this node's, and of its zone's
@@ -209,7 +210,6 @@
         self.ready: list[Executor] = []
         self.near: list[Executor] = []
         self.far: list[Executor] = []
-        self.zones: list[int] = []
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.waiting, self.room = [], 0.0                # tasks held for a free slot, and how many may be
         self.mean_cost, self.mean_worth = 0.0, 0.0
@@ -244,14 +244,12 @@
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
             executor.heard_at, executor.turn = now, -1
             executor.credit, executor.owed = 0.0, self.mean_cost * self.own_number / self.nodes
-            executor.set_rate()
 
     def list_heard(self, now: float, stale: bool) -> None:
         ready = [e for e in self.executors if e.condition is Condition.READY]
         self.near = [e for e in ready if e.zone == self.zone]
         self.far = [e for e in ready if e.zone != self.zone]
         self.ready = self.near + self.far
-        self.zones = [e.zone for e in ready]
 
     def list_broken(self, now: float) -> None:
         self.host.set_timer(now + 0.5 + self._chance(), self._watch, None)
@@ -323,15 +321,19 @@
         price = max(left, 0.0) * self.mean_worth / max(worth, 1e-9)
         recv, anew = price * self.crossing, price * self.handshake
         # A light task is worth less than its crossing costs: it stays where its zone has an executor at all.
-        near = self.crossing * self.mean_worth > CROSS_PART * worth and self.zone in self.zones
+        near = self.crossing * self.mean_worth > CROSS_PART * worth and self.near
         side = task.offering.effect is Effect.SIDE_EFFECTING
-        ties = 0
+        ties, own, mean, common = 0, self.zone, self.mean_cost, self.lag_now(now)
         for executor in among or self._order():
             if executor.away_until > now or executor.full_until > now:
                 continue
             # What others have waiting there is not in the own sum: with hundreds of nodes it is most of all.
-            load = executor.work / executor.slots + self._queue(now, executor)
-            if executor.zone != self.zone:
+            load, over = executor.work / executor.slots, executor.others + 1.0 - executor.slots
+            if over > 0.0 and self.reports_count:
+                load += over * mean / (executor.speed * executor.slots)
+            if self.tells_start:
+                load += executor.lag_now(now, common)
+            if executor.zone != own:
                 if near:
                     continue
                 load += recv
@@ -346,7 +348,7 @@
                 continue
             speed = executor.speed  # not the rate: a busy executor makes a task wait, it does not run slower
             if executor.cold_until > now:
-                if executor.zone != self.zone and self.crossing and self.zone in self.zones:
+                if executor.zone != own and self.crossing and self.near:
                     continue  # the nodes of its own zone have all of its budget
                 if not self._cold_room(now, executor, cost):
                     continue
@@ -359,10 +361,10 @@
                 # A node with a few tasks a second has nothing outstanding mostly. If each of hundreds gave
                 # its ties to the fastest executor, that one would drown: a few by chance are compared.
                 ties = ties + 1 if best is not None and load == best_load else 1
-                answer = wait + cost / executor.rate
+                answer = wait + cost / executor.rate()
                 if ties == 1 or answer < best_run:
                     best, best_load, best_run = executor, load, answer
-                if ties >= TIES and load <= (0.0 if executor.zone == self.zone else recv):
+                if ties >= TIES and load <= common + (0.0 if executor.zone == own else recv):
                     break
             elif wait + run < late_at:
                 late, late_at = executor, wait + run
@@ -385,15 +387,9 @@
             self.host.probe(self.far[self.far_at % len(self.far)])
             self.far_at += 1
 
-    def _queue(self, now: float, executor: Executor) -> float:
-        """Seconds that others' tasks alone would make a task wait, by reports or delays of starts."""
-        over = executor.others + 1.0 - executor.slots if self.asks or not self.tells_start else 0.0
-        queue = over * self.mean_cost / (executor.speed * executor.slots) if over > 0.0 else 0.0
-        return queue + (executor.lag_now(now, self.lag_now(now)) if self.tells_start else 0.0)
-
     def _wait(self, now: float, executor: Executor) -> float:
         """Seconds until a slot is free, by own tasks there and what reports tell of others'."""
-        others = executor.others if self.asks or not self.tells_start else 0.0
+        others = executor.others if self.reports_count else 0.0
         over = executor.held + others + 1.0 - executor.slots
         lag = executor.lag_now(now, self.lag_now(now)) if self.tells_start else 0.0
         if over <= 0.0 or not executor.held:
@@ -461,7 +457,7 @@
             executor.credit -= task.cost
             if executor.credit < 0.0:
                 executor.owed, executor.credit = executor.owed + executor.credit, 0.0
-        estimate = task.cost / executor.rate
+        estimate = task.cost / executor.rate()
         wait = self._wait(now, executor)
         assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
         task.assignments.append(assignment)
@@ -623,31 +619,37 @@
                 self._set_aside(now, executor)
 
     def _round(self, now: float, _: None) -> None:
-        self.part = self._part(self.ready, self.part)
-        self.zone_part = self._part(self.near, self.zone_part) if self.crossing else self.part
-        self.room = sum(e.slots for e in self.ready) / self.nodes
-        for among in (self.near, self.far):
-            slots = sum(e.slots for e in among)
-            mean = sum(e.others for e in among) / slots if slots else 0.0
-            for executor in among:
-                # Without news others' load fades to the mean: a queue forgotten at once, or an old report
-                # of free slots still believed, draws the tasks of hundreds of nodes; and what looks full
-                # gets no task, so no report, for ever.
-                if now - executor.reported_at > PROBE_EVERY:
-                    executor.others += STALE * (mean * executor.slots - executor.others)
-                    executor.set_rate()
+        near_held, near_used, near_slots = self._fade(now, self.near)
+        far_held, far_used, far_slots = self._fade(now, self.far)
+        self.part = self._part(near_held + far_held, near_used + far_used, self.part)
+        self.zone_part = self._part(near_held, near_used, self.zone_part) if self.crossing else self.part
+        self.room = (near_slots + far_slots) / self.nodes
         if self.asks:
             # As many as tasks pay for: in a large fleet, probes would take a node all its time.
             self._probe(PROBES_NEAR, PROBES_FAR)
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
-    def _part(self, among: list[Executor], before: float) -> float:
+    def _fade(self, now: float, among: list[Executor]) -> tuple[float, float, float]:
+        """Without news others' load fades to the mean of its zone or of the others: a queue forgotten at
+        once, or an old report of free slots still believed, draws the tasks of hundreds of nodes; and what
+        looks full gets no task, so no report, for ever. Tells what is held, used and there in all."""
+        held = used = slots = others = 0.0
+        for executor in among:
+            held += executor.held_mean
+            used += executor.used_mean
+            slots += executor.slots
+            others += executor.others
+        mean, old = others / slots if slots else 0.0, now - PROBE_EVERY
+        for executor in among:
+            if executor.reported_at < old:
+                executor.others += STALE * (mean * executor.slots - executor.others)
+        return held, used, slots
+
+    def _part(self, held: float, used: float, before: float) -> float:
         """This node's part of the work at some executors, as their reports show it."""
-        used = sum(e.used_mean for e in among)
         if used <= 1.0:
             return before
-        part = min(max(sum(e.held_mean for e in among) / used, 0.5 / self.nodes), 1.0)
-        return before + PART_WEIGHT * (part - before)
+        return before + PART_WEIGHT * (min(max(held / used, 0.5 / self.nodes), 1.0) - before)
 
     def peer_said(self, now: float, peer: int, content: bytes) -> None:
         """Peers' messages are not used: each node can keep the rules and judge executors alone."""
