--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -208,6 +208,8 @@
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
         self.ready: list[Executor] = []
+        self.typical: dict[int, list[float]] = {}        # of each kind: sum of speeds, how many, slots
+        self.typical_at = -1.0
         self.near: list[Executor] = []
         self.far: list[Executor] = []
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
@@ -229,10 +231,17 @@
     def new_executor(self, now: float, ref: object, kind: int, zone: int, weight: float,
                      cell: int) -> Executor:
         """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1."""
-        known = [e.speed for e in self.executors if e.time_mean and e.kind == kind] or \
-                [e.speed for e in self.executors if e.time_mean]
-        executor = Executor(ref, kind, zone, weight, cell, sum(known) / len(known) if known else 1.0)
-        executor.slots = max((e.slots for e in self.executors if e.kind == kind), default=1.0)
+        if self.typical_at != now:  # once a list, or hundreds of new ones would each look at all others
+            self.typical_at, self.typical = now, {}
+            for e in self.executors:
+                some = self.typical.setdefault(e.kind, [0.0, 0, 1.0])
+                some[0], some[1] = some[0] + e.speed * bool(e.time_mean), some[1] + bool(e.time_mean)
+                some[2] = max(some[2], e.slots)
+        speeds, count, slots = self.typical.get(kind, (0.0, 0, 1.0))
+        if not count:
+            speeds, count = sum(t[0] for t in self.typical.values()), sum(t[1] for t in self.typical.values())
+        executor = Executor(ref, kind, zone, weight, cell, speeds / count if count else 1.0)
+        executor.slots = slots
         self.executors.append(executor)
         return executor
 
@@ -405,9 +414,11 @@
         its part of what may be sent in a window, and what it does not use in its turn is lost; saved up at
         hundreds of nodes, it would come all at once. Less than a task is granted as one task in some
         turns, by own number."""
+        turn = int((now - executor.heard_at) / self.fall_window + self.own_number / self.nodes)
+        if turn == executor.turn and executor.credit <= 0.0 or executor.held >= executor.slots:
+            return False
         capacity = executor.slots * executor.speed * self._warmth(now, executor)
         bears = self.fall_multiple * capacity * self.fall_window
-        turn = int((now - executor.heard_at) / self.fall_window + self.own_number / self.nodes)
         if turn != executor.turn:
             grant = COLD_PART * bears * min(self.zone_part, 1.0)
             saved = executor.owed + grant * max(turn - executor.turn - 1, 0)
@@ -415,10 +426,9 @@
             executor.credit = saved if saved >= self.mean_cost else 0.0
             executor.owed = saved - executor.credit
             executor.turn = turn
-        # Hints can miss by far: one task as heavy as the worst lately must not tip it over either, and no
-        # queue at it: what it has not finished yet may be heavier, or it slower, than it looks.
-        return (executor.credit > 0.0 and cost + self._surprise_now(now) <= SURPRISE_PART * bears
-                and executor.held < executor.slots)
+        # Hints can miss by far: one task as heavy as the worst lately must not tip it over either. And no
+        # own queue at it: what it has not finished yet may be heavier, or it slower, than it looks.
+        return executor.credit > 0.0 and cost + self._surprise_now(now) <= SURPRISE_PART * bears
 
     def _surprise_now(self, now: float) -> float:
         return self.surprise * max(1.0 - (now - self.surprised) / SURPRISE_FADE, 0.0)
