--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -8,7 +8,7 @@
 """
 from __future__ import annotations
 
-from math import log
+from math import exp, log
 from zlib import crc32
 
 from firwalk.host import Condition, Effect, Group, Host, Outcome
@@ -51,19 +51,20 @@
         self.due, self.expiry, self.importance, self.late = due, expiry, importance, late
         self.effect, self.group, self.remembered = effect, group, remembered
         self.stretch, self.kind = stretch, kind
-        self.met, self.hint_mean, self.power_mean = 0, 0.0, 0.0     # of the hints that arrived
+        self.met, self.log_mean, self.log_spread = 0, 0.0, 0.0      # of the hints that arrived
         self.finished, self.log_hint, self.log_work = 0, 0.0, 0.0   # of the tasks that finished
         self.hint_spread = self.together = TRUST
 
     def cost(self, hint: float) -> float:
         """The cost that a hint stands for: where hints miss, a light one is mostly of a heavier task and
         a heavy one of a lighter, so it is drawn to the offering's mean as far as finished tasks show."""
-        power = hint ** min(max(self.together / self.hint_spread, 0.0), 1.0)
         self.met += 1
-        part = max(1.0 / self.met, HINT_WEIGHT)
-        self.hint_mean += part * (hint - self.hint_mean)
-        self.power_mean += part * (power - self.power_mean)
-        return power * self.hint_mean / self.power_mean
+        part, x = max(1.0 / self.met, HINT_WEIGHT), log(hint)
+        off = x - self.log_mean
+        self.log_mean += part * off
+        self.log_spread += part * (off * off * (1.0 - part) - self.log_spread)
+        slope = min(max(self.together / self.hint_spread, 0.0), 1.0)
+        return exp(self.log_mean + slope * (x - self.log_mean) + (1.0 - slope * slope) * self.log_spread / 2)
 
     def learn(self, hint: float, work: float) -> None:
         """The slope of the finished work over its hint, both in logarithms."""
@@ -338,8 +339,7 @@
             if over > 0.0 and self.reports_count:
                 load += over * mean / (executor.speed * executor.slots)
             if self.tells_start:
-                lag = executor.lag_now(now, common)
-                load += lag if lag > self.tick else 0.0
+                load += executor.lag_now(now, common)
             if executor.zone != own:
                 if near:
                     continue
