--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -14,13 +14,13 @@
 from firwalk.host import Condition, Effect, Group, Host, Outcome
 
 WEIGHT = 0.2           # of a new sample in a learned speed (the design's start)
+KIND_WEIGHT = 0.05     # of an executor's speed in that of its kind
 FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
 REPORT_AGE = 10.0      # seconds in which reports settle, were all traffic this node's
 STALE = 0.3            # of its distance from the mean that others' load fades in a second without a report
 LAG_WEIGHT = 0.5       # of one start's unexplained delay in an executor's lag
 COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
-HOLD_PART = 0.25       # part of its time left for which a task that can only be late waits for a free slot
 SHARE_WINDOW = 3.0     # seconds of its share that a tenant may use at once
 CROSS_PART = 1.0       # part of a task's value that a crossing may cost, before it is kept in its zone
 ERROR_WEIGHT = 0.3     # of one outcome in an executor's share of errors
@@ -33,8 +33,7 @@
 PROBES_NEAR = 2        # probes for each task and each round, in the own zone
 PROBES_FAR = 1         # and in others
 COLD_PART = 0.7        # part of the pressure a cold executor bears that all nodes together may use
-SURPRISE_PART = 0.5    # part of the pressure a cold executor bears that one task with a bad hint may be
-SURPRISE_FADE = 20.0   # seconds in which the worst miss of a hint fades to nothing
+HEAVY_PART = 0.5       # part of the pressure a cold executor bears that one task may be
 TIES = 4               # executors without own work that are compared with each other
 TRUST = 4.0            # tasks' weight of the trust that hints begin with
 HINT_WEIGHT = 0.01     # of a new hint in their means, at least
@@ -124,8 +123,8 @@
 class Executor:
     """A worker as this node sees it."""
 
-    def __init__(self, ref: object, kind: int, zone: int, weight: float, cell: int, speed: float):
-        self.ref, self.kind, self.zone, self.weight, self.cell = ref, kind, zone, weight, cell
+    def __init__(self, ref: object, kind: int, zone: int, cell: int, speed: float):
+        self.ref, self.kind, self.zone, self.cell = ref, kind, zone, cell
         self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
         self.work, self.held = 0.0, 0                    # own outstanding estimates, and how many
         self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
@@ -206,14 +205,11 @@
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
         self.ready: list[Executor] = []
-        self.typical: dict[int, list[float]] = {}        # of each kind: sum of speeds, how many, slots
-        self.typical_at = -1.0
+        self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
         self.near: list[Executor] = []
         self.far: list[Executor] = []
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
-        self.waiting, self.room = [], 0.0                # tasks held for a free slot, and how many may be
         self.mean_cost, self.mean_value = 0.0, 0.0
-        self.surprise, self.surprised = 0.0, now         # work beyond its hint that a task turned out to be
         self.lag, self.lag_at = 0.0, now                 # common to the executors met lately
         first = (own_number + 1) / self.nodes
         if must_ask:
@@ -226,33 +222,25 @@
 
     # -- the list of executors ---------------------------------------------------------------------
 
-    def new_executor(self, now: float, ref: object, kind: int, zone: int, weight: float,
-                     cell: int) -> Executor:
+    def new_executor(self, ref: object, kind: int, zone: int, cell: int) -> Executor:
         """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1."""
-        if self.typical_at != now:  # once a list, or hundreds of new ones would each look at all others
-            self.typical_at, self.typical = now, {}
-            for e in self.executors:
-                some = self.typical.setdefault(e.kind, [0.0, 0, 1.0])
-                some[0], some[1] = some[0] + e.speed * bool(e.time_mean), some[1] + bool(e.time_mean)
-                some[2] = max(some[2], e.slots)
-        speeds, count, slots = self.typical.get(kind, (0.0, 0, 1.0))
-        if not count:
-            speeds, count = (sum(t[n] for t in self.typical.values()) for n in (0, 1))
-        executor = Executor(ref, kind, zone, weight, cell, speeds / count if count else 1.0)
-        executor.slots = slots
+        seen = self.kinds.setdefault(kind, [0.0, 1.0])
+        known = [speed for speed, _ in self.kinds.values() if speed]
+        speed = seen[0] or (sum(known) / len(known) if known else 1.0)
+        executor = Executor(ref, kind, zone, cell, speed)
+        executor.slots = seen[1]
         self.executors.append(executor)
         return executor
 
-    def heard(self, now: float, executor: Executor, condition: Condition, weight: float, came_up: float,
-              stale: bool) -> None:
-        executor.condition, executor.weight = condition, weight
+    def heard(self, now: float, executor: Executor, condition: Condition, came_up: float) -> None:
+        executor.condition = condition
         if condition is Condition.READY and came_up > executor.came_up:
             executor.came_up, executor.cold_until = came_up, came_up + self.cold_for
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
             executor.heard_at, executor.turn = now, -1
             executor.credit, executor.owed = 0.0, self.mean_cost * self.own_number / self.nodes
 
-    def list_heard(self, now: float, stale: bool) -> None:
+    def list_heard(self) -> None:
         ready = [e for e in self.executors if e.condition is Condition.READY]
         self.near = [e for e in ready if e.zone == self.zone]
         self.far = [e for e in ready if e.zone != self.zone]
@@ -292,27 +280,8 @@
             return
         if task.still_out:
             return
-        if executor is not None and task.offering.late and len(self.waiting) < self.room:
-            # It can only be late, and late answers earn something. In an executor's queue it would make
-            # those behind it late too, and all nodes' late tasks would pile up at the fastest one.
-            self.waiting.append(task)
-            self.host.set_timer(now + HOLD_PART * (task.expiry - now), self._waited, task)
-        else:
-            self._give_up(now, task)
-
-    def _waited(self, now: float, task: Task) -> None:
-        if task in self.waiting:
-            self.waiting.remove(task)
-            self._give_up(now, task)
-
-    def _release(self, now: float, executor: Executor) -> None:
-        """Give a slot that nothing in time wants to the tasks that wait to be late."""
-        for task in list(self.waiting):
-            if self._wait(now, executor):
-                return
-            fits = task.open and self._choose(now, task, True, [executor])[0]
-            if not task.open or fits and self._send(now, task, executor):
-                self.waiting.remove(task)
+        # What can only be late makes those behind it late too, wherever it waits.
+        self._give_up(now, task)
 
     def _choose(self, now: float, task: Task, idle: bool = False,
                 among: list[Executor] | None = None) -> tuple[Executor | None, bool]:
@@ -424,12 +393,8 @@
             executor.credit = saved if saved >= self.mean_cost else 0.0
             executor.owed = saved - executor.credit
             executor.turn = turn
-        # Hints can miss by far: one task as heavy as the worst lately must not tip it over either. And no
-        # own queue at it: what it has not finished yet may be heavier, or it slower, than it looks.
-        return executor.credit > 0.0 and cost + self._surprise_now(now) <= SURPRISE_PART * bears
-
-    def _surprise_now(self, now: float) -> float:
-        return self.surprise * max(1.0 - (now - self.surprised) / SURPRISE_FADE, 0.0)
+        # And no own queue at it: what it has not finished may be heavier, or it slower, than it looks.
+        return executor.credit > 0.0 and cost <= HEAVY_PART * bears
 
     def _may_repeat(self, now: float, task: Task, executor: Executor) -> bool:
         """Rule 2 and the limits on copies, for a task that was sent before."""
@@ -547,8 +512,6 @@
                 self._give_up(now, task)
             elif not task.still_out or how is not Outcome.CANCELLED:
                 self._place(now, task)
-        if self.waiting:
-            self._release(now, executor)
 
     def _judge(self, now: float, assignment: Assignment, how: Outcome, took: float) -> None:
         """What an outcome says of its executor."""
@@ -565,10 +528,10 @@
             # A cold executor's samples are scaled to warm ones; else its coldness would count twice.
             if executor.cold_until > now:
                 took *= self._warmth(now, executor)
-            over = took * executor.speed - assignment.task.cost
-            if over > self._surprise_now(now):
-                self.surprise, self.surprised = over, now
             executor.learn(assignment.task.cost, took)
+            seen = self.kinds[executor.kind]
+            seen[0] += KIND_WEIGHT * (executor.speed - seen[0]) if seen[0] else executor.speed
+            seen[1] = max(seen[1], executor.slots)
             assignment.task.offering.learn(assignment.task.hint, took * executor.speed)
         elif how is Outcome.FULL:
             executor.full_until = now + FULL_PAUSE
@@ -619,28 +582,25 @@
         if how is Outcome.FINISHED:
             if report:
                 executor.report(now, report, self.part)
-                if self.waiting:
-                    self._release(now, executor)
         elif how is not Outcome.FULL:
             executor.strikes += 1
             if executor.strikes >= STRIKES or how is Outcome.NO_CONNECTION:
                 self._set_aside(now, executor)
 
     def _round(self, now: float, _: None) -> None:
-        near_held, near_used, near_slots = self._fade(now, self.near)
-        far_held, far_used, far_slots = self._fade(now, self.far)
+        near_held, near_used = self._fade(now, self.near)
+        far_held, far_used = self._fade(now, self.far)
         self.part = self._part(near_held + far_held, near_used + far_used, self.part)
         self.zone_part = self._part(near_held, near_used, self.zone_part) if self.crossing else self.part
-        self.room = (near_slots + far_slots) / self.nodes
         if self.asks:
             # As many as tasks pay for: in a large fleet, probes would take a node all its time.
             self._probe(PROBES_NEAR, PROBES_FAR)
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
-    def _fade(self, now: float, among: list[Executor]) -> tuple[float, float, float]:
+    def _fade(self, now: float, among: list[Executor]) -> tuple[float, float]:
         """Without news others' load fades to the mean of its zone or of the others: a queue forgotten at
         once, or an old report of free slots still believed, draws the tasks of hundreds of nodes; and what
-        looks full gets no task, so no report, for ever. Tells what is held, used and there in all."""
+        looks full gets no task, so no report, for ever. Tells what is held and used in all."""
         held = used = slots = others = 0.0
         for executor in among:
             held += executor.held_mean
@@ -651,7 +611,7 @@
         for executor in among:
             if executor.reported_at < old:
                 executor.others += STALE * (mean * executor.slots - executor.others)
-        return held, used, slots
+        return held, used
 
     def _part(self, held: float, used: float, before: float) -> float:
         """This node's part of the work at some executors, as their reports show it."""
--- a/firwalk/wirehost/__main__.py
+++ b/firwalk/wirehost/__main__.py
@@ -139,17 +139,17 @@
             node.list_broken(now)
             return
         named = {}
-        for kind, zone, condition, weight, address, came_up, cell in entries:
+        for kind, zone, condition, _weight, address, came_up, cell in entries:
             executor = known.get(address)
             if executor is None:
-                executor = known[address] = node.new_executor(now, address, kind, zone, weight, cell)
+                executor = known[address] = node.new_executor(address, kind, zone, cell)
             named[address] = executor
-            node.heard(now, executor, c.CONDITIONS[condition], weight, came_up * MICRO, scope == 2)
+            node.heard(now, executor, c.CONDITIONS[condition], came_up * MICRO)
         if scope:
             for address, executor in known.items():
                 if address not in named:
-                    node.heard(now, executor, Condition.GONE, executor.weight, executor.came_up, scope == 2)
-        node.list_heard(now, scope == 2)
+                    node.heard(now, executor, Condition.GONE, executor.came_up)
+        node.list_heard()
 
     def report(self, values):
         return dict(zip(self.names, values, strict=False)) if values else None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -75,11 +75,11 @@
     def hear(self, *names, condition=Condition.READY, zone=0, cell=0, came_up=0.0, slots=2):
         for name in names:
             if name not in self.executors:
-                self.executors[name] = self.node.new_executor(self.now, name, 0, zone, 1.0, cell)
+                self.executors[name] = self.node.new_executor(name, 0, zone, cell)
                 self.executors[name].slots = slots
             executor = self.executors[name]
-            self.node.heard(self.now, executor, condition, 1.0, came_up, False)
-        self.node.list_heard(self.now, False)
+            self.node.heard(self.now, executor, condition, came_up)
+        self.node.list_heard()
 
     def task(self, name, cost=0.1, kind=0, budget=None, again=False):
         budget = budget or self.node.offerings[kind].expiry
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -156,22 +156,6 @@
     assert f.executors["old"].others == pytest.approx(f.executors["busy"].others, rel=0.5)
 
 
-def test_rule_4_a_bad_hint_lately_keeps_tasks_from_a_cold_executor():
-    f = Fake()
-    f.hear("warm")
-    task = f.task("heavy", 0.1)
-    f.start(task)
-    f.until(9.0)
-    f.hear("cold", came_up=5.0, slots=4)
-    cold = f.executors["cold"]
-    f.node.part = 1.0
-    assert f.node._cold_room(f.now, cold, 0.1)
-    f.end(task, Outcome.FINISHED)
-    assert not f.node._cold_room(f.now, cold, 0.1)
-    f.until(14.0)
-    assert f.node._cold_room(f.now, cold, 0.1)
-
-
 def test_silent_executor_is_left_and_set_aside_and_tried_again():
     f = Fake()
     f.hear("good", "hung", "other")
@@ -229,19 +213,6 @@
     f.compare("overload")
 
 
-def test_late_tasks_wait_for_a_free_slot_and_not_for_ever():
-    f = Fake(offerings=[offering(late=0.5)], tells_start=False)
-    f.hear("A", slots=1)
-    f.until(1.1)
-    tasks = [f.task(f"t{n}", 1.2 - n / 10) for n in range(5)]
-    f.node.room = 2
-    for n in range(2):
-        f.until(1.4 + n / 2)
-        f.end(tasks[n], Outcome.FINISHED)
-    f.until(6.0)
-    f.compare("held")
-
-
 def test_lag_of_the_fleet_is_believed_of_executors_not_met():
     f = Fake()
     f.hear("A", "B")
