--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -22,7 +22,6 @@
 COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
 SHARE_WINDOW = 3.0     # seconds of its share that a tenant may use at once
-CROSS_PART = 1.0       # part of a task's value that a crossing may cost, before it is kept in its zone
 ERROR_WEIGHT = 0.3     # of one outcome in an executor's share of errors
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
 STRIKES = 2            # signs of silence in a row that set an executor aside
@@ -55,8 +54,8 @@
         self.hint_spread = self.together = TRUST
 
     def cost(self, hint: float) -> float:
-        """The cost that a hint stands for: where hints miss, a light one is mostly of a heavier task and
-        a heavy one of a lighter, so it is drawn to the offering's mean as far as finished tasks show."""
+        """Where hints miss, a light one is mostly of a heavier task and a heavy one of a lighter: it is
+        drawn to the offering's mean as far as finished tasks show."""
         self.met += 1
         part, x = max(1.0 / self.met, HINT_WEIGHT), log(hint)
         off = x - self.log_mean
@@ -67,7 +66,7 @@
 
     def learn(self, hint: float, work: float) -> None:
         """The slope of the finished work over its hint, both in logarithms."""
-        x, y = log(hint), log(max(work, 1e-6))
+        x, y = log(hint), log(work)
         self.finished += 1
         off = x - self.log_hint
         self.log_hint += off / self.finished
@@ -86,19 +85,14 @@
         """Whether one more task is inside this node's part of the share, by a bucket of some seconds."""
         rate = self.quota * part
         self.tokens = min(self.tokens + rate * (now - self.at), max(rate * SHARE_WINDOW, 1.0))
-        self.at = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
+        within, self.at = self.tokens >= 1.0, now
+        self.tokens -= within
+        return within
 
 
 class Assignment:
     """One sending of a task to one executor."""
 
-    __slots__ = ("task", "executor", "number", "sent", "estimate", "wait", "out",
-                 "started_at", "may_have_run")
-
     def __init__(self, task: Task, executor: Executor, number: int, sent: float, estimate: float,
                  wait: float):
         self.task, self.executor, self.number = task, executor, number
@@ -109,12 +103,9 @@
 class Task:
     """What a client asked for, until its one final answer and the end of its last assignment."""
 
-    __slots__ = ("ref", "offering", "hint", "cost", "due", "expiry", "assignments", "still_out", "open",
-                 "bound", "value", "beyond")
-
-    def __init__(self, ref: object, offering: Offering, cost: float, due: float, expiry: float):
-        self.ref, self.offering, self.cost, self.due, self.expiry = ref, offering, cost, due, expiry
-        self.hint = cost
+    def __init__(self, ref: object, offering: Offering, hint: float, cost: float, due: float, expiry: float):
+        self.ref, self.offering, self.hint, self.cost = ref, offering, hint, cost
+        self.due, self.expiry = due, expiry
         self.assignments: list[Assignment] = []
         self.still_out, self.open, self.bound = 0, True, False
         self.value, self.beyond = 0.0, False             # beyond: over its tenant's share
@@ -134,13 +125,10 @@
         self.lag, self.lag_at = 0.0, 0.0                 # delay of starts beyond what own work explains
         self.errors, self.strikes = 0.0, 0
         self.away_until, self.full_until, self.on_trial = 0.0, 0.0, False
-        self.heard_at, self.turn = 0.0, -1                # of its start, and the last turn at it
-        self.credit, self.owed = 0.0, 0.0                 # work it may be sent this turn, and later
+        self.turn, self.credit, self.owed = -1, 0.0, 0.0  # while cold: mean tasks for this turn, and later
 
     def learn(self, cost: float, took: float) -> None:
         """Speed as the ratio of smoothed cost to smoothed time, so that light tasks do not rule it."""
-        if took <= 0.0:
-            return
         if not self.time_mean:
             self.cost_mean, self.time_mean = cost, cost / self.speed
         self.cost_mean += WEIGHT * (cost - self.cost_mean)
@@ -148,21 +136,18 @@
         self.speed = self.cost_mean / self.time_mean
 
     def rate(self) -> float:
-        """Speed times what others leave of it."""
         return self.speed * max(1.0 - self.others / self.slots, FLOOR)
 
     def report(self, now: float, values: dict[str, float], part: float) -> None:
-        """Take the load that others put on it from a report: own work is in the sum already, and would
-        count twice (the paper names that as the weakness of its first version)."""
+        """The load of others only: own work, in the sum already, would count twice (the paper's word)."""
         held, free, busy = values.get("held"), values.get("free_slots"), values.get("busy")
         if free is not None:
             # Free slots beside a long queue (a wide task waits at its head) must not pass for more slots.
             self.slots = max(self.slots, round(free), round(held + free) if held and held <= free else 1.0)
-        if held is None and free is None and busy is None:
+        elif held is None and busy is None:
             return
         used = held if held is not None else self.slots - free if busy is None else busy * self.slots
-        # A report is older than the count: smoothed alike, own tasks just ended do not pass for others'.
-        # The less of the traffic is own, the less there is to mistake, and the sooner a report is believed.
+        # Smoothed alike, own tasks just ended do not pass for others'; with little own traffic, soon.
         gap = now - self.reported_at
         weight = gap / (gap + REPORT_AGE * part)
         self.used_mean += weight * (used - self.used_mean)
@@ -172,12 +157,10 @@
 
     def lagged(self, now: float, by: float, common: float) -> None:
         """Where starts are told, their delay shows the others' queue fresher than any report does."""
-        self.lag = max(self.lag_now(now, common) + LAG_WEIGHT * by, 0.0)
-        self.lag_at = now
+        self.lag, self.lag_at = max(self.lag_now(now, common) + LAG_WEIGHT * by, 0.0), now
 
     def lag_now(self, now: float, common: float) -> float:
-        """Without news the lag fades to the common one: when all executors are late, those this node has
-        not met for a while are late too, and moving tasks to them only churns."""
+        """Without news it fades to the common one: when all are late, moving tasks to those only churns."""
         fresh = 1.0 - (now - self.lag_at) / LAG_FADE
         return common + (self.lag - common) * fresh if fresh > 0.0 else common
 
@@ -198,23 +181,21 @@
         self.asks = reports == "on_probe" and may_probe
         # Reports that come only with answers are of executors just used and older than starts tell.
         self.reports_count = self.asks or not tells_start
-        self.crossing, self.handshake, self.by_work = crossing, handshake, by_work
-        self.beyond_share = beyond_share
+        self.crossing, self.handshake = crossing, handshake
+        self.by_work, self.beyond_share = by_work, beyond_share
         self.part = self.zone_part = 1.0 / self.nodes    # of all traffic, this node's, and of its zone's
         self.cold_from, self.cold_for = cold_from, cold_for
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
-        self.ready: list[Executor] = []
-        self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
-        self.near: list[Executor] = []
+        self.near: list[Executor] = []                   # those ready in the own zone
         self.far: list[Executor] = []
+        self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.mean_cost, self.mean_value = 0.0, 0.0
         self.lag, self.lag_at = 0.0, now                 # common to the executors met lately
-        first = (own_number + 1) / self.nodes
         if must_ask:
-            host.set_timer(now + tick * own_number, self._watch, None)
-        host.set_timer(now + first * PROBE_EVERY, self._round, None)
+            host.set_timer(now + tick * own_number, lambda *_: host.watch(True), None)
+        host.set_timer(now + (own_number + 1) / self.nodes * PROBE_EVERY, self._round, None)
 
     def _chance(self) -> float:
         self.counter += 1
@@ -225,9 +206,8 @@
     def new_executor(self, ref: object, kind: int, zone: int, cell: int) -> Executor:
         """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1."""
         seen = self.kinds.setdefault(kind, [0.0, 1.0])
-        known = [speed for speed, _ in self.kinds.values() if speed]
-        speed = seen[0] or (sum(known) / len(known) if known else 1.0)
-        executor = Executor(ref, kind, zone, cell, speed)
+        known = [speed for speed, _ in self.kinds.values() if speed] or [1.0]
+        executor = Executor(ref, kind, zone, cell, seen[0] or sum(known) / len(known))
         executor.slots = seen[1]
         self.executors.append(executor)
         return executor
@@ -237,20 +217,15 @@
         if condition is Condition.READY and came_up > executor.came_up:
             executor.came_up, executor.cold_until = came_up, came_up + self.cold_for
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
-            executor.heard_at, executor.turn = now, -1
-            executor.credit, executor.owed = 0.0, self.mean_cost * self.own_number / self.nodes
+            executor.turn, executor.credit, executor.owed = -1, 0.0, self.own_number / self.nodes
 
     def list_heard(self) -> None:
         ready = [e for e in self.executors if e.condition is Condition.READY]
         self.near = [e for e in ready if e.zone == self.zone]
         self.far = [e for e in ready if e.zone != self.zone]
-        self.ready = self.near + self.far
 
     def list_broken(self, now: float) -> None:
-        self.host.set_timer(now + 0.5 + self._chance(), self._watch, None)
-
-    def _watch(self, now: float, _: None) -> None:
-        self.host.watch(True)
+        self.host.set_timer(now + 0.5 + self._chance(), lambda *_: self.host.watch(True), None)
 
     # -- a task's life -------------------------------------------------------------------------------
 
@@ -260,11 +235,8 @@
         hint = cost or max(slots, 1.0)
         cost = kind.cost(hint)
         gone = max(kind.expiry - budget, 0.0) if again else 0.0
-        task = Task(ref, kind, cost, now + kind.due + kind.stretch * cost - gone, now + budget)
-        task.hint = hint
+        task = Task(ref, kind, hint, cost, now + kind.due + kind.stretch * cost - gone, now + budget)
         value = kind.importance * (cost if self.by_work else 1.0)
-        if self.asks:
-            self._probe(PROBES_NEAR, PROBES_FAR)  # the next task finds new reports
         part = 0.02 if self.mean_cost else 1.0
         self.mean_cost += part * (cost - self.mean_cost)
         self.mean_value += part * (value - self.mean_value)
@@ -272,38 +244,32 @@
             task.beyond = not self.tenants[tenant].within(now, self.part)
         task.value = value * (self.beyond_share if task.beyond else 1.0)
         self._place(now, task)
+        if self.asks:
+            self._probe()  # for the next task; before the choice, those without an answer yet would be first
         return task
 
     def _place(self, now: float, task: Task) -> None:
-        executor, in_time = self._choose(now, task)
-        if executor is not None and in_time and self._send(now, task, executor):
-            return
-        if task.still_out:
-            return
-        # What can only be late makes those behind it late too, wherever it waits.
-        self._give_up(now, task)
+        executor = self._choose(now, task)
+        if (executor is None or not self._send(now, task, executor)) and not task.still_out:
+            self._give_up(now, task)  # in a queue it would only make those behind it late too
 
-    def _choose(self, now: float, task: Task, idle: bool = False,
-                among: list[Executor] | None = None) -> tuple[Executor | None, bool]:
+    def _choose(self, now: float, task: Task, idle: bool = False) -> Executor | None:
         """The ordinary path: least own outstanding estimated work, plus what it takes to reach it (Recv),
-        among those that can still start it in time; failing these, the one that would answer first."""
-        best, best_load, best_run = None, 0.0, 0.0
-        late, late_at = None, task.expiry - now
+        among those that can still answer in time."""
+        best, best_load, best_answer = None, 0.0, 0.0
         cost, left, kind = task.cost, task.due - now, task.offering.kind
-        value = task.value
-        # Beyond its tenant's share a task earns little: it may wait only that part of its slack for
-        # others, or one tenant's crowd would make everybody late.
+        # Beyond its tenant's share a task may wait only a part of its slack, or one's crowd makes all late.
         part = self.beyond_share if task.beyond else 1.0
-        price = max(left, 0.0) * self.mean_value / max(value, 1e-9)
+        price = max(left, 0.0) * self.mean_value / max(task.value, 1e-9)  # Recv, as time
         recv, anew = price * self.crossing, price * self.handshake
         # A light task earns less than its crossing costs: it stays where its zone has an executor at all.
-        near = self.crossing * self.mean_value > CROSS_PART * value and self.near
+        near = self.crossing * self.mean_value > task.value and self.near
         side = task.offering.effect is Effect.SIDE_EFFECTING
         ties, own, mean, common = 0, self.zone, self.mean_cost, self.lag_now(now)
-        for executor in among or self._order():
+        for executor in self._order():
             if executor.away_until > now or executor.full_until > now:
                 continue
-            # What others have waiting there is not in the own sum: with hundreds of nodes it is most of all.
+            # What others have waiting is not in the own sum; with hundreds of nodes it is most of all.
             load, over = executor.work / executor.slots, executor.others + 1.0 - executor.slots
             if over > 0.0 and self.reports_count:
                 load += over * mean / (executor.speed * executor.slots)
@@ -329,39 +295,34 @@
                 if not self._cold_room(now, executor, cost):
                     continue
                 speed *= self._warmth(now, executor)
-            run = cost / speed
             wait = self._wait(now, executor)
-            if idle and wait:
-                continue
-            if wait <= (left - run) * part:
+            if wait <= (left - cost / speed) * part and not (idle and wait):
                 # A node with a few tasks a second has nothing outstanding mostly. If each of hundreds gave
                 # its ties to the fastest executor, that one would drown: a few by chance are compared.
                 ties = ties + 1 if best is not None and load == best_load else 1
                 answer = wait + cost / executor.rate()
-                if ties == 1 or answer < best_run:
-                    best, best_load, best_run = executor, load, answer
+                if ties == 1 or answer < best_answer:
+                    best, best_load, best_answer = executor, load, answer
                 if ties >= TIES and load <= common + (0.0 if executor.zone == own else recv):
                     break
-            elif wait + run < late_at:
-                late, late_at = executor, wait + run
-        return (best, True) if best else (late, False)
+        return best
 
     def _order(self) -> list[Executor]:
-        """Those of the own zone first, in each part the ones with the newest reports first, which differ
-        from node to node; without probes from any place by chance."""
+        """The own zone first, then the newest reports first: that differs at each node; else by chance."""
         near, far = self.near, self.far
         if not self.asks:
             self.near_at = self.far_at = int(self._chance() * 4294967296.0)
         i, j = self.near_at % (len(near) or 1), self.far_at % (len(far) or 1)
         return near[:i][::-1] + near[i:][::-1] + far[:j][::-1] + far[j:][::-1]
 
-    def _probe(self, near: int, far: int) -> None:
-        for _ in range(min(near, len(self.near))):
-            self.host.probe(self.near[self.near_at % len(self.near)])
-            self.near_at += 1
-        for _ in range(min(far, len(self.far))):
-            self.host.probe(self.far[self.far_at % len(self.far)])
-            self.far_at += 1
+    def _probe(self) -> None:
+        """As many as tasks pay for: in a large fleet, probes of all would take a node all its time."""
+        near, far = min(PROBES_NEAR, len(self.near)), min(PROBES_FAR, len(self.far))
+        for n in range(near):
+            self.host.probe(self.near[(self.near_at + n) % len(self.near)])
+        for n in range(far):
+            self.host.probe(self.far[(self.far_at + n) % len(self.far)])
+        self.near_at, self.far_at = self.near_at + near, self.far_at + far
 
     def _wait(self, now: float, executor: Executor) -> float:
         """Seconds until a slot is free, by own tasks there and what reports tell of others'."""
@@ -378,20 +339,18 @@
 
     def _cold_room(self, now: float, executor: Executor, cost: float) -> bool:
         """A cold executor pushed over stays down, and no node sees what the others send it: each keeps to
-        its part of what may be sent in a window, and what it does not use in its turn is lost; saved up at
-        hundreds of nodes, it would come all at once. Less than a task is granted as one task in some
-        turns, by own number."""
-        turn = int((now - executor.heard_at) / self.fall_window + self.own_number / self.nodes)
+        its part of what may be sent in a window. What it does not use is lost; saved up at hundreds of
+        nodes, it would come all at once. Parts of a task make one in some turns, by own number."""
+        turn = int((now - executor.came_up) / self.fall_window + self.own_number / self.nodes)
         if turn == executor.turn and executor.credit <= 0.0 or executor.held >= executor.slots:
             return False
         capacity = executor.slots * executor.speed * self._warmth(now, executor)
         bears = self.fall_multiple * capacity * self.fall_window
         if turn != executor.turn:
-            grant = COLD_PART * bears * min(self.zone_part, 1.0)
+            grant = COLD_PART * bears * min(self.zone_part, 1.0) / self.mean_cost
             saved = executor.owed + grant * max(turn - executor.turn - 1, 0)
-            saved = (saved % self.mean_cost if saved > 0.0 else saved) + grant
-            executor.credit = saved if saved >= self.mean_cost else 0.0
-            executor.owed = saved - executor.credit
+            saved = (saved % 1.0 if saved > 0.0 else saved) + grant
+            executor.credit, executor.owed = (saved, 0.0) if saved >= 1.0 else (0.0, saved)
             executor.turn = turn
         # And no own queue at it: what it has not finished may be heavier, or it slower, than it looks.
         return executor.credit > 0.0 and cost <= HEAVY_PART * bears
@@ -406,13 +365,10 @@
                 return False
             if not earlier.may_have_run or effect is Effect.IDEMPOTENT:
                 continue
-            if effect is Effect.SIDE_EFFECTING:
-                return False
-            if now > earlier.sent + task.offering.remembered - 2 * self.tick:
-                return False
-            if group is Group.ZONE and earlier.executor.zone != executor.zone:
-                return False
-            if group is Group.CELL and earlier.executor.cell != executor.cell:
+            if (effect is Effect.SIDE_EFFECTING
+                    or now > earlier.sent + task.offering.remembered - 2 * self.tick
+                    or group is Group.ZONE and earlier.executor.zone != executor.zone
+                    or group is Group.CELL and earlier.executor.cell != executor.cell):
                 return False
         return True
 
@@ -427,7 +383,7 @@
         if executor.cold_until > now:
             if not self._cold_room(now, executor, task.cost):
                 return False  # rule 4: a cold one is not pushed over
-            executor.credit -= task.cost
+            executor.credit -= task.cost / self.mean_cost
             if executor.credit < 0.0:
                 executor.owed, executor.credit = executor.owed + executor.credit, 0.0
         estimate = task.cost / executor.rate()
@@ -439,11 +395,8 @@
         executor.held += 1
         executor.idle = max(executor.idle - 1, 0)
         self.host.send(task, executor, 0.0)
-        slack = max(task.due - now - task.cost / executor.speed, 0.0)
-        if self.tells_start:
-            patience = slack / 2
-        else:
-            patience = max(slack, wait + OVERDUE * estimate)
+        patience = max(task.due - now - task.cost / executor.speed, 0.0)
+        patience = patience / 2 if self.tells_start else max(patience, wait + OVERDUE * estimate)
         self.host.set_timer(now + max(patience, 2 * self.tick), self._overdue, assignment)
         return True
 
@@ -455,17 +408,14 @@
         if self.tells_start:
             self._lagged(now, assignment)
         if now - assignment.sent > assignment.wait + assignment.estimate:
-            if self.tells_start or not self.may_probe:
-                executor.strikes += 1
+            executor.strikes += self.tells_start or not self.may_probe
             if executor.strikes >= STRIKES or executor.on_trial:
                 self._set_aside(now, executor)
-        if not task.open:
-            return
-        other, in_time = self._choose(now, task, idle=not self.tells_start)
-        if other is not None and in_time and self._send(now, task, other):
+        other = self._choose(now, task, idle=not self.tells_start) if task.open else None
+        if other is not None and self._send(now, task, other):
             if self.tells_start and self.may_cancel:
                 self.host.cancel(assignment)
-        elif self.tells_start and not task.offering.late and task.still_out == 1:
+        elif task.open and self.tells_start and not task.offering.late and task.still_out == 1:
             # Waiting work that can only end late and for nothing makes all behind it late as well.
             left = task.due - now - task.cost / executor.speed
             if left > self.tick:
@@ -474,16 +424,13 @@
                 self._give_up(now, task)
 
     def started(self, now: float, assignment: Assignment) -> None:
-        assignment.started_at = now
-        executor = assignment.executor
-        executor.strikes = 0
+        assignment.started_at, assignment.executor.strikes = now, 0
         self._lagged(now, assignment)
 
     def _lagged(self, now: float, assignment: Assignment) -> None:
         by = now - assignment.sent - assignment.wait
         assignment.executor.lagged(now, by, self.lag_now(now))
-        self.lag = max(self.lag_now(now) + COMMON_WEIGHT * by, 0.0)
-        self.lag_at = now
+        self.lag, self.lag_at = max(self.lag_now(now) + COMMON_WEIGHT * by, 0.0), now
 
     def lag_now(self, now: float) -> float:
         return self.lag * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
@@ -507,11 +454,10 @@
             executor.report(now, report, self.part)
         if complete:
             self._close(task)
-        elif task.open:
-            if now >= task.expiry or task.bound:
-                self._give_up(now, task)
-            elif not task.still_out or how is not Outcome.CANCELLED:
-                self._place(now, task)
+        elif now >= task.expiry or task.bound:
+            self._give_up(now, task)
+        elif task.open and (not task.still_out or how is not Outcome.CANCELLED):
+            self._place(now, task)
 
     def _judge(self, now: float, assignment: Assignment, how: Outcome, took: float) -> None:
         """What an outcome says of its executor."""
@@ -525,9 +471,9 @@
                 took = now - assignment.started_at
             elif assignment.wait:
                 return  # time in a queue is not slowness: such samples made all look slow, and none in time
-            # A cold executor's samples are scaled to warm ones; else its coldness would count twice.
+            took = max(took, self.tick)
             if executor.cold_until > now:
-                took *= self._warmth(now, executor)
+                took *= self._warmth(now, executor)  # else its coldness would count twice
             executor.learn(assignment.task.cost, took)
             seen = self.kinds[executor.kind]
             seen[0] += KIND_WEIGHT * (executor.speed - seen[0]) if seen[0] else executor.speed
@@ -542,10 +488,11 @@
                 self._set_aside(now, executor, how is Outcome.NO_CONNECTION)
 
     def _set_aside(self, now: float, executor: Executor, unreachable: bool = False) -> None:
-        """Keep tasks from a bad executor for a while, but not from so many that the rest tip over; only
-        those that cannot be reached do no work anyway, be it a whole zone of them."""
-        away = sum(e.away_until > now for e in self.ready)
-        if executor.away_until > now or (away + 1 > MOST_AWAY * len(self.ready) and not unreachable):
+        """Keep tasks from a bad executor for a while, but not from so many that the rest tip over, unless
+        they cannot be reached anyway."""
+        ready = self.near + self.far
+        away = sum(e.away_until > now for e in ready)
+        if executor.away_until > now or (away + 1 > MOST_AWAY * len(ready) and not unreachable):
             return
         executor.away_until = now + AWAY * (1.0 + self._chance())
         executor.on_trial, executor.strikes, executor.errors = True, 0, 0.0
@@ -557,8 +504,8 @@
     def _close(self, task: Task) -> None:
         if task.open:
             task.open = False
-            for assignment in task.assignments:
-                if self.may_cancel and assignment.out:
+            for assignment in task.assignments if self.may_cancel else ():
+                if assignment.out:
                     self.host.cancel(assignment)
 
     def _give_up(self, now: float, task: Task) -> None:
@@ -566,11 +513,10 @@
         if not task.open:
             return
         self._close(task)
-        effect = task.offering.effect
-        ran = any(a.may_have_run for a in task.assignments)
+        effect, ran = task.offering.effect, any(a.may_have_run for a in task.assignments)
         dropped = effect is Effect.FINGERPRINTED and task.offering.group is Group.ALL
         if not ran or effect is Effect.IDEMPOTENT or dropped:
-            wait = min((e.work / e.slots for e in self.ready), default=AWAY)
+            wait = min((e.work / e.slots for e in self.near + self.far), default=AWAY)
             self.host.bounce(task, min(max(wait, self.tick), self.longest_advice))
         else:
             self.host.abandon(task)
@@ -579,10 +525,9 @@
 
     def probed(self, now: float, executor: Executor, how: Outcome, took: float,
                report: dict[str, float] | None) -> None:
-        if how is Outcome.FINISHED:
-            if report:
-                executor.report(now, report, self.part)
-        elif how is not Outcome.FULL:
+        if how is Outcome.FINISHED and report:
+            executor.report(now, report, self.part)
+        elif how not in (Outcome.FINISHED, Outcome.FULL):
             executor.strikes += 1
             if executor.strikes >= STRIKES or how is Outcome.NO_CONNECTION:
                 self._set_aside(now, executor)
@@ -593,14 +538,12 @@
         self.part = self._part(near_held + far_held, near_used + far_used, self.part)
         self.zone_part = self._part(near_held, near_used, self.zone_part) if self.crossing else self.part
         if self.asks:
-            # As many as tasks pay for: in a large fleet, probes would take a node all its time.
-            self._probe(PROBES_NEAR, PROBES_FAR)
+            self._probe()
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
     def _fade(self, now: float, among: list[Executor]) -> tuple[float, float]:
-        """Without news others' load fades to the mean of its zone or of the others: a queue forgotten at
-        once, or an old report of free slots still believed, draws the tasks of hundreds of nodes; and what
-        looks full gets no task, so no report, for ever. Tells what is held and used in all."""
+        """Without news others' load fades to the mean: an old report of free slots still believed draws the
+        tasks of hundreds of nodes, an old queue keeps them away for ever. Tells what is held and used."""
         held = used = slots = others = 0.0
         for executor in among:
             held += executor.held_mean
@@ -615,9 +558,8 @@
 
     def _part(self, held: float, used: float, before: float) -> float:
         """This node's part of the work at some executors, as their reports show it."""
-        if used <= 1.0:
-            return before
-        return before + PART_WEIGHT * (min(max(held / used, 0.5 / self.nodes), 1.0) - before)
+        part = min(max(held / used, 0.5 / self.nodes), 1.0) if used > 1.0 else before
+        return before + PART_WEIGHT * (part - before)
 
     def peer_said(self, now: float, peer: int, content: bytes) -> None:
         """Peers' messages are not used: each node can keep the rules and judge executors alone."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -120,7 +120,7 @@
     f.task("common", 0.5)
     f.hear("cold", came_up=1.0, slots=4)
     cold = f.executors["cold"]
-    cold.owed = -9.0
+    cold.owed, cold.turn = -9.0, 0
     f.until(3.1)
     assert not f.node._cold_room(f.now, cold, 0.1) and -9.0 < cold.owed < 0.0
 
@@ -169,6 +169,7 @@
         if task.assignments and task.assignments[0].executor.ref != "hung":
             f.now += 0.02
             f.start(task)
+            f.now += 0.1
             f.end(task, Outcome.FINISHED)
     f.lines = [line for line in f.lines if "hung" in line]
     f.compare("silent")
@@ -183,6 +184,7 @@
         for number in range(5):
             if number < len(task.assignments) and task.open:
                 bad = task.assignments[number].executor.ref == "bad"
+                f.now += 0.0 if bad else 0.1
                 f.end(task, Outcome.ERROR if bad else Outcome.FINISHED, number)
     assert sum("to bad" in line for line in f.lines) == 2
 
