--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -32,6 +32,7 @@
 PROBES_NEAR = 2        # probes for each task and each round, in the own zone
 PROBES_FAR = 1         # and in others
 COLD_PART = 0.6        # part of the pressure a cold executor bears that all nodes together may use
+LEAST_CHARGE = 0.5     # of a mean task, for each task sent to a cold executor
 HEAVY_PART = 0.15      # part of the pressure a cold executor bears that one task may be
 TIES = 4               # executors without own work that are compared with each other
 TRUST = 4.0            # tasks' weight of the trust that hints begin with
@@ -342,18 +343,19 @@
         its part of what may be sent in a window. What it does not use is lost; saved up at hundreds of
         nodes, it would come all at once. Parts of a task make one in some turns, by own number."""
         turn = int((now - executor.came_up) / self.fall_window + self.own_number / self.nodes)
-        if turn == executor.turn and executor.credit <= 0.0 or executor.held >= executor.slots:
+        if turn == executor.turn and executor.credit <= 0.0:
             return False
-        capacity = executor.slots * executor.speed * self._warmth(now, executor)
-        bears = self.fall_multiple * capacity * self.fall_window
+        bears = executor.slots * executor.speed * self._warmth(now, executor)
+        bears *= self.fall_multiple * self.fall_window
         if turn != executor.turn:
             grant = COLD_PART * bears * min(self.zone_part, 1.0) / self.mean_cost
             saved = executor.owed + grant * max(turn - executor.turn - 1, 0)
             saved = (saved % 1.0 if saved > 0.0 else saved) + grant
             executor.credit, executor.owed = (saved, 0.0) if saved >= 1.0 else (0.0, saved)
             executor.turn = turn
-        # And no own queue at it: what it has not finished may be heavier, or it slower, than it looks.
-        return executor.credit > 0.0 and cost <= HEAVY_PART * bears
+        # No queue at it: what it has not finished may be heavier, or it slower, than it looks.
+        free = executor.held + executor.others < executor.slots
+        return free and executor.credit > 0.0 and cost <= HEAVY_PART * bears
 
     def _may_repeat(self, now: float, task: Task, executor: Executor) -> bool:
         """Rule 2 and the limits on copies, for a task that was sent before."""
@@ -383,7 +385,7 @@
         if executor.cold_until > now:
             if not self._cold_room(now, executor, task.cost):
                 return False  # rule 4: a cold one is not pushed over
-            executor.credit -= task.cost / self.mean_cost
+            executor.credit -= max(task.cost / self.mean_cost, LEAST_CHARGE)  # a light hint may be a whale
             if executor.credit < 0.0:
                 executor.owed, executor.credit = executor.owed + executor.credit, 0.0
         estimate = task.cost / executor.rate()
@@ -391,8 +393,7 @@
         assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
         task.assignments.append(assignment)
         task.still_out += 1
-        executor.work += estimate
-        executor.held += 1
+        executor.work, executor.held = executor.work + estimate, executor.held + 1
         executor.idle = max(executor.idle - 1, 0)
         self.host.send(task, executor, 0.0)
         patience = max(task.due - now - task.cost / executor.speed, 0.0)
@@ -444,8 +445,7 @@
     def ended(self, now: float, assignment: Assignment, how: Outcome, took: float, complete: bool,
               report: dict[str, float] | None) -> None:
         task, executor = assignment.task, assignment.executor
-        assignment.out = False
-        task.still_out -= 1
+        assignment.out, task.still_out = False, task.still_out - 1
         executor.held -= 1
         executor.work = executor.work - assignment.estimate if executor.held else 0.0
         assignment.may_have_run = how not in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -282,3 +282,15 @@
         executor.speed = 2.0
     f.until(5.4)
     assert [a.out for a in task.assignments] == [True, True] and not f.called
+
+
+def test_rule_4_a_light_hint_at_a_cold_executor_is_charged_as_half_a_mean_task():
+    f = Fake(nodes=1, tells_start=False)
+    f.until(1.0)
+    f.task("common", 1.0)
+    f.hear("cold", came_up=1.0, slots=4)
+    f.until(5.0)
+    f.node.mean_cost = 1.0
+    before = [f.node._cold_room(f.now, f.executors["cold"], 0.01), f.executors["cold"].credit]
+    f.node._send(f.now, f.task("light", 0.01), f.executors["cold"])
+    assert before[0] and before[1] - f.executors["cold"].credit >= 0.5
