--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -192,7 +192,7 @@
         self.far: list[Executor] = []
         self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
-        self.mean_cost, self.mean_value = 0.0, 0.0
+        self.mean_cost = self.mean_value = self.near_mean = self.far_mean = 0.0
         self.lag, self.lag_at = 0.0, now                 # common to the executors met lately
         if must_ask:
             host.set_timer(now + tick * own_number, lambda *_: host.watch(True), None)
@@ -268,22 +268,17 @@
         side = task.offering.effect is Effect.SIDE_EFFECTING
         ties, own, mean, common = 0, self.zone, self.mean_cost, self.lag_now(now)
         for executor in self._order():
-            if executor.away_until > now or executor.full_until > now:
+            # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
+            load = (0.0 if executor.zone == own else recv) + (0.0 if executor.idle else anew)
+            if best is not None and load > best_load or near and executor.zone != own:
                 continue
             # What others have waiting is not in the own sum; with hundreds of nodes it is most of all.
-            load, over = executor.work / executor.slots, executor.others + 1.0 - executor.slots
+            load, over = load + executor.work / executor.slots, executor.others + 1.0 - executor.slots
             if over > 0.0 and self.reports_count:
                 load += over * mean / (executor.speed * executor.slots)
             if self.tells_start:
                 load += executor.lag_now(now, common)
-            if executor.zone != own:
-                if near:
-                    continue
-                load += recv
-            if not executor.idle:
-                load += anew
-            # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
-            if best is not None and load > best_load:
+            if best is not None and load > best_load or max(executor.away_until, executor.full_until) > now:
                 continue
             if executor.on_trial and (executor.held or side) or kind >= 0 and executor.kind != kind:
                 continue
@@ -533,28 +528,27 @@
                 self._set_aside(now, executor)
 
     def _round(self, now: float, _: None) -> None:
-        near_held, near_used = self._fade(now, self.near)
-        far_held, far_used = self._fade(now, self.far)
+        near_held, near_used, self.near_mean = self._fade(now, self.near, self.near_mean)
+        far_held, far_used, self.far_mean = self._fade(now, self.far, self.far_mean)
         self.part = self._part(near_held + far_held, near_used + far_used, self.part)
         self.zone_part = self._part(near_held, near_used, self.zone_part) if self.crossing else self.part
         if self.asks:
             self._probe()
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
-    def _fade(self, now: float, among: list[Executor]) -> tuple[float, float]:
+    def _fade(self, now: float, among: list[Executor], mean: float) -> tuple[float, float, float]:
         """Without news others' load fades to the mean: an old report of free slots still believed draws the
-        tasks of hundreds of nodes, an old queue keeps them away for ever. Tells what is held and used."""
+        tasks of hundreds of nodes, an old queue keeps them away for ever. Tells held, used and the mean."""
         held = used = slots = others = 0.0
+        old = now - PROBE_EVERY
         for executor in among:
             held += executor.held_mean
             used += executor.used_mean
             slots += executor.slots
             others += executor.others
-        mean, old = others / slots if slots else 0.0, now - PROBE_EVERY
-        for executor in among:
             if executor.reported_at < old:
                 executor.others += STALE * (mean * executor.slots - executor.others)
-        return held, used
+        return held, used, others / slots if slots else 0.0
 
     def _part(self, held: float, used: float, before: float) -> float:
         """This node's part of the work at some executors, as their reports show it."""
