--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -544,8 +544,9 @@
         for executor in among:
             held += executor.held_mean
             used += executor.used_mean
-            slots += executor.slots
-            others += executor.others
+            if executor.cold_until < now:  # the empty slots of cold ones would make full ones look free
+                slots += executor.slots
+                others += executor.others
             if executor.reported_at < old:
                 executor.others += STALE * (mean * executor.slots - executor.others)
         return held, used, others / slots if slots else 0.0
