--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -286,8 +286,6 @@
                 continue
             speed = executor.speed  # not the rate: a busy executor makes a task wait, it does not run slower
             if executor.cold_until > now:
-                if executor.zone != own and self.crossing and self.near:
-                    continue  # the nodes of its own zone have all of its budget
                 if not self._cold_room(now, executor, cost):
                     continue
                 speed *= self._warmth(now, executor)
@@ -343,7 +341,9 @@
         bears = executor.slots * executor.speed * self._warmth(now, executor)
         bears *= self.fall_multiple * self.fall_window
         if turn != executor.turn:
-            grant = COLD_PART * bears * min(self.zone_part, 1.0) / self.mean_cost
+            # The nodes of its zone have all of it; those of others a part that fades with their number.
+            ours = self.zone_part if executor.zone == self.zone or not self.crossing else self.part ** 2
+            grant = COLD_PART * bears * ours / self.mean_cost
             saved = executor.owed + grant * max(turn - executor.turn - 1, 0)
             saved = (saved % 1.0 if saved > 0.0 else saved) + grant
             executor.credit, executor.owed = (saved, 0.0) if saved >= 1.0 else (0.0, saved)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -294,3 +294,16 @@
     before = [f.node._cold_room(f.now, f.executors["cold"], 0.01), f.executors["cold"].credit]
     f.node._send(f.now, f.task("light", 0.01), f.executors["cold"])
     assert before[0] and before[1] - f.executors["cold"].credit >= 0.5
+
+
+def test_rule_4_cold_executors_of_a_zone_without_nodes_are_fed_by_a_node_alone():
+    fed = []
+    for nodes in (1, 40):
+        f = Fake(nodes=nodes, crossing=0.1, tells_start=False)
+        f.until(1.0)
+        f.hear("near")
+        f.hear("cold", zone=1, came_up=1.0, slots=4)
+        f.node.mean_cost = 0.5
+        f.until(5.0)
+        fed.append(f.node._cold_room(f.now, f.executors["cold"], 0.1))
+    assert fed == [True, False]
