--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -266,17 +266,14 @@
         # A light task earns less than its crossing costs: it stays where its zone has an executor at all.
         near = self.crossing * self.mean_value > task.value and self.near
         side = task.offering.effect is Effect.SIDE_EFFECTING
-        ties, own, mean, common = 0, self.zone, self.mean_cost, self.lag_now(now)
+        ties, own, common = 0, self.zone, self.lag_now(now)
         for executor in self._order():
             # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
             load = (0.0 if executor.zone == own else recv) + (0.0 if executor.idle else anew)
             if best is not None and load > best_load or near and executor.zone != own:
                 continue
-            # What others have waiting is not in the own sum; with hundreds of nodes it is most of all.
-            load, over = load + executor.work / executor.slots, executor.others + 1.0 - executor.slots
-            if over > 0.0 and self.reports_count:
-                load += over * mean / (executor.speed * executor.slots)
-            if self.tells_start:
+            load += executor.work / executor.slots
+            if self.tells_start:  # what others have waiting is not in the own sum
                 load += executor.lag_now(now, common)
             if best is not None and load > best_load or max(executor.away_until, executor.full_until) > now:
                 continue
