--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -324,6 +324,8 @@
             return lag + max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
         return lag + over * executor.work / (executor.held * executor.slots)
 
+    # -- cold starts -----------------------------------------------------------------------------------
+
     def _warmth(self, now: float, executor: Executor) -> float:
         part = max(now - executor.came_up, 0.0) / max(self.cold_for, 0.001)
         return min(self.cold_from + (1.0 - self.cold_from) * part, 1.0)
@@ -349,6 +351,8 @@
         free = executor.held + executor.others < executor.slots
         return free and executor.credit > 0.0 and cost <= HEAVY_PART * bears
 
+    # -- the gate that every send passes ---------------------------------------------------------------
+
     def _may_repeat(self, now: float, task: Task, executor: Executor) -> bool:
         """Rule 2 and the limits on copies, for a task that was sent before."""
         effect, group = task.offering.effect, task.offering.group
@@ -393,6 +397,8 @@
         self.host.set_timer(now + max(patience, 2 * self.tick), self._overdue, assignment)
         return True
 
+    # -- what becomes of an assignment -----------------------------------------------------------------
+
     def _overdue(self, now: float, assignment: Assignment) -> None:
         """An assignment shows no start (or, where starts are not told, no end) in the time it had."""
         task, executor = assignment.task, assignment.executor
@@ -451,6 +457,8 @@
         elif task.open and (not task.still_out or how is not Outcome.CANCELLED):
             self._place(now, task)
 
+    # -- health of executors ---------------------------------------------------------------------------
+
     def _judge(self, now: float, assignment: Assignment, how: Outcome, took: float) -> None:
         """What an outcome says of its executor."""
         executor = assignment.executor
@@ -489,6 +497,8 @@
         executor.away_until = now + AWAY * (1.0 + self._chance())
         executor.on_trial, executor.strikes, executor.errors = True, 0, 0.0
 
+    # -- the end of a task -----------------------------------------------------------------------------
+
     def withdrawn(self, now: float, task: Task) -> None:
         """The client left: nothing is owed, and what still waits for a slot need not run."""
         self._close(task)
