SIGHUP reloads the configuration and moves to the discovery it names

Checked: 129 is 128 + SIGHUP, the signal's default action; no handler was set (__main__._run set SIGTERM and SIGINT only).

At fault: firwalk/__main__.py, _run. The list's address was fixed in net/discovery.py (Discovery.__init__) as well.

Changed: the handler reads the file again; another address is asked at once for the whole list (its versions need not follow on), the watch of the one before goes on until the new one has told; a bad file is one line; what needs a restart is named; during SIGTERM nothing changes. From the first line of the program on SIGHUP no longer ends it.

--- a/firwalk/__main__.py
+++ b/firwalk/__main__.py
@@ -11,6 +11,7 @@
 import orjson
 import uvloop
 
+from firwalk.log import say
 from firwalk.net.service import Service
 
 
@@ -22,17 +23,28 @@
     return config
 
 
+def _told(problem: Exception) -> str:
+    return f"{type(problem).__name__}: {' '.join(str(problem).split())}"
+
+
+def _reload(service: Service, path: str) -> None:
+    try:
+        service.reload(_config(path))
+    except Exception as problem:  # a bad file must not end a node that serves
+        say(f"all stays as it was: cannot use {path}: {_told(problem)}")
+
+
 async def _run(path: str) -> int:
+    loop = asyncio.get_running_loop()
     try:
         service = Service(_config(path))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, service.ending.set)
+        loop.add_signal_handler(signal.SIGHUP, _reload, service, path)
         await service.open()
     except Exception as problem:  # whatever is wrong with it, operators want one plain line
-        text = " ".join(str(problem).split())
-        print(f"firwalk: cannot start with {path}: {type(problem).__name__}: {text}", file=sys.stderr)
+        print(f"firwalk: cannot start with {path}: {_told(problem)}", file=sys.stderr)
         return 2
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, service.ending.set)
     gc.collect()
     gc.freeze()
     await service.run()
@@ -40,6 +52,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # unhandled it ends a program, also one that still starts
     parser = argparse.ArgumentParser(prog="firwalk", description="One node of the dispatcher.")
     parser.add_argument("--config", default=os.environ.get("BALANCER_CONFIG"),
                         help="the configuration, a JSON file (default: $BALANCER_CONFIG)")
--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -214,6 +214,10 @@
         self.node.list_heard()
         self._settle(now)
 
+    def forget_version(self) -> None:
+        """The list comes from another service, whose versions need not follow on those before."""
+        self.version = 0
+
     def report_list_broken(self) -> None:
         now = self.clock()
         self.node.list_broken(now)
--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import orjson
 
@@ -43,6 +44,8 @@
         self.desk, self.buffers, self.address = desk, buffers, address
         self.watching: asyncio.Task | None = None
         self.asking: asyncio.Task | None = None
+        self.left: asyncio.Task | None = None    # the watch of the service before, until the new one tells
+        self.heard = True                        # whether the service of this address has told a list
 
     def watch(self, on: bool) -> None:
         if self.watching is not None and not self.watching.done():
@@ -55,12 +58,34 @@
         if self.asking is None or self.asking.done():
             self.asking = asyncio.get_running_loop().create_task(self._call(False))
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Another service keeps the list from now on. It is asked at once; until it tells, what the one
+        before told stays, and what its watch still tells counts."""
+        if address == self.address:
+            return
+        watching = self.watching
+        if watching is not None and self.heard:
+            self.left, self.watching = watching, None
+        self.watch(False)
+        self.address, self.heard = address, False
+        self.watch(True)
+
+    def told(self, address: tuple[str, int], news: tuple[int, bool, list[tuple]]) -> None:
+        if address == self.address and not self.heard:
+            self.heard = True
+            self.desk.forget_version()
+            if self.left is not None:
+                self.left.cancel()
+        self.desk.report_list(*news)
+
     async def _call(self, watch: bool) -> None:
         """One call; its end, the watch's or one without a list, is told so that another may follow."""
-        target = b"/catalog/members" + (b"?follow=1&since=%d" % self.desk.version if watch else b"")
-        told = _Told(self.desk)
+        # Another service may count its versions otherwise: the first time it is asked for all.
+        since, address = self.desk.version if self.heard else 0, self.address
+        target = b"/catalog/members" + (b"?follow=1&since=%d" % since if watch else b"")
+        told = _Told(lambda news: self.told(address, news))
         try:
-            await self._read(target, told)
+            await self._read(address, target, told)
             say(f"the list's service ended {'the watch' if watch else 'a call'} with {told.status}")
         except (OSError, TimeoutError) as problem:
             say(f"the list's service: {problem or 'silent'}")
@@ -68,20 +93,20 @@
             say(f"the list's service: {problem}")
         except Exception as problem:
             trouble("reading the list", problem)
-        if watch or not told.lists:
+        if address == self.address and (watch or not told.lists):
             self.desk.report_list_broken()
 
-    async def _read(self, target: bytes, told: _Told) -> None:
+    async def _read(self, address: tuple[str, int], target: bytes, told: _Told) -> None:
         loop = asyncio.get_running_loop()
-        sock = new_socket(self.address)
+        sock = new_socket(address)
         buffer = self.buffers.take()
         view = memoryview(buffer)
         try:
             async with asyncio.timeout(CONNECT_TIME):
-                await loop.sock_connect(sock, self.address)
+                await loop.sock_connect(sock, address)
             parser = http.Answers(told.began, told.line, told.ended)
             async with asyncio.timeout(CALL_TIME):
-                await loop.sock_sendall(sock, http.ask(b"GET", target, [host_header(self.address)]))
+                await loop.sock_sendall(sock, http.ask(b"GET", target, [host_header(address)]))
             while not told.over:
                 async with asyncio.timeout(SILENCE if told.status else CALL_TIME):
                     count = await loop.sock_recv_into(sock, buffer)
@@ -97,15 +122,15 @@
 class _Told:
     """What one call has told so far."""
 
-    def __init__(self, desk: Desk):
-        self.desk, self.status, self.lists, self.over = desk, 0, 0, False
+    def __init__(self, list_came: Callable[[tuple], None]):
+        self.list_came, self.status, self.lists, self.over = list_came, 0, 0, False
 
     def began(self, status: int, headers: dict) -> None:
         self.status = status
 
     def line(self, line: bytes) -> None:
         if self.status == 200:
-            self.desk.report_list(*entries(line))
+            self.list_came(entries(line))
             self.lists += 1
 
     def ended(self, keep: bool) -> None:
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -21,6 +21,8 @@
 QUIET = 0.1            # seconds without a new connection after which none is expected any more
 LONGEST_END = 3.4      # seconds after the signal in which all is answered, whatever the expiries
 LAST = 0.1             # seconds for the last answers to be written
+# What a new configuration may change while the node runs; the last two mean something at a start only.
+LIVE = ("discovery", "known", "seed")
 
 
 class Clock:
@@ -113,6 +115,20 @@
         if self.config.get("peer_listen") and self.config["settings"].get("limits", {}).get("peers"):
             await self.peers.open(parse(self.config["peer_listen"]))
 
+    def reload(self, config: dict) -> None:
+        """Takes over what can change live. All is read before anything is changed: half a configuration is
+        worse than the old one."""
+        address = parse(config["discovery"])
+        fixed = [name for name in sorted(config.keys() | self.config.keys())
+                 if name not in LIVE and config.get(name) != self.config.get(name)]
+        if self.ending.is_set():
+            say("a new configuration comes too late: the node ends")
+            return
+        self.discovery.move(address)
+        say(f"reloaded; the list's service is {config['discovery']}")
+        if fixed:
+            say(f"changes that need a restart: {', '.join(fixed)}")
+
     async def run(self) -> None:
         standing = [self.loop.create_task(self.clients.accept(self.listener)),
                     self.loop.create_task(self._sweep())]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -214,16 +214,16 @@
             self.port, self.peer_port = one.getsockname()[1], two.getsockname()[1]
         all_of_them = [self.entry(n) for n in range(len(self.executors))]
         known = self.news(*all_of_them, whole=True) if self.known is None else self.known
-        config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "0a", "limits": self.limits,
-                  "discovery": address_of(self.lists), "known": known,
-                  "peer_listen": f"127.0.0.1:{self.peer_port}", "peers": [f"127.0.0.1:{self.peer_port}"],
-                  "settings": self.settings}
-        with tempfile.NamedTemporaryFile(suffix=".json") as file:
-            file.write(orjson.dumps(config))
-            file.flush()
-            self.program = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "firwalk", "--config", file.name, stderr=asyncio.subprocess.PIPE)
-            line = await self.program.stderr.readline()
+        self.config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "0a", "limits": self.limits,
+                       "discovery": address_of(self.lists), "known": known,
+                       "peer_listen": f"127.0.0.1:{self.peer_port}", "peers": [f"127.0.0.1:{self.peer_port}"],
+                       "settings": self.settings}
+        self.folder = tempfile.TemporaryDirectory()
+        self.path = Path(self.folder.name) / "config.json"
+        self.path.write_bytes(orjson.dumps(self.config))
+        self.program = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "firwalk", "--config", self.path, stderr=asyncio.subprocess.PIPE)
+        line = await self.program.stderr.readline()
         assert b"listens" in line, line
         return self
 
@@ -232,6 +232,7 @@
             self.program.send_signal(signal.SIGTERM)
         self.log = (await asyncio.wait_for(self.program.stderr.read(), 10)).decode()
         await self.program.wait()
+        self.folder.cleanup()
         for server in [self.lists] + [e.server for e in self.executors]:
             server.close()
         if problem[0] is None:
@@ -247,6 +248,7 @@
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self.watches.append(writer)
             await self.tell(*[self.entry(n) for n in range(len(self.executors))], whole=True)
+        writer.close()
 
     async def tell(self, *entries, whole=False, text=None):
         self.version += 1
@@ -255,6 +257,10 @@
             writer.write(b"%x\r\n%s\r\n" % (len(line), line))
             await writer.drain()
 
+    def reload(self, text=None, **changes):
+        self.path.write_bytes(text or orjson.dumps(self.config | changes))
+        self.program.send_signal(signal.SIGHUP)
+
     async def connect(self):
         return await asyncio.open_connection("127.0.0.1", self.port)
 
@@ -267,6 +273,10 @@
             writer.close()
         return (int(answer[0].split()[1]), answer[2]) if answer else None
 
+    async def logs(self, word):
+        while word not in (line := (await asyncio.wait_for(self.program.stderr.readline(), 5)).decode()):
+            assert line, f"the log ended without {word!r}"
+
     async def until(self, holds, seconds=5.0):
         end = time.monotonic() + seconds
         while not holds():
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,9 +8,10 @@
 import time
 from types import SimpleNamespace
 
+import orjson
 import pytest
 from helpers import Executor as StandIn
-from helpers import World, post
+from helpers import World, address_of, post
 
 from firwalk.facade import Errand, Place
 from firwalk.host import Outcome
@@ -326,6 +327,41 @@
     play(story, known=old, refuse_list=2)
 
 
+def test_a_new_configuration_moves_the_list_and_what_is_bad_changes_nothing():
+    async def story(w):
+        await w.until(lambda: w.watches)
+        old = w.watches[0]
+        for text in (b"{", b"[]", orjson.dumps(w.config | {"discovery": "nowhere"})):
+            w.reload(text)
+            await w.logs("all stays as it was")
+        silent = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        w.reload(discovery=address_of(silent), limits={"memory_mb": 1})
+        await w.logs("need a restart: limits")
+        await w.tell(w.entry(0, lifecycle="leaving"))  # the one before still tells
+        await asyncio.sleep(0.05)
+        for n in range(4):
+            assert (await w.ask(post(name=f"s{n}")))[0] == 200
+        assert not w.executors[0].got and len(w.executors[1].got) == 4
+        other = await asyncio.start_server(w._list, "127.0.0.1", 0)
+        w.version = 0  # its versions lie below the other's
+        for _ in range(3):
+            w.reload(discovery=address_of(other))
+        await w.until(lambda: len(w.watches) == 2)
+        assert "since=0" in w.asked[-1]
+        await w.until(old.transport.is_closing)
+        await w.tell(w.entry(0), w.entry(1, lifecycle="leaving"))
+        await asyncio.sleep(0.05)
+        for n in range(4):
+            assert (await w.ask(post(name=f"t{n}")))[0] == 200
+        assert len(w.executors[0].got) == 4 and len(w.executors[1].got) == 4
+        w.program.send_signal(signal.SIGTERM)
+        w.reload(discovery=address_of(silent))
+        assert await asyncio.wait_for(w.program.wait(), 4) == 0
+        silent.close()
+        other.close()
+    play(story, None, None)
+
+
 def test_told_to_end_it_answers_who_still_comes_and_finishes_what_it_took():
     async def story(w):
         idle = await w.connect()
