Bad clients are sent away within limits; open ids and bad heads go nowhere

Checked: a copy of the node printed the first bytes of each connection and the status of each executor's answer. All of the bad messages that came to executors bore the id of another client's open task, and each was answered 400. The decisions took that for an error of the executor: they tried up to four others, opened connections for it and set good executors aside. Ruled out: memory (20 of 80 MB) and descriptors (203 of 384).

At fault: net/clients.py, Clients._task (no look at ids in work) and READ_TIME/IDLE_TIME of 10 and 120 s against the 3 s owed; net/executors.py, Exchange.whole (any status was an error); net/http.py took two lengths spelled otherwise, doubled headers and trailers over the head; float() took `1_0m`.

Changed: ids in work get 409; an executor's 4xx ends the task with 400 and says nothing of the executor; heads are read strictly (net/fields.py); nothing begins before all bytes of a read are taken apart; a message must be whole in 2 s; connections that never brought a task give way first and end after 2 s; bodies are counted as they come; who pushes is slowed down.

--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -13,13 +13,14 @@
 from heapq import heappop, heappush
 from typing import Any
 
-from firwalk.host import Condition, Outcome
+from firwalk.host import Condition, Effect, Outcome
 from firwalk.log import must
 from firwalk.logic import Assignment, Executor, Task
 from firwalk.settings import REPORT_WORDS, build_node
 
 WAY_BACK = 0.02        # seconds kept for an answer's way to the client: at its expiry it would be too late
 LAST_WORD = 0.01       # seconds past a task's expiry, after its time-out
+LAST = (Outcome.FINISHED, Outcome.UNFIT)    # outcomes that end the task itself
 
 
 class Step(IntEnum):
@@ -30,6 +31,7 @@
     FINISHED = 2    # the result
     BOUNCED = 3     # seconds to stay away (0: no advice)
     ABANDONED = 4
+    UNFIT = 5       # an executor says that the task itself is bad
 
 
 class Chore(IntEnum):
@@ -127,14 +129,14 @@
     # -- report: what came -----------------------------------------------------------------------------
 
     def report_task(self, offering: str, tenant: str, budget: float | None, cost: float, slots: float,
-                    memory: float, again: bool) -> Errand | None:
-        """A task was taken; None where no such offering exists. Without a budget it has its offering's."""
+                    memory: float, again: bool, marked: bool = True, waited: float = 0.0) -> Errand | None:
+        """A task was taken, some seconds ago; None where no such offering exists, or a fingerprint is needed
+        and it is not `marked` by one. Its offering's budget is the most that it can have."""
         number = self.offerings.get(offering)
-        if number is None:
+        if number is None or not marked and self.node.offerings[number].effect is Effect.FINGERPRINTED:
             return None
-        now, errand = self.clock(), Errand()
-        if budget is None:
-            budget = self.node.offerings[number].expiry
+        now, errand, most = self.clock(), Errand(), self.node.offerings[number].expiry
+        budget = (most if budget is None else min(budget, most or budget)) - waited
         budget = max(min(budget, self.closing_at - now) - WAY_BACK, 0.0)
         errand.task = self.node.task_arrived(
             now, errand, number, self.tenants.get(tenant, -1), budget, cost, slots, memory, again)
@@ -164,17 +166,19 @@
         assignment = errand.task.assignments[number]
         if not assignment.out:
             return
-        now, wins = self.clock(), how is Outcome.FINISHED and errand.task.open
+        now, wins = self.clock(), how in LAST and errand.task.open
         self._ended(now, assignment, how, load)
-        if wins:
+        if wins and how is Outcome.FINISHED:
             errand.add(Step.FINISHED, result)
+        elif wins:  # sent on, it would be turned away everywhere, and count against each in turn
+            errand.add(Step.UNFIT)
         self._settle(now)
 
     def _ended(self, now: float, assignment: Assignment, how: Outcome, load: dict | None) -> None:
         task = assignment.task
         if not assignment.out:
             return
-        complete = how is Outcome.FINISHED or not task.open
+        complete = how in LAST or not task.open
         self.node.ended(now, assignment, how, now - assignment.sent, complete, self._words(load))
         if not task.open:
             self.open.pop(task.ref, None)
--- a/firwalk/host.py
+++ b/firwalk/host.py
@@ -38,7 +38,8 @@
 
 
 class Outcome(IntEnum):
-    """How an assignment ended. Only FULL, NO_CONNECTION and NOT_SENT prove that it never ran."""
+    """How an assignment ended. Only FULL, NO_CONNECTION and NOT_SENT prove that it never ran. UNFIT is the
+    executor's word that the task itself is bad: it ends the task and says nothing of the executor."""
 
     FINISHED = 0
     ERROR = 1
@@ -48,6 +49,7 @@
     BROKEN = 5
     CANCELLED = 6
     NOT_SENT = 7
+    UNFIT = 8
 
 
 class Host(Protocol):
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -462,7 +462,7 @@
     def _judge(self, now: float, assignment: Assignment, how: Outcome, took: float) -> None:
         """What an outcome says of its executor."""
         executor = assignment.executor
-        if how in (Outcome.FINISHED, Outcome.ERROR, Outcome.FULL):
+        if how in (Outcome.FINISHED, Outcome.ERROR, Outcome.FULL, Outcome.UNFIT):
             executor.idle += 1  # other ends close the connection
         if how is Outcome.FINISHED:
             executor.errors -= ERROR_WEIGHT * executor.errors
--- a/firwalk/net/budget.py
+++ b/firwalk/net/budget.py
@@ -3,8 +3,8 @@
 Connections are counted, not files. When a client or an executor needs one and none is left, a connection
 that stands idle is closed for it. With none idle, a client is let in on a spare one, where its task is told
 503; with no spare one left, nobody is let in until a descriptor is free. An assignment waits for one as long
-as a connect may take, then it ends as not sent. Probes leave room for both. Bodies held for tasks have a
-share of the memory; beyond it a task is told 503.
+as a connect may take, then it ends as not sent. Probes leave room for both. Bodies have a share of the
+memory, counted as they come; beyond it a client is told 503.
 """
 from __future__ import annotations
 
@@ -16,11 +16,11 @@
 SPARE_PART = 0.125     # of the rest: for clients that are told 503
 CLIENT_PART = 0.6      # of what is left: beyond it clients leave room for executors
 PROBE_PART = 0.75      # of what is left: beyond it no connection is opened for a probe
-PROGRAM = 30e6         # bytes of memory that the program takes without any task
-BODY_PART = 0.3        # of the rest: for bodies of tasks
+PROGRAM = 20e6         # bytes of memory that the program takes without any task
+BODY_PART = 0.4        # of the rest: for bodies, from their first bytes to the end of their tasks
 BODY_COPIES = 2        # the body itself, and the bytes of an assignment
-CLIENT_MEMORY = 0.4    # of the rest: for what clients have sent and is not taken yet
-CLIENT_HOLDS = 150000  # bytes of that for one client: a body in the making, one that waits, a buffer
+CLIENT_MEMORY = 0.4    # of the rest: for connections without their bodies
+CLIENT_HOLDS = 24000   # bytes of that for one: buffer, reader, parser, and what belongs to a task
 
 
 class Budget:
@@ -49,6 +49,13 @@
         self.spare += 1
         return True
 
+    def settle(self) -> bool:
+        """A client on a spare descriptor moves to a common one, if there is one again."""
+        if not self.open_client():
+            return False
+        self.spare -= 1
+        return True
+
     def open_link(self, probe: bool = False) -> bool:
         used = self.clients + self.links
         if probe and used >= self.most * PROBE_PART:
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -8,40 +8,23 @@
 
 from firwalk.facade import Desk, Errand, Step
 from firwalk.log import must, say, trouble
-from firwalk.net import http
+from firwalk.net import fields, http
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
 from firwalk.net.executors import Executors
 
 HEALTH = b"/_health"
-READ_TIME = 10.0       # seconds in which a message that has begun must be whole
+READ_TIME = 2.0        # seconds in which a message must be whole, the first one counted from the connect
 WRITE_TIME = 20.0      # seconds in which a client must take its answer
-YOUNG = 2.0            # seconds that a new connection is left alone when descriptors are short
+LINGER = 1.0           # seconds in which one that is sent away may read why
+LINGER_STEP = 0.02     # seconds between reads of what it still sends: at full speed it would take the core
+SETTLED = 0.1          # seconds after which a connection without a whole message gives way when short
 NEW = 0.5              # and at the end
-IDLE_TIME = 120.0      # seconds that a client's connection may stand idle
-UNITS = {b"m": 1e-3, b"u": 1e-6}
-
-
-def _seconds(text: bytes | None) -> float | None:
-    """A number and its unit: `480m` or `9000u`; None without one."""
-    if text is None:
-        return None
-    unit = UNITS.get(text[-1:])
-    if unit is None:
-        raise ValueError("a time without its unit")
-    return _number(text[:-1]) * unit
-
-
-def _number(text: bytes | str) -> float:
-    value = float(text)
-    if not 0.0 <= value < 1e12:
-        raise ValueError("a figure out of range")
-    return value
-
-
-def _extras(text: bytes) -> dict[str, float]:
-    pairs = (pair.split("=", 1) for pair in text.decode("latin-1").split(",") if "=" in pair)
-    return {name.strip(): _number(value) for name, value in pairs}
+IDLE_TIME = 120.0      # seconds that a connection which has brought a task may stand idle
+SWEEP_TIME = 0.25      # seconds between looks for what has lasted too long
+AT_ONCE = 0.01         # seconds: sooner after it was turned away, a message shows that nobody waited
+PUSHES = 2             # such messages in a row that are met without a pause
+PAUSE = 0.25           # seconds that each one beyond waits
 
 
 class Client:
@@ -49,11 +32,13 @@
 
     def __init__(self, clients: Clients, sock: socket.socket, spare: bool):
         self.clients, self.sock, self.spare = clients, sock, spare
-        self.parser = http.Incoming(self._came)
+        self.parser = http.Incoming(self._came, clients.budget.hold, clients.budget.let_go)
         self.waiting: deque[tuple] = deque()
         self.room = asyncio.get_running_loop().create_future()
-        self.busy, self.used, self.errand, self.writing = False, False, None, None
-        self.heard_at, self.closing, self.gone, self.spoilt = monotonic(), False, False, False
+        self.busy, self.used, self.known, self.errand, self.writing = False, False, False, None, None
+        self.heard_at, self.closing, self.gone = monotonic(), False, False
+        self.leaving = 0                                 # what it is told for a message that ends it all
+        self.turned_away_at, self.pushes = 0.0, 0
         self.reading = asyncio.get_running_loop().create_task(self._read())
         self.reading.add_done_callback(self._closed)
 
@@ -62,32 +47,50 @@
         view = memoryview(buffer)
         try:
             while count := await loop.sock_recv_into(self.sock, buffer):
-                if not self.parser.partial:
+                if not self.parser.partial and self.used:
                     self.heard_at = monotonic()
                 self.parser.feed(view[:count])
+                self._next()
                 while self.waiting:  # what it sends beyond that stays with the machine, not in our memory
                     self.room = loop.create_future()
                     await self.room
+                if self.leaving:
+                    raise http.Malformed(self.leaving, "turned away, with more behind it")
         except OSError:
             pass
         except http.Malformed as problem:
-            self.clients.malformed += 1
-            say(f"a client's bytes: {problem} ({self.clients.malformed} so far)")
-            self.spoilt = True
-            while self.busy:  # the task before it still gets its answer
-                await asyncio.sleep(0.02)
-            await self._turn_away(problem.status, buffer)
+            await self._spoilt(problem, buffer)
         except Exception as problem:
             trouble("reading from a client", problem)
         finally:
             view.release()
             self.clients.buffers.give(buffer)
 
+    async def _spoilt(self, problem: http.Malformed, buffer: bytearray) -> None:
+        """Where one message ends and the next begins is not sure any more: with a wrong length, also the task
+        in hand is not what its client meant. It is called off, and told so."""
+        self.clients.malformed += 1
+        say(f"a client's bytes: {problem}")
+        self.leaving = problem.status
+        self._forget()
+        while self.busy:  # an answer is on its way
+            await asyncio.sleep(0.02)
+        await self._turn_away(problem.status, buffer)
+
+    def _forget(self) -> None:
+        """Drops what waits and calls off what is in work."""
+        while self.waiting:
+            self.clients.budget.let_go(len(self.waiting.popleft()[3]))
+        self.parser.drop()
+        errand, self.errand = self.errand, None
+        if errand is not None:
+            self.busy = False
+            self.clients.desk.report_gone(errand)
+
     def _closed(self, _: asyncio.Task) -> None:
         """Also where the reader was cancelled before it began: its own `finally` would not run then."""
         self.gone = True
-        if self.errand is not None:
-            self.clients.desk.report_gone(self.errand)
+        self._forget()
         if self.writing is not None:
             self.writing.cancel()
         self.sock.close()
@@ -97,27 +100,36 @@
         """The rest is read for a moment, or the close would take the answer with it."""
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(1.0):
+            async with asyncio.timeout(LINGER):
                 await loop.sock_sendall(self.sock, http.answer(status, keep=False))
                 self.sock.shutdown(socket.SHUT_WR)
                 while await loop.sock_recv_into(self.sock, buffer):
-                    pass
+                    await asyncio.sleep(LINGER_STEP)
         except (OSError, TimeoutError):
             pass
 
     def _came(self, method: bytes, target: bytes, headers: dict, body: bytes, keep: bool) -> None:
-        if self.busy:
-            self.waiting.append((method, target, headers, body, keep))
-            return
-        self.busy = self.used = True
-        work = self.clients.serve(self, method, target, headers, body, keep)
-        self.clients.keep(asyncio.get_running_loop().create_task(work))
+        """Nothing begins before all bytes of a read are taken apart: what follows may show that the length
+        was wrong."""
+        now = monotonic()
+        self.pushes = self.pushes + 1 if now - self.turned_away_at < AT_ONCE else 0
+        self.waiting.append((method, target, headers, body, keep, now))
+
+    def _next(self) -> None:
+        if self.waiting and not self.busy:
+            self.busy = self.used = True
+            work = self.clients.serve(self, *self.waiting.popleft())
+            self.clients.keep(asyncio.get_running_loop().create_task(work))
+            if not self.waiting and not self.room.done():
+                self.room.set_result(None)
 
     async def answer(self, status: int, body: bytes, keep: bool, advice: float = 0.0) -> None:
         """Writes an answer and goes on to what waits; the connection's reader notices its end."""
         must(self.busy, "an answer belongs to a message")
-        self.errand = None
         keep = keep and not self.clients.stopping or bool(self.waiting)  # those have been taken too
+        if 400 <= status < 500 and self.waiting and not self.gone:
+            self._send_away(status)
+            return
         if not self.gone:
             try:
                 async with asyncio.timeout(WRITE_TIME):
@@ -129,19 +141,28 @@
             finally:
                 self.writing = None
         self.busy, self.heard_at = False, monotonic()
+        if status >= 400:
+            self.turned_away_at = self.heard_at
         if self.gone:
             return
         if self.waiting:
-            self._came(*self.waiting.popleft())
-            if not self.waiting and not self.room.done():
-                self.room.set_result(None)
-        elif not keep and not self.spoilt:  # a spoilt one is told so by its reader
+            self._next()
+        elif not keep and not self.leaving:  # one that is sent away is told so by its reader
             self.close()
 
+    def _send_away(self, status: int) -> None:
+        """Hundreds of bad messages at once: the first is answered, and the connection ends with it."""
+        self.busy, self.leaving = False, status
+        self._forget()
+        if not self.room.done():
+            self.room.set_result(None)
+
     def idle(self) -> bool:
-        """Nothing is in work, and nothing has come that is not read yet: closed now, it would be lost."""
-        if self.busy or self.closing or self.parser.partial:
-            return False
+        """Nothing is in work, nor about to be."""
+        return not (self.busy or self.closing or self.parser.partial or self.leaving) and self._read_up()
+
+    def _read_up(self) -> bool:
+        """Nothing has come that is not read yet: closed now, it would be lost."""
         try:
             return not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
@@ -149,6 +170,15 @@
         except OSError:
             return False
 
+    def dispensable(self, now: float) -> int:
+        """What is closed first when descriptors are short: those sent away, those that never brought a task,
+        those whose tasks are done; 3: none of these."""
+        if self.leaving:
+            return 0
+        if not self.known and now - self.heard_at > SETTLED and self._read_up():
+            return 1
+        return 2 if self.known and self.idle() else 3
+
     def close(self) -> None:
         if not self.closing:
             self.closing = True
@@ -162,6 +192,7 @@
         self.desk, self.executors, self.budget, self.buffers = desk, executors, budget, buffers
         self.open: dict[Client, None] = {}
         self.works: dict[asyncio.Task, None] = {}
+        self.names: dict[bytes, None] = {}       # ids of the tasks in work
         self.stopping, self.malformed = False, 0
         self.accepted_at = monotonic()
         self.held: socket.socket | None = None   # accepted, while no descriptor is free for it
@@ -202,26 +233,38 @@
         self.budget.close_client(client.spare)
 
     def shed(self, spare: bool) -> bool:
-        """Closes the connection that has been idle longest; one that has just come is about to send, and a
-        task written to it would be lost."""
-        young = monotonic() - YOUNG
-        idle = [c for c in self.open if c.spare == spare and (c.used or c.heard_at < young)]
-        for client in sorted(idle, key=lambda c: c.heard_at):
-            if client.idle():
-                client.close()
-                return True
-        return False
-
-    def sweep(self) -> None:
-        now = monotonic()
-        for client in list(self.open):
-            if client.busy or client.closing:
-                continue
-            if client.parser.partial and now - client.heard_at > READ_TIME:
-                self.malformed += 1
-                client.close()
-            elif now - client.heard_at > IDLE_TIME and client.idle():
-                client.close()
+        """Closes the most dispensable connection, of several the one that has been still longest. What has
+        just come is about to send: a task written to it would be lost."""
+        now, best = monotonic(), None
+        for client in self.open:
+            if client.spare == spare and not client.busy and not client.closing:
+                rank = client.dispensable(now), client.heard_at
+                if rank[0] < 3 and (best is None or rank < best[0]):
+                    best = rank, client
+        if best is not None:
+            best[1].close()
+        return best is not None
+
+    async def sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_TIME)
+            now = monotonic()
+            for client in list(self.open):
+                still = now - client.heard_at
+                if client.busy or client.closing or client.leaving or still < READ_TIME:
+                    continue
+                if client.parser.partial:
+                    self._too_slow(client)
+                elif (not client.known or still > IDLE_TIME) and client.idle():
+                    client.close()
+
+    def _too_slow(self, client: Client) -> None:
+        self.malformed += 1
+        try:
+            client.sock.send(http.answer(408, keep=False))
+        except OSError:
+            pass
+        client.close()
 
     def close_idle(self) -> None:
         """At the end; one that has just come is about to send."""
@@ -233,10 +276,15 @@
     # -- a task's life -----------------------------------------------------------------------------------
 
     async def serve(self, client: Client, method: bytes, target: bytes, headers: dict, body: bytes,
-                    keep: bool) -> None:
+                    keep: bool, came_at: float) -> None:
         try:
+            if client.pushes > PUSHES:  # the same again as soon as it was turned away: others need the core
+                await asyncio.sleep(PAUSE)
+            if client.leaving:  # sent away meanwhile
+                client.busy = False
+                return
             if method == b"POST":
-                await self._task(client, target, headers, body, keep)
+                await self._task(client, target, headers, body, keep, came_at)
             elif method != b"GET":
                 await client.answer(405, b"", keep)
             elif target != HEALTH:
@@ -246,43 +294,47 @@
         except Exception as problem:
             trouble("attending to a client", problem)
             client.close()
+        finally:
+            self.budget.let_go(len(body))
 
-    async def _task(self, client: Client, target: bytes, headers: dict, body: bytes, keep: bool) -> None:
-        name = headers.get(b"x-request-id", b"")
+    async def _task(self, client: Client, target: bytes, headers: dict, body: bytes, keep: bool,
+                    came_at: float) -> None:
         try:
-            budget = _seconds(headers.get(b"x-deadline"))
-            hint = _number(headers.get(b"x-cost-hint", b"0")) * 1e-6
-            extras = _extras(headers.get(b"x-extras", b""))
-            offering = target.split(b"?")[0].split(b"/")[1].decode()
-            tenant = headers.get(b"x-tenant", b"").decode()
-        except (ValueError, IndexError):
-            name = b""
-        if not name:
+            name, told = fields.read(target, headers)
+        except fields.Unreadable:
             await client.answer(400, b"", keep)
             return
         # Told before its bytes were read, the answer would be lost with the connection, and the task with it.
-        if client.spare:
+        if client.spare and not await self._settled(client):
             say("no descriptor is left for a client: its task is told 503")
             await client.answer(503, b"", False)
             return
-        if not self.budget.hold(len(body)):
-            say("bodies fill their share of the memory: a task is told 503")
-            await client.answer(503, b"", keep)
+        if name in self.names:  # executors know tasks by their ids: two of one id would end as one
+            await client.answer(409, b"", keep)
             return
-        errand = self.desk.report_task(
-            offering, tenant, budget, hint, extras.get("slots", 1.0), extras.get("mem", 0.0),
-            headers.get(b"x-retry") == b"1")
+        errand = self.desk.report_task(waited=monotonic() - came_at, **told)
         if errand is None:
-            self.budget.let_go(len(body))
-            await client.answer(404, b"", keep)
+            await client.answer(400 if told["offering"] in self.desk.offerings else 404, b"", keep)
             return
-        client.errand = errand
+        client.errand, client.known, self.names[name] = errand, True, None
         if client.gone:
             self.desk.report_gone(errand)
         try:
             await self._attend(client, errand, name, target, headers, body, keep)
         finally:
-            self.budget.let_go(len(body))
+            del self.names[name]
+
+    async def _settled(self, client: Client) -> bool:
+        """Moves it to a common descriptor; those that say nothing may give way a moment later."""
+        end = monotonic() + 2 * SETTLED
+        while not client.gone and not self.budget.settle():
+            if monotonic() > end:
+                return False
+            await asyncio.sleep(0.01)
+        if client.gone:
+            return False
+        client.spare = False
+        return True
 
     async def _attend(self, client: Client, errand: Errand, name: bytes, target: bytes, headers: dict,
                       body: bytes, keep: bool) -> None:
@@ -295,15 +347,18 @@
                                      _message(target, headers, body, monotonic() + seconds))
             elif kind is Step.CALL_OFF:
                 self.executors.call_off(errand, step[1])
+            elif client.errand is not errand:
+                pass  # the client has been sent away meanwhile
             elif kind is Step.FINISHED:
                 self._answer(client, 200, step[1], keep)
             elif kind is Step.BOUNCED:
                 self._answer(client, 503, b"", keep, step[1])
             else:
-                self._answer(client, 500, b"", keep)
+                self._answer(client, 400 if kind is Step.UNFIT else 500, b"", keep)
 
     def _answer(self, client: Client, status: int, body: bytes, keep: bool, advice: float = 0.0) -> None:
         """Beside the steps: a client that is slow to read must not keep assignments from being called off."""
+        client.errand = None
         self.keep(asyncio.get_running_loop().create_task(client.answer(status, body, keep, advice)))
 
 
--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -22,6 +22,7 @@
 
 WAIT = 0.01            # seconds between looks for a free descriptor
 END_TIME = 2.0         # seconds from an answer's last line to its end
+MAY_PASS = (408, 425, 429)    # answers that blame the task, or the moment: another try may fare better
 IDLE_PART = 0.8        # of the time after which an executor closes an idle connection: ours ends before
 
 
@@ -155,6 +156,8 @@
             self.end(Outcome.FULL, load)
         elif self.status == 200:
             self.end(Outcome.BROKEN, load)
+        elif 400 <= self.status < 500 and self.status not in MAY_PASS:
+            self.end(Outcome.UNFIT, load)
         else:
             self.end(Outcome.ERROR, load)
 
--- a/firwalk/net/http.py
+++ b/firwalk/net/http.py
@@ -13,10 +13,14 @@
 
 MOST_BODY = 65536
 MOST_HEAD = 16384
+LENGTHS = (b"content-length", b"transfer-encoding")
+ONCE = frozenset((*LENGTHS, b"host", b"x-request-id", b"x-tenant", b"x-deadline", b"idempotency-key",
+                  b"x-retry", b"x-cost-hint", b"x-extras"))
 MOST_LINE = 1 << 20    # of a line in a stream: the whole list of a large fleet is one
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-           413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
-           500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout"}
+           409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
+           431: "Request Header Fields Too Large", 500: "Internal Server Error",
+           503: "Service Unavailable", 504: "Gateway Timeout"}
 
 
 class Malformed(Exception):
@@ -60,16 +64,42 @@
 
 
 class Incoming(_Reader):
-    """What a client sends: `came(method, target, headers, body, keep)` for each whole message."""
+    """What a client sends: `came(method, target, headers, body, keep)` for each whole message. `hold` is
+    asked for the room that a body takes, as it comes; `drop` gives back that of an unfinished one."""
 
-    def __init__(self, came: Callable):
+    def __init__(self, came: Callable, hold: Callable[[int], bool], let_go: Callable[[int], None]):
         super().__init__()
-        self.came, self.target, self.parts, self.partial = came, b"", [], False
+        self.came, self.hold, self.let_go = came, hold, let_go
+        self.target, self.parts, self.partial, self.in_head = b"", [], False, False
         self.parser = HttpRequestParser(self)
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
-        self.target, self.parts, self.partial = b"", [], True
+        self.target, self.parts, self.partial, self.in_head = b"", [], True, True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() in ONCE and name.lower() in self.headers and self.in_head:
+            self._too_much(400, "a header that may stand once stands twice")
+        before = self.headers
+        if not self.in_head:  # behind the body: counted, but it must not change what the head said
+            self.headers = {}
+        super().on_header(name, value)
+        self.headers = before
+
+    def on_headers_complete(self) -> None:
+        """Two lengths, however spelled, may hide another task in the body."""
+        self.in_head = False
+        told = [name for name in self.headers if name.replace(b"_", b"-") in LENGTHS]
+        if len(told) > 1 or told and told[0] not in LENGTHS:
+            self._too_much(400, "a length told in two ways")
+        if self.headers.get(LENGTHS[1], b"chunked").lower() != b"chunked":
+            self._too_much(400, "a coding that is not known")
+        if int(self.headers.get(LENGTHS[0], 0)) > MOST_BODY:
+            self._too_much(413, "a body over the limit")
+
+    def drop(self) -> None:
+        self.let_go(sum(map(len, self.parts)))
+        self.parts = []
 
     def on_url(self, part: bytes) -> None:
         self.target += part
@@ -80,6 +110,8 @@
         self.body_size += len(part)
         if self.body_size > MOST_BODY:
             self._too_much(413, "a body over the limit")
+        if not self.hold(len(part)):
+            self._too_much(503, "bodies fill their share of the memory")
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -17,6 +17,7 @@
 from firwalk.net.peers import Peers
 
 BACKLOG = 1024
+MOST_UNREAD = 1 << 16  # bytes of a client that wait unread with the machine, which may charge them to us
 STILL_COMING = 0.6     # seconds after the signal to end in which clients still come
 QUIET = 0.1            # seconds without a new connection after which none is expected any more
 LONGEST_END = 3.4      # seconds after the signal in which all is answered, whatever the expiries
@@ -102,7 +103,6 @@
         while True:
             await asyncio.sleep(1.0)
             self.executors.sweep()
-            self.clients.sweep()
 
     # -- from start to end ---------------------------------------------------------------------------------
 
@@ -111,6 +111,7 @@
         self.listener = new_socket(address)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MOST_UNREAD)  # for what it accepts
         self.listener.listen(BACKLOG)
         if self.config.get("peer_listen") and self.config["settings"].get("limits", {}).get("peers"):
             await self.peers.open(parse(self.config["peer_listen"]))
@@ -131,7 +132,7 @@
 
     async def run(self) -> None:
         standing = [self.loop.create_task(self.clients.accept(self.listener)),
-                    self.loop.create_task(self._sweep())]
+                    self.loop.create_task(self.clients.sweep()), self.loop.create_task(self._sweep())]
         self._wake()
         say(f"{self.config.get('name', 'node')} listens at {self.config['listen']}")
         await self.ending.wait()
@@ -153,8 +154,9 @@
         while self.clients.open and monotonic() < began + LONGEST_END + LAST:
             self.clients.close_idle()
             await asyncio.sleep(0.02)
-        standing[1].cancel()
-        say(f"ended, {len(self.clients.open)} clients left")
+        for work in standing:
+            work.cancel()
+        say(f"ended, {len(self.clients.open)} clients left; {self.clients.malformed} were sent away in its life")
 
     def _last_clients(self) -> None:
         """Connections that the machine has accepted are this node's to answer."""
