--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -156,7 +156,7 @@
             await asyncio.sleep(0.02)
         for work in standing:
             work.cancel()
-        say(f"ended, {len(self.clients.open)} clients left; {self.clients.malformed} were sent away in its life")
+        say(f"ended, {len(self.clients.open)} clients left; {self.clients.malformed} were sent away")
 
     def _last_clients(self) -> None:
         """Connections that the machine has accepted are this node's to answer."""
