A node that is told to end keeps its clients' connections open for 2 s

Checked: the logs give n0 as ended at 13.7 s and back at 17.7 s, n1 as told to end at 16.1 s and ended at 17.3 s. Between those two no node served; new connections stop 0.4 s after the signal, so what clients have open is all that they can use, and n1 closed it 1.2 s after the signal. Ruled out: descriptors (116 of 384), memory (15 of 80 MB), errors of executors (5 in those 5 s, as many as in the 5 s before, which lost nothing).

At fault: net/service.py, Service._end: from the signal on each answer closed its connection, and idle ones were closed 0.6 to 1.2 s after it.

--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -193,7 +193,7 @@
         self.open: dict[Client, None] = {}
         self.works: dict[asyncio.Task, None] = {}
         self.names: dict[bytes, None] = {}       # ids of the tasks in work
-        self.stopping, self.malformed = False, 0
+        self.ending, self.stopping, self.malformed = False, False, 0
         self.accepted_at = monotonic()
         self.held: socket.socket | None = None   # accepted, while no descriptor is free for it
         budget.shed_client = self.shed
@@ -290,7 +290,7 @@
             elif target != HEALTH:
                 await client.answer(404, b"", keep)
             else:
-                await client.answer(503 if self.stopping else 200, b"", keep)
+                await client.answer(503 if self.ending else 200, b"", keep)
         except Exception as problem:
             trouble("attending to a client", problem)
             client.close()
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -19,6 +19,7 @@
 BACKLOG = 1024
 MOST_UNREAD = 1 << 16  # bytes of a client that wait unread with the machine, which may charge them to us
 STILL_COMING = 0.6     # seconds after the signal to end in which clients still come
+KEPT = 2.0             # seconds after it in which clients' connections stay open, and tasks are taken on them
 QUIET = 0.1            # seconds without a new connection after which none is expected any more
 LONGEST_END = 3.4      # seconds after the signal in which all is answered, whatever the expiries
 LAST = 0.1             # seconds for the last answers to be written
@@ -143,11 +144,12 @@
         began = monotonic()
         say("told to end")
         self.desk.close_by(self.clock() + LONGEST_END)
-        self.clients.stopping = True
-        while monotonic() < began + STILL_COMING or monotonic() < self.clients.accepted_at + QUIET:
+        self.clients.ending = True
+        # Another node may be ending too: a client whose connections all close would have nowhere to go.
+        while monotonic() < began + KEPT and (
+                self.clients.open or monotonic() < max(began + STILL_COMING, self.clients.accepted_at + QUIET)):
             await asyncio.sleep(0.02)
-            if monotonic() > began + 2 * STILL_COMING:
-                break
+        self.clients.stopping = True
         standing[0].cancel()
         await asyncio.sleep(0)
         self._last_clients()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -376,6 +376,9 @@
         await asyncio.sleep(0.2)
         assert (await w.ask(post(name="t1")))[0] == 200
         assert (await first)[0] == 200
+        await asyncio.sleep(0.3)
+        assert await w.ask(post(name="t2"), idle) == (200, b"made of t2")  # long after the signal
+        assert (await w.ask(GET, idle))[0] == 503
         assert await idle[0].read() == b""
         assert await asyncio.wait_for(w.program.wait(), 3) == 0
     play(story, slowly)
