Dead connections cost no task: the last byte is held back until one shows

Checked, with a copy of the node that printed each break, its connection's age, each executor set aside and each final answer: most breaks came within 1.2 ms on connections that had stood idle for 0.09 s and more; executors closed idle ones after 0.3 to 0.6 s; up to 6 of 12 executors were set aside at once by breaks, probes on dead connections and single refused connects, and the rest then turned tasks away. Ruled out: silence (no time-outs), memory, descriptors.

At fault: net/executors.py, Executors._carry and Link.write (all bytes at once, so each dead connection passed for run), Probe.broke (a sign of silence), _opened (one refusal); logic.py, Node._judge (a break weighed as an error, two set an executor aside) and Executor.idle (never told of connections that end).

Changed: the last byte waits 4 to 20 ms, a break before it takes a new connection; side-effecting tasks avoid kept connections as old as dead ones; probes open none where kept ones are closed early; breaks weigh half; the decisions hear how many connections are kept.

--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -26,7 +26,7 @@
 class Step(IntEnum):
     """What is to be done next for a task."""
 
-    SEND = 0        # number of the assignment, place, seconds that it may take
+    SEND = 0        # number of the assignment, place, seconds that it may take, whether it can never repeat
     CALL_OFF = 1    # number of the assignment
     FINISHED = 2    # the result
     BOUNCED = 3     # seconds to stay away (0: no advice)
@@ -59,7 +59,7 @@
         self.task: Task | None = None
         self.steps: deque[tuple] = deque()
         self.waiter: Future | None = None
-        self.begun: set[int] = set()    # assignments of which a byte may have been written
+        self.begun: set[int] = set()    # assignments whose last byte may have been written
 
     def stir(self) -> None:
         if self.waiter is not None and not self.waiter.done():
@@ -241,11 +241,19 @@
         """The first byte is about to be written; False: no more. While a connection was awaited, the executor
         may have begun to drain, or the task may have ended."""
         assignment = errand.task.assignments[number]
-        wanted = assignment.out and assignment.executor.condition is Condition.READY
+        return assignment.out and assignment.executor.condition is Condition.READY
+
+    def report_last_byte(self, errand: Errand, number: int) -> bool:
+        """The last byte is about to be written: from here on it may run. False: the task has ended."""
+        wanted = errand.task.assignments[number].out
         if wanted:
             errand.begun.add(number)
         return wanted
 
+    def report_idle(self, place: Place, count: int) -> None:
+        """So many connections to it are open and free: what the decisions count misses those that ended."""
+        self.node.idle_now(self.places[place.name], count)
+
     def close_by(self, when: float) -> None:
         """The node must be gone then: what it has taken is answered before, as if it expired."""
         self.closing_at = when
@@ -282,7 +290,8 @@
     def send(self, task: Task, executor: Executor, limit: float) -> None:
         assignment = task.assignments[-1]
         end = min(task.expiry, assignment.sent + limit) if limit else task.expiry
-        task.ref.add(Step.SEND, assignment.number, executor.ref, end - assignment.sent)
+        task.ref.add(Step.SEND, assignment.number, executor.ref, end - assignment.sent,
+                     task.offering.effect is Effect.SIDE_EFFECTING)
         self.set_timer(end, self._time_out, assignment)
 
     def bounce(self, task: Task, wait: float) -> None:
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -22,7 +22,8 @@
 COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
 SHARE_WINDOW = 3.0     # seconds of its share that a tenant may use at once
-ERROR_WEIGHT = 0.3     # of one outcome in an executor's share of errors
+# Weights in an executor's share of errors. A break may be the connection's, and all executors may have those.
+FAULTS = {Outcome.ERROR: 0.3, Outcome.NO_CONNECTION: 0.3, Outcome.BROKEN: 0.15}
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
 STRIKES = 2            # signs of silence in a row that set an executor aside
 AWAY = 3.0             # seconds an executor is set aside, plus up to as long again by chance
@@ -437,6 +438,9 @@
     def progressed(self, now: float, assignment: Assignment, part: float) -> None:
         assignment.executor.strikes = 0
 
+    def idle_now(self, executor: Executor, count: int) -> None:
+        executor.idle = count  # as the host counts them, where it can
+
     def streaming(self, now: float, assignment: Assignment) -> None:
         assignment.task.bound = True
 
@@ -465,7 +469,7 @@
         if how in (Outcome.FINISHED, Outcome.ERROR, Outcome.FULL, Outcome.UNFIT):
             executor.idle += 1  # other ends close the connection
         if how is Outcome.FINISHED:
-            executor.errors -= ERROR_WEIGHT * executor.errors
+            executor.errors -= FAULTS[Outcome.ERROR] * executor.errors
             executor.strikes, executor.on_trial = 0, False
             if assignment.started_at:
                 took = now - assignment.started_at
@@ -481,9 +485,9 @@
             assignment.task.offering.learn(assignment.task.hint, took * executor.speed)
         elif how is Outcome.FULL:
             executor.full_until = now + FULL_PAUSE
-        elif how in (Outcome.ERROR, Outcome.BROKEN, Outcome.NO_CONNECTION):
+        elif how in FAULTS:
             # A quickly erroring executor sheds its sum and tops the list: it must not draw all tasks.
-            executor.errors += ERROR_WEIGHT * (1.0 - executor.errors)
+            executor.errors += FAULTS[how] * (1.0 - executor.errors)
             if executor.errors > ERROR_LIMIT or how is Outcome.NO_CONNECTION or executor.on_trial:
                 self._set_aside(now, executor, how is Outcome.NO_CONNECTION)
 
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -342,9 +342,9 @@
         while (step := await self.desk.pick(errand)) is not None:
             kind = step[0]
             if kind is Step.SEND:
-                _, number, place, seconds = step
+                _, number, place, seconds, once = step
                 self.executors.carry(errand, number, place, name,
-                                     _message(target, headers, body, monotonic() + seconds))
+                                     _message(target, headers, body, monotonic() + seconds), once)
             elif kind is Step.CALL_OFF:
                 self.executors.call_off(errand, step[1])
             elif client.errand is not errand:
--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -1,12 +1,15 @@
 """Connections to executors: a pool for each, the carrying of assignments, and probes.
 
-One connection carries one thing at a time and is used again once its answer is whole. Nothing is ever
-sent a second time from here: what became of an assignment is reported, and the decisions go on from there.
+One connection carries one thing at a time and is used again once its answer is whole. Nothing whose last
+byte was written is ever sent a second time from here: what became of an assignment is reported, and the
+decisions go on from there. The last byte is held back for a moment, in which a dead connection shows: until
+then nothing can have run, and another connection is taken.
 """
 from __future__ import annotations
 
 import asyncio
 import socket
+from collections import deque
 from collections.abc import Callable
 from time import monotonic
 
@@ -21,11 +24,23 @@
 from firwalk.net.buffers import Buffers
 
 WAIT = 0.01            # seconds between looks for a free descriptor
+HOLD_TRIPS = 2.0       # times the shortest way to an executor and back that a last byte is held back
+HOLD_LEAST = 0.004     # seconds of it at least
+HOLD_MOST = 0.02       # and at most
+NEW_LINKS = 2          # new connections that may break under one assignment before it counts as out of reach
+DEAD_MEMORY = 30.0     # seconds for which dead connections tell how long one can be relied on
+DEAD_MOST = 16         # of them that are looked at
+SHORT_LIFE = 1.0       # seconds: an executor that closes kept connections sooner is asked for its load on
+SHORT_MEMORY = 10.0    # those that are there only, for so long: each one opened for that would be wasted
 END_TIME = 2.0         # seconds from an answer's last line to its end
 MAY_PASS = (408, 425, 429)    # answers that blame the task, or the moment: another try may fare better
 IDLE_PART = 0.8        # of the time after which an executor closes an idle connection: ours ends before
 
 
+class NoDescriptor(Exception):
+    """None became free in the time that a connection may take."""
+
+
 class Link:
     """One connection to an executor, and the exchange that it carries, if any."""
 
@@ -33,7 +48,9 @@
         self.pool, self.place, self.sock, self.address = pool, place, sock, place.address
         self.exchange: Exchange | Probe | None = None
         self.writer: asyncio.Task | None = None      # while bytes are still to be written
-        self.idle_since, self.open = monotonic(), True
+        self.idle_since, self.open, self.wrote_at = monotonic(), True, 0.0
+        self.idled = 0.0                             # how long it stood idle before its exchange
+        self.at_last, self.broken = True, False      # the last byte is under way; it broke before that
         self.parser = http.Answers(self._began, self._line, self._ended)
         self.reading = asyncio.get_running_loop().create_task(self._read())
         self.reading.add_done_callback(self._closed)
@@ -41,16 +58,37 @@
     def _began(self, status: int, headers: dict) -> None:
         if self.exchange is None:
             raise http.Malformed(400, "an answer to nothing")
+        self.pool.came(self.place, monotonic() - self.wrote_at)
         self.exchange.began(status, headers)
 
     def _line(self, line: bytes) -> None:
         if self.exchange is not None:
             self.exchange.line(line)
 
-    async def write(self, data: bytes) -> None:
-        self.writer = asyncio.current_task()
-        await asyncio.get_running_loop().sock_sendall(self.sock, data)
-        self.writer = None
+    async def write(self, data: bytes, hold: float = 0.0, last: Callable[[], bool] | None = None) -> bool:
+        """Writes it, the last byte only if `last()` still wants it. OSError: it broke before that byte."""
+        loop, self.writer, self.at_last = asyncio.get_running_loop(), asyncio.current_task(), last is None
+        try:
+            if last is not None:
+                await loop.sock_sendall(self.sock, data[:-1])
+                await asyncio.sleep(hold)
+                if not last():
+                    return False
+                self.at_last, data = True, data[-1:]
+            self.wrote_at = monotonic()
+            await loop.sock_sendall(self.sock, data)
+        except asyncio.CancelledError:
+            if not self.broken:
+                raise
+            asyncio.current_task().uncancel()  # it was this connection's end, no call from outside
+            raise ConnectionResetError("it broke before the last byte") from None
+        except OSError:
+            self.pool.died(self)
+            self.exchange = None  # not even the last byte went out: whoever writes goes on from there
+            raise
+        finally:
+            self.writer = None
+        return True
 
     def _ended(self, keep: bool) -> None:
         exchange, self.exchange = self.exchange, None
@@ -80,14 +118,18 @@
 
     def _closed(self, _: asyncio.Task) -> None:
         """Also where the reader was cancelled before it began: its own `finally` would not run then."""
-        self.open = False
+        by_itself, self.open = self.open, False
+        exchange, self.exchange = self.exchange, None
+        self.sock.close()
+        self.pool.closed(self, by_itself and exchange is None)
+        # Once the last byte is under way, nobody can tell whether it went out.
+        self.broken = not self.at_last and bool(self.writer and exchange) and not exchange.done()
         if self.writer is not None:
             self.writer.cancel()
-        self.sock.close()
-        self.pool.closed(self)
-        exchange, self.exchange = self.exchange, None
-        if exchange is not None:
-            exchange.broke(self.writer is None)
+        if exchange is not None and not exchange.done() and not exchange.status:
+            self.pool.died(self)
+        if exchange is not None and not self.broken:
+            exchange.broke()
 
     def close(self) -> None:
         """The socket itself is closed by the reader, which the event loop must let go of it first."""
@@ -113,6 +155,9 @@
         self.status, self.headers, self.over, self.over_at = 0, {}, False, 0.0
         self.link: Link | None = None
 
+    def done(self) -> bool:
+        return self.over
+
     def end(self, how: Outcome, load: dict | None = None, result: bytes = b"") -> None:
         if not self.over:
             self.over, self.over_at = True, monotonic()
@@ -161,19 +206,21 @@
         else:
             self.end(Outcome.ERROR, load)
 
-    def broke(self, written: bool) -> None:
-        """Broken before its last byte was written, it cannot have run."""
-        self.end(Outcome.BROKEN if written else Outcome.NO_CONNECTION)
+    def broke(self) -> None:
+        self.end(Outcome.BROKEN)
 
 
 class Probe:
     """A question for the load report; reports what came once."""
 
-    def __init__(self, desk: Desk, place: Place):
-        self.desk, self.place, self.began_at = desk, place, monotonic()
+    def __init__(self, desk: Desk, place: Place, kept: bool):
+        self.desk, self.place, self.began_at, self.kept = desk, place, monotonic(), kept
         self.status, self.text = 0, b""
         self.over = asyncio.get_running_loop().create_future()
 
+    def done(self) -> bool:
+        return self.over.done()
+
     def end(self, how: Outcome, load: dict | None = None) -> None:
         if not self.over.done():
             self.over.set_result(None)
@@ -188,8 +235,13 @@
     def whole(self) -> None:
         self.end(Outcome.FINISHED if self.status == 200 else Outcome.FULL, _load(self.text))
 
-    def broke(self, written: bool) -> None:
-        self.end(Outcome.BROKEN)
+    def broke(self) -> None:
+        """A kept connection that ends unanswered shows its own age only: taken for signs of silence, two of
+        these would set a good executor aside."""
+        if not self.kept or self.status:
+            self.end(Outcome.BROKEN)
+        elif not self.over.done():
+            self.over.set_result(None)
 
 
 def _load(text: bytes | None) -> dict | None:
@@ -209,6 +261,9 @@
         self.idle: dict[Place, list[Link]] = {}
         self.probes: dict[Place, asyncio.Task] = {}
         self.carried: dict[tuple[Errand, int], tuple] = {}
+        self.trips: dict[Place, float] = {}      # the shortest times to it and back
+        self.short_at: dict[Place, float] = {}   # when a kept connection ended early last
+        self.dead: deque[tuple[float, float]] = deque(maxlen=DEAD_MOST)  # when, and how long idle
         budget.shed_link = self.shed
 
     # -- the pool ----------------------------------------------------------------------------------------
@@ -219,17 +274,25 @@
             return
         link.idle_since = monotonic()
         self.idle.setdefault(link.place, []).append(link)
+        self.desk.report_idle(link.place, len(self.idle[link.place]))
 
-    def closed(self, link: Link) -> None:
+    def closed(self, link: Link, by_itself: bool) -> None:
         self.budget.close_link()
         del self.links[link]
         idle = self.idle.get(link.place, [])
         if link in idle:
             idle.remove(link)
+            self.desk.report_idle(link.place, len(idle))
+            if by_itself and monotonic() - link.idle_since < SHORT_LIFE:
+                self.short_at[link.place] = monotonic()
+
+    def came(self, place: Place, took: float) -> None:
+        self.trips[place] = min(took, self.trips.get(place, HOLD_MOST))
 
     def close_idle(self, place: Place) -> None:
         for link in self.idle.pop(place, []):
             link.close()
+        self.desk.report_idle(place, 0)
 
     def shed(self) -> bool:
         """Closes the connection that has been idle longest."""
@@ -252,17 +315,35 @@
                 if link.exchange.over_at < monotonic() - END_TIME:
                     link.close()
 
-    def _taken(self, place: Place) -> Link | None:
-        links = self.idle.get(place, [])
+    def died(self, link: Link) -> None:
+        """A kept connection ended unanswered."""
+        if link.idled:
+            self.dead.append((monotonic(), link.idled))
+
+    def _life(self) -> float:
+        """Seconds for which a kept connection can be relied on, by those that were dead when used lately. One
+        alone may have been an executor's end."""
+        ages = [idled for when, idled in self.dead if when > monotonic() - DEAD_MEMORY]
+        return min(ages) if len(ages) > 1 else self.idle_time
+
+    def _taken(self, place: Place, once: bool = False) -> Link | None:
+        """The kept connection used last, if there is one. What can be sent `once` only is not risked on one
+        that may be dead; the others stay for what can be repeated."""
+        links, now = self.idle.get(place, []), monotonic()
+        if once and links and now - links[-1].idle_since >= self._life():
+            return None
         while links:
             link = links.pop()
-            if link.open and link.fresh() and monotonic() - link.idle_since < self.idle_time:
+            link.idled = now - link.idle_since
+            if link.open and link.fresh() and link.idled < self.idle_time:
+                self.desk.report_idle(place, len(links))
                 return link
             link.close()
+        self.desk.report_idle(place, 0)
         return None
 
     async def _opened(self, place: Place) -> Link:
-        sock = None
+        sock, began = None, monotonic()
         try:
             sock = new_socket(place.address)
             async with asyncio.timeout(self.connect_time):
@@ -272,43 +353,66 @@
                 sock.close()
             self.budget.close_link()
             raise
+        self.came(place, monotonic() - began)
         link = Link(self, place, sock)
         self.links[link] = None
         return link
 
     # -- assignments ---------------------------------------------------------------------------------------
 
-    def carry(self, errand: Errand, number: int, place: Place, name: bytes, message: Callable) -> None:
+    def carry(self, errand: Errand, number: int, place: Place, name: bytes, message: Callable,
+              once: bool = False) -> None:
         """Starts an assignment; `message()` gives its bytes when they are to be written."""
         exchange = Exchange(self, errand, number, name)
-        work = asyncio.get_running_loop().create_task(self._carry(exchange, place, message))
+        work = asyncio.get_running_loop().create_task(self._carry(exchange, place, message, once))
         self.carried[errand, number] = exchange, work
 
-    async def _carry(self, exchange: Exchange, place: Place, message: Callable) -> None:
-        link = self._taken(place)
-        try:
-            # Ended at once for lack of a descriptor, a task would spend all its assignments in a moment.
-            end = monotonic() + self.connect_time
-            while link is None and not self.budget.open_link():
-                if monotonic() > end:
-                    say("no descriptor is left for an executor: an assignment is not sent")
-                    exchange.end(Outcome.NOT_SENT)
-                    return
-                await asyncio.sleep(WAIT)
-                link = self._taken(place)
-            if link is None:
-                link = await self._opened(place)
-            if not self.desk.report_sending(exchange.errand, exchange.number):
-                self.give(link)
-                exchange.end(Outcome.NOT_SENT)
+    async def _carry(self, exchange: Exchange, place: Place, message: Callable, once: bool) -> None:
+        link, new = self._taken(place, once), 0
+        while not exchange.over:
+            try:
+                if link is None:
+                    new += 1
+                    link = await self._free(place) or await self._opened(place)
+                await self._write(exchange, link, message)
                 return
-            must(link.exchange is None, "a connection carries one thing at a time")
-            link.exchange, exchange.link = exchange, link
-            await link.write(message())
-        except (OSError, TimeoutError):
-            exchange.end(Outcome.NO_CONNECTION)
+            except NoDescriptor:
+                say("no descriptor is left for an executor: an assignment is not sent")
+                exchange.end(Outcome.NOT_SENT)
+            except OSError as problem:  # a time-out is one too
+                # The next kept connection may be as dead as this one: a new one proves more, and a second one
+                # that it was not by chance.
+                if new >= NEW_LINKS or isinstance(problem, TimeoutError):
+                    exchange.end(Outcome.NO_CONNECTION)
+                if link is not None:
+                    link.close()
+                link = None
+
+    async def _write(self, exchange: Exchange, link: Link, message: Callable) -> None:
+        if not self.desk.report_sending(exchange.errand, exchange.number):
+            self.give(link)
+            exchange.end(Outcome.NOT_SENT)
+            return
+        must(link.exchange is None, "a connection carries one thing at a time")
+        link.exchange, exchange.link = exchange, link
+        hold = max(HOLD_TRIPS * self.trips.get(link.place, HOLD_MOST), HOLD_LEAST)
+        if not await link.write(message(), min(hold, HOLD_MOST),
+                                lambda: self.desk.report_last_byte(exchange.errand, exchange.number)):
+            exchange.end(Outcome.NOT_SENT)
+            link.close()
+
+    async def _free(self, place: Place) -> Link | None:
+        """Waits for a descriptor, or a connection that becomes free meanwhile. Ended at once for lack of one,
+        a task would spend all its assignments in a moment."""
+        end = monotonic() + self.connect_time
+        while not self.budget.open_link():
+            if monotonic() > end:
+                raise NoDescriptor
+            await asyncio.sleep(WAIT)
+            link = self._taken(place)
             if link is not None:
-                link.close()
+                return link
+        return None
 
     def call_off(self, errand: Errand, number: int) -> None:
         """Its outcome is known to the decisions already; the executor learns by the connection's end."""
@@ -329,9 +433,11 @@
             work.add_done_callback(lambda _: self.probes.pop(place, None))
 
     async def _probe(self, place: Place, limit: float) -> None:
-        probe, link = Probe(self.desk, place), self._taken(place)
+        link = self._taken(place)
+        probe = Probe(self.desk, place, link is not None)
         if link is None:
-            if not self.budget.open_link(probe=True):
+            short = self.short_at.get(place, 0.0) > monotonic() - SHORT_MEMORY
+            if short or not self.budget.open_link(probe=True):
                 return
             try:
                 link = await self._opened(place)
@@ -350,5 +456,5 @@
             # pass for run, while a new one that does not come up proves that nothing ran.
             self.close_idle(place)
         except OSError:
-            probe.end(Outcome.BROKEN)
+            probe.broke()
             link.close()
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -146,8 +146,8 @@
         self.desk.close_by(self.clock() + LONGEST_END)
         self.clients.ending = True
         # Another node may be ending too: a client whose connections all close would have nowhere to go.
-        while monotonic() < began + KEPT and (
-                self.clients.open or monotonic() < max(began + STILL_COMING, self.clients.accepted_at + QUIET)):
+        while (now := monotonic()) < began + KEPT and (
+                self.clients.open or now < max(began + STILL_COMING, self.clients.accepted_at + QUIET)):
             await asyncio.sleep(0.02)
         self.clients.stopping = True
         standing[0].cancel()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -153,7 +153,7 @@
 
     def __init__(self, behave=None):
         self.behave, self.got, self.connections, self.ended = behave, [], 0, 0
-        self.writers = []
+        self.writers, self.brittle = [], False   # brittle: resets kept connections at the next byte
 
     async def open(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -166,6 +166,8 @@
         while message := await read_message(reader):
             if message[0].startswith("GET"):
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":2}")
+                if self.brittle:
+                    break
                 continue
             self.got.append(message)
             name = message[1]["x-request-id"]
@@ -173,6 +175,10 @@
                 await self.behave(self, writer, name)
             else:
                 await self.lines(writer, name, "started", "done")
+            if self.brittle:
+                break
+        if self.brittle and await reader.read(1):
+            writer.transport.abort()
         self.ended += 1
         writer.close()
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -307,3 +307,15 @@
         f.until(5.0)
         fed.append(f.node._cold_room(f.now, f.executors["cold"], 0.1))
     assert fed == [True, False]
+
+
+@pytest.mark.parametrize("how, aside", [(Outcome.ERROR, True), (Outcome.BROKEN, False)])
+def test_two_breaks_may_be_the_networks_but_two_errors_are_the_executors(how, aside):
+    f = Fake()
+    f.hear("A", "B", "C", "D")
+    tasks = [f.task(f"t{n}") for n in range(8)]
+    for task in tasks:
+        if task.assignments[0].executor.ref == "A":
+            f.end(task, how)
+    assert sum(task.assignments[0].executor.ref == "A" for task in tasks) == 2
+    assert (f.executors["A"].away_until > f.now) is aside
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -57,7 +57,7 @@
     p = Play()
     errand = p.take()
     assert p.steps(errand) == [("SEND", 0)]
-    assert p.desk.report_sending(errand, 0)
+    assert p.desk.report_sending(errand, 0) and p.desk.report_last_byte(errand, 0)
     p.desk.report_start(errand, 0)
     p.desk.report_outcome(errand, 0, Outcome.FINISHED, {"x0": 1}, b"done")
     assert p.steps(errand) == [("FINISHED", b"done"), "over"] and not p.desk.open
@@ -67,7 +67,7 @@
     p = Play(executors=1)
     errand = p.take("act", budget=0.5)
     p.steps(errand)
-    p.desk.report_sending(errand, 0)
+    p.desk.report_last_byte(errand, 0)
     p.desk.report_start(errand, 0)
     p.until(1000.49)
     assert p.steps(errand) == [("CALL_OFF", 0), "ABANDONED", "over"]
@@ -124,7 +124,7 @@
 def test_told_to_close_all_is_answered_by_then_and_new_tasks_have_no_longer():
     p = Play(executors=1)
     taken = p.take("act", budget=60.0)
-    p.desk.report_sending(taken, 0)
+    p.desk.report_last_byte(taken, 0)
     p.desk.report_start(taken, 0)
     p.desk.close_by(p.now + 3.0)
     later = p.take("act", budget=60.0)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -201,32 +201,63 @@
     play(story)
 
 
+def desk(ends):
+    """What the pool of connections needs of one."""
+    return SimpleNamespace(
+        report_sending=lambda errand, number: True, report_last_byte=lambda errand, number: True,
+        report_start=lambda *_: None, report_idle=lambda place, count: None,
+        report_outcome=lambda errand, number, how, load, result: ends.append(how))
+
+
 @pytest.mark.parametrize("comes, how", [
-    (b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", Outcome.FULL),
-    (None, Outcome.NO_CONNECTION)])
+    (b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", [Outcome.FULL]), (None, [])])
 def test_what_comes_before_the_last_byte_is_written(comes, how):
-    """An answer then spoils the connection for the next task; a break then proves that nothing ran."""
+    """An answer then spoils the connection for the next task; a break then proves that nothing ran, and
+    another connection may be taken."""
     async def run():
         ours, theirs = socket.socketpair()
         ours.setblocking(False)
-        desk, place = SimpleNamespace(ends=[]), Place("e0", ("127.0.0.1", 1))
-        desk.report_outcome = lambda errand, number, how, load, result: desk.ends.append(how)
-        pool = Executors(desk, Budget(64, 10**8), Buffers(), 0.25, 60.0)
+        ends, place = [], Place("e0", ("127.0.0.1", 1))
+        pool = Executors(desk(ends), Budget(64, 10**8), Buffers(), 0.25, 60.0)
         pool.budget.open_link()
         link = Link(pool, place, ours)
         pool.links[link] = None
         link.exchange = Exchange(pool, Errand(), 0, b"t1")
-        writing = asyncio.create_task(link.write(b"x" * 10**7))
+        writing = asyncio.create_task(link.write(b"x" * 10**7, 0.0, lambda: True))
         await asyncio.sleep(0.05)
         if comes:
             theirs.send(comes)
         else:
             theirs.close()
         await asyncio.wait([link.reading, writing], timeout=2)
-        assert desk.ends == [how] and not pool.idle and pool.budget.links == 0 and ours.fileno() == -1
+        assert ends == how and not pool.idle and pool.budget.links == 0 and ours.fileno() == -1
+        assert writing.cancelled() if comes else isinstance(writing.exception(), ConnectionError)
     asyncio.run(run())
 
 
+def test_a_kept_connection_that_is_dead_costs_no_task_and_no_trust():
+    async def story(w):
+        for executor in w.executors:
+            executor.brittle = True
+        for n in range(8):  # time enough for the probes between to meet dead connections too
+            assert (await w.ask(post("/act/k", f"t{n}")))[0] == 200
+            await asyncio.sleep(0.25)
+        assert sum(len(e.got) for e in w.executors) == 8
+        assert all(e.got[-1][1]["x-request-id"] in ("t6", "t7") for e in w.executors)  # none was set aside
+    play(story, None, None)
+
+
+def test_what_cannot_repeat_is_not_risked_on_a_connection_as_old_as_dead_ones():
+    place, now = Place("e0", ("127.0.0.1", 1)), time.monotonic()
+    pool = Executors(desk([]), Budget(64, 10**8), Buffers(), 0.25, 60.0)
+    kept = SimpleNamespace(open=True, fresh=lambda: True, idle_since=now - 0.15, idled=0.2)
+    for deaths, once, found in ((0, True, kept), (1, True, kept), (2, True, None), (2, False, kept)):
+        pool.idle[place] = [kept]
+        pool.dead.clear()
+        pool.dead.extend([(now, 0.1)] * deaths)
+        assert pool._taken(place, once) is found
+
+
 def test_one_turn_is_due_at_a_time_however_often_it_is_woken():
     """Woken inside a turn, two chains of turns went on side by side, and one more with each such turn."""
     async def run():
@@ -250,9 +281,7 @@
 def test_an_assignment_waits_for_a_descriptor_as_long_as_for_a_connection(freed):
     async def run():
         ended = []
-        desk = SimpleNamespace(report_sending=lambda errand, number: True, report_start=lambda *_: None,
-                               report_outcome=lambda errand, number, how, load, result: ended.append(how))
-        pool = Executors(desk, Budget(64, 10**8), Buffers(), 0.2, 60.0)
+        pool = Executors(desk(ended), Budget(64, 10**8), Buffers(), 0.2, 60.0)
         pool.budget.links = pool.budget.most
         executor = await StandIn().open()
         place = Place("e0", parse(executor.address))
