A task is due when its client stops waiting, if that is sooner

Checked with a copy of the node that printed each final answer with its assignments: these are clients' retries, which wait only as long as is left of their first try; the choice compared executors by a due time beyond that, took ones that could not end in time, and filled their slots for nothing. Ruled out: executors set aside (0 to 1 of 12 at these moments).

At fault: logic.py, Node.task_arrived (due time regardless of the expiry). With it a task may be given up while its connection is awaited: Node._give_up now asks the host whether anything has left, and bounces if not.

--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -245,7 +245,7 @@
 
     def report_last_byte(self, errand: Errand, number: int) -> bool:
         """The last byte is about to be written: from here on it may run. False: the task has ended."""
-        wanted = errand.task.assignments[number].out
+        wanted = errand.task.open and errand.task.assignments[number].out
         if wanted:
             errand.begun.add(number)
         return wanted
@@ -306,6 +306,9 @@
         assignment.task.ref.add(Step.CALL_OFF, assignment.number)
         self.ending.append(assignment)
 
+    def begun(self, assignment: Assignment) -> bool:
+        return assignment.number in assignment.task.ref.begun
+
     def probe(self, executor: Executor) -> None:
         self.chores.append((Chore.PROBE, executor.ref, self.probe_time))
 
--- a/firwalk/host.py
+++ b/firwalk/host.py
@@ -67,6 +67,9 @@
     def cancel(self, assignment: Assignment) -> None:
         """Call off an assignment that is out; it still gets its one outcome."""
 
+    def begun(self, assignment: Assignment) -> bool:
+        """Whether it may have reached its executor; True where the host cannot tell."""
+
     def probe(self, executor: Executor) -> None:
         """Ask an executor for its load report."""
 
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -236,8 +236,8 @@
         kind = self.offerings[offering]
         hint = cost or max(slots, 1.0)
         cost = kind.cost(hint)
-        gone = max(kind.expiry - budget, 0.0) if again else 0.0
-        task = Task(ref, kind, hint, cost, now + kind.due + kind.stretch * cost - gone, now + budget)
+        due = kind.due + kind.stretch * cost - (max(kind.expiry - budget, 0.0) if again else 0.0)
+        task = Task(ref, kind, hint, cost, now + min(due, budget), now + budget)  # its client waits no longer
         value = kind.importance * (cost if self.by_work else 1.0)
         part = 0.02 if self.mean_cost else 1.0
         self.mean_cost += part * (cost - self.mean_cost)
@@ -519,9 +519,9 @@
         if not task.open:
             return
         self._close(task)
-        effect, ran = task.offering.effect, any(a.may_have_run for a in task.assignments)
-        dropped = effect is Effect.FINGERPRINTED and task.offering.group is Group.ALL
-        if not ran or effect is Effect.IDEMPOTENT or dropped:
+        ran = any(a.may_have_run and self.host.begun(a) for a in task.assignments)
+        effect, group = task.offering.effect, task.offering.group
+        if not ran or effect is Effect.IDEMPOTENT or (effect, group) == (Effect.FINGERPRINTED, Group.ALL):
             wait = min((e.work / e.slots for e in self.near + self.far), default=AWAY)
             self.host.bounce(task, min(max(wait, self.tick), self.longest_advice))
         else:
--- a/firwalk/wirehost/__main__.py
+++ b/firwalk/wirehost/__main__.py
@@ -52,6 +52,9 @@
     def probe(self, executor):
         self.out.append(c.PING.pack(c.DO_PING, self.number, executor.ref))
 
+    def begun(self, assignment):
+        return True  # the wire does not tell
+
     def close_idle(self, executor):
         self.out.append(c.PING.pack(c.DO_SHUT_IDLE, self.number, executor.ref))
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -48,6 +48,9 @@
         self.called.append(assignment)
         self.say(f"cancel {assignment.task.ref}#{assignment.number} at {assignment.executor.ref}")
 
+    def begun(self, assignment):
+        return True
+
     def probe(self, executor):
         if not self.quiet:
             self.say(f"probe {executor.ref}")
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -319,3 +319,11 @@
             f.end(task, how)
     assert sum(task.assignments[0].executor.ref == "A" for task in tasks) == 2
     assert (f.executors["A"].away_until > f.now) is aside
+
+
+def test_what_cannot_end_while_its_client_waits_is_bounced_at_once():
+    f = Fake()
+    f.hear("A")
+    task = f.task("t", cost=1.0, budget=0.5)
+    assert not task.open and not task.assignments and "bounce" in f.lines[-1]
+    assert f.task("u", cost=0.3, budget=0.5).assignments
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -136,7 +136,7 @@
 def test_the_last_word_goes_to_a_task_that_the_decisions_left_open():
     p = Play(executors=1)
     p.take(budget=0.5)
-    p.desk.node.ended = lambda *_: None  # decisions that forget to answer
+    p.desk.node._give_up = lambda *_: None  # decisions that forget to answer
     with pytest.raises(AssertionError, match="final answer"):
         p.until(1001.0)
 
