Sizes from the list, slots of tasks, a lag for each zone, moves without second copies

Weights are cores; a task of 4 slots runs as long as one of 1; starts come in 2 ms or late. Lines at fault: Executor.slots (1 until a report), held and work (tasks, not slots), one lag for the node, _may_repeat in _overdue (nothing chosen while one is out).

--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -193,18 +193,18 @@
         self._settle(now)
 
     def report_list(self, version: int, whole: bool, entries: list[tuple]) -> None:
-        """Entries are (name, address, zone, machine type, cell, condition, when it came up); `whole`: what
-        is not named is gone."""
+        """Entries are (name, address, zone, machine type, cell, condition, when it came up, size); `whole`:
+        what is not named is gone."""
         if version < self.version and not whole:
             return  # an old change, told again
         now, named = self.clock(), set()
-        for name, address, zone, kind, cell, condition, came_up in entries:
+        for name, address, zone, kind, cell, condition, came_up, size in entries:
             executor = self.places.get(name)
             if executor is None:
                 if condition is Condition.GONE:
                     continue
                 executor = self.places[name] = self.node.new_executor(
-                    Place(name, address), self.kinds.get(kind, -1), self.zones.get(zone, -1), cell)
+                    Place(name, address), self.kinds.get(kind, -1), self.zones.get(zone, -1), cell, size)
             if condition is Condition.GONE or address != executor.ref.address:
                 self.close_idle(executor)
             executor.ref.address = address
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -39,6 +39,8 @@
 TRUST = 4.0            # tasks' weight of the trust that hints begin with
 HINT_WEIGHT = 0.01     # of a new hint in their means, at least
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
+MOVES = 0.2            # moves that each new task adds to what may be called off and placed anew
+MOST_MOVES = 3.0       # and the most that add up
 OVERDUE = 2.0          # times its estimate after which running work counts as slow
 
 
@@ -105,8 +107,10 @@
 class Task:
     """What a client asked for, until its one final answer and the end of its last assignment."""
 
-    def __init__(self, ref: object, offering: Offering, hint: float, cost: float, due: float, expiry: float):
+    def __init__(self, ref: object, offering: Offering, hint: float, cost: float, slots: float, due: float,
+                 expiry: float):
         self.ref, self.offering, self.hint, self.cost = ref, offering, hint, cost
+        self.slots, self.work = slots, cost * slots      # slots that it takes for as long as it runs
         self.due, self.expiry = due, expiry
         self.assignments: list[Assignment] = []
         self.still_out, self.open, self.bound = 0, True, False
@@ -119,7 +123,7 @@
     def __init__(self, ref: object, kind: int, zone: int, cell: int, speed: float):
         self.ref, self.kind, self.zone, self.cell = ref, kind, zone, cell
         self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
-        self.work, self.held = 0.0, 0                    # own outstanding estimates, and how many
+        self.work, self.held = 0.0, 0.0                  # own outstanding estimates, and the slots they take
         self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
         self.slots, self.others = 1.0, 0.0
         self.idle = 0                                    # connections to it that should be open and free
@@ -173,13 +177,13 @@
     def __init__(self, host: Host, seed: int, now: float, *, own_number: int, nodes: int, zone: int,
                  offerings: list[Offering], tenants: list[Tenant], tick: float, most: int, copies: bool,
                  may_cancel: bool, may_probe: bool, longest_advice: float, reports: str, tells_start: bool,
-                 must_ask: bool, crossing: float, handshake: float, beyond_share: float, by_work: bool,
-                 cold_from: float, cold_for: float, fall_multiple: float, fall_window: float):
+                 must_ask: bool, sized: bool, crossing: float, handshake: float, beyond_share: float,
+                 by_work: bool, cold_from: float, cold_for: float, fall_multiple: float, fall_window: float):
         self.host, self.seed, self.counter = host, seed, 0
         self.own_number, self.nodes, self.zone = own_number, max(nodes, 1), zone
         self.offerings, self.tenants, self.tick = offerings, tenants, tick
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
-        self.longest_advice, self.tells_start = longest_advice, tells_start
+        self.longest_advice, self.tells_start, self.sized = longest_advice, tells_start, sized
         self.asks = reports == "on_probe" and may_probe
         # Reports that come only with answers are of executors just used and older than starts tell.
         self.reports_count = self.asks or not tells_start
@@ -194,7 +198,8 @@
         self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.mean_cost = self.mean_value = self.near_mean = self.far_mean = 0.0
-        self.lag, self.lag_at = 0.0, now                 # common to the executors met lately
+        self.moves = MOST_MOVES
+        self.lags: dict[int, tuple[float, float]] = {}   # common to a zone's executors met lately, when
         if must_ask:
             host.set_timer(now + tick * own_number, lambda *_: host.watch(True), None)
         host.set_timer(now + (own_number + 1) / self.nodes * PROBE_EVERY, self._round, None)
@@ -205,12 +210,13 @@
 
     # -- the list of executors ---------------------------------------------------------------------
 
-    def new_executor(self, ref: object, kind: int, zone: int, cell: int) -> Executor:
-        """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1."""
+    def new_executor(self, ref: object, kind: int, zone: int, cell: int, size: float) -> Executor:
+        """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1. Where
+        the list tells sizes it has that many slots until reports show more: without either, one for ever."""
         seen = self.kinds.setdefault(kind, [0.0, 1.0])
         known = [speed for speed, _ in self.kinds.values() if speed] or [1.0]
         executor = Executor(ref, kind, zone, cell, seen[0] or sum(known) / len(known))
-        executor.slots = seen[1]
+        executor.slots = max(seen[1], round(size) if self.sized else 1.0)
         self.executors.append(executor)
         return executor
 
@@ -237,10 +243,12 @@
         hint = cost or max(slots, 1.0)
         cost = kind.cost(hint)
         due = kind.due + kind.stretch * cost - (max(kind.expiry - budget, 0.0) if again else 0.0)
-        task = Task(ref, kind, hint, cost, now + min(due, budget), now + budget)  # its client waits no longer
-        value = kind.importance * (cost if self.by_work else 1.0)
+        task = Task(ref, kind, hint, cost, max(slots, 1.0),
+                    now + min(due, budget), now + budget)  # its client waits no longer
+        value = kind.importance * (task.work if self.by_work else 1.0)
+        self.moves = min(self.moves + MOVES, MOST_MOVES)
         part = 0.02 if self.mean_cost else 1.0
-        self.mean_cost += part * (cost - self.mean_cost)
+        self.mean_cost += part * (task.work - self.mean_cost)
         self.mean_value += part * (value - self.mean_value)
         if self.beyond_share < 1.0 and 0 <= tenant < len(self.tenants):
             task.beyond = not self.tenants[tenant].within(now, self.part)
@@ -255,7 +263,7 @@
         if (executor is None or not self._send(now, task, executor)) and not task.still_out:
             self._give_up(now, task)  # in a queue it would only make those behind it late too
 
-    def _choose(self, now: float, task: Task, idle: bool = False) -> Executor | None:
+    def _choose(self, now: float, task: Task, idle: bool = False, instead: bool = False) -> Executor | None:
         """The ordinary path: least own outstanding estimated work, plus what it takes to reach it (Recv),
         among those that can still answer in time."""
         best, best_load, best_answer = None, 0.0, 0.0
@@ -267,7 +275,8 @@
         # A light task earns less than its crossing costs: it stays where its zone has an executor at all.
         near = self.crossing * self.mean_value > task.value and self.near
         side = task.offering.effect is Effect.SIDE_EFFECTING
-        ties, own, common = 0, self.zone, self.lag_now(now)
+        ties, own = 0, self.zone
+        commons = {zone: self.lag_now(now, zone) for zone in self.lags}
         for executor in self._order():
             # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
             load = (0.0 if executor.zone == own else recv) + (0.0 if executor.idle else anew)
@@ -275,19 +284,19 @@
                 continue
             load += executor.work / executor.slots
             if self.tells_start:  # what others have waiting is not in the own sum
-                load += executor.lag_now(now, common)
+                load += executor.lag_now(now, commons.get(executor.zone, 0.0))
             if best is not None and load > best_load or max(executor.away_until, executor.full_until) > now:
                 continue
             if executor.on_trial and (executor.held or side) or kind >= 0 and executor.kind != kind:
                 continue
-            if task.assignments and not self._may_repeat(now, task, executor):
+            if task.assignments and not self._may_repeat(now, task, executor, instead):
                 continue
             speed = executor.speed  # not the rate: a busy executor makes a task wait, it does not run slower
             if executor.cold_until > now:
-                if not self._cold_room(now, executor, cost):
+                if not self._cold_room(now, executor, task.work):
                     continue
                 speed *= self._warmth(now, executor)
-            wait = self._wait(now, executor)
+            wait = self._wait(now, executor, task.slots)
             if wait <= (left - cost / speed) * part and not (idle and wait):
                 # A node with a few tasks a second has nothing outstanding mostly. If each of hundreds gave
                 # its ties to the fastest executor, that one would drown: a few by chance are compared.
@@ -295,7 +304,8 @@
                 answer = wait + cost / executor.rate()
                 if ties == 1 or answer < best_answer:
                     best, best_load, best_answer = executor, load, answer
-                if ties >= TIES and load <= common + (0.0 if executor.zone == own else recv):
+                least = commons.get(executor.zone, 0.0) + (0.0 if executor.zone == own else recv)
+                if ties >= TIES and load <= least and (executor.zone != own or load <= recv or not self.far):
                     break
         return best
 
@@ -316,11 +326,11 @@
             self.host.probe(self.far[(self.far_at + n) % len(self.far)])
         self.near_at, self.far_at = self.near_at + near, self.far_at + far
 
-    def _wait(self, now: float, executor: Executor) -> float:
-        """Seconds until a slot is free, by own tasks there and what reports tell of others'."""
+    def _wait(self, now: float, executor: Executor, slots: float) -> float:
+        """Seconds until so many slots are free, by own tasks there and what reports tell of others'."""
         others = executor.others if self.reports_count else 0.0
-        over = executor.held + others + 1.0 - executor.slots
-        lag = executor.lag_now(now, self.lag_now(now)) if self.tells_start else 0.0
+        over = executor.held + others + min(slots, executor.slots) - executor.slots
+        lag = executor.lag_now(now, self.lag_now(now, executor.zone)) if self.tells_start else 0.0
         if over <= 0.0 or not executor.held:
             return lag + max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
         return lag + over * executor.work / (executor.held * executor.slots)
@@ -354,10 +364,10 @@
 
     # -- the gate that every send passes ---------------------------------------------------------------
 
-    def _may_repeat(self, now: float, task: Task, executor: Executor) -> bool:
-        """Rule 2 and the limits on copies, for a task that was sent before."""
+    def _may_repeat(self, now: float, task: Task, executor: Executor, instead: bool = False) -> bool:
+        """Rule 2 and the limits on copies, for a task that was sent before; `instead`: of what is out."""
         effect, group = task.offering.effect, task.offering.group
-        if len(task.assignments) >= self.most or (task.still_out and not self.copies):
+        if len(task.assignments) >= self.most or (task.still_out and not self.copies and not instead):
             return False
         for earlier in task.assignments:
             if earlier.executor is executor:
@@ -380,21 +390,22 @@
         if task.assignments and not self._may_repeat(now, task, executor):
             return False  # rule 2: no effect twice
         if executor.cold_until > now:
-            if not self._cold_room(now, executor, task.cost):
+            if not self._cold_room(now, executor, task.work):
                 return False  # rule 4: a cold one is not pushed over
-            executor.credit -= max(task.cost / self.mean_cost, LEAST_CHARGE)  # a light hint may be a whale
+            executor.credit -= max(task.work / self.mean_cost, LEAST_CHARGE)  # a light hint may be a whale
             if executor.credit < 0.0:
                 executor.owed, executor.credit = executor.owed + executor.credit, 0.0
-        estimate = task.cost / executor.rate()
-        wait = self._wait(now, executor)
+        estimate = task.work / executor.rate()
+        wait = self._wait(now, executor, task.slots)
         assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
         task.assignments.append(assignment)
         task.still_out += 1
-        executor.work, executor.held = executor.work + estimate, executor.held + 1
+        executor.work, executor.held = executor.work + estimate, executor.held + task.slots
         executor.idle = max(executor.idle - 1, 0)
         self.host.send(task, executor, 0.0)
         patience = max(task.due - now - task.cost / executor.speed, 0.0)
-        patience = patience / 2 if self.tells_start else max(patience, wait + OVERDUE * estimate)
+        run = task.cost / executor.rate()
+        patience = patience / 2 if self.tells_start else max(patience, wait + OVERDUE * run)
         self.host.set_timer(now + max(patience, 2 * self.tick), self._overdue, assignment)
         return True
 
@@ -407,12 +418,18 @@
             return
         if self.tells_start:
             self._lagged(now, assignment)
-        if now - assignment.sent > assignment.wait + assignment.estimate:
+        if now - assignment.sent > assignment.wait + task.cost / executor.rate():
             executor.strikes += self.tells_start or not self.may_probe
             if executor.strikes >= STRIKES or executor.on_trial:
                 self._set_aside(now, executor)
-        other = self._choose(now, task, idle=not self.tells_start) if task.open else None
-        if other is not None and self._send(now, task, other):
+        # Without second copies it is called off first, and placed anew when that is confirmed.
+        # Where a cancel stops nothing each move adds to the load: unbounded, a burst's queues never ended.
+        first = not self.copies and self.tells_start and self.may_cancel and self.moves >= 1.0
+        other = self._choose(now, task, idle=not self.tells_start, instead=first) if task.open else None
+        if other is not None and first:
+            self.moves -= 1.0
+            self.host.cancel(assignment)
+        elif other is not None and self._send(now, task, other):
             if self.tells_start and self.may_cancel:
                 self.host.cancel(assignment)
         elif task.open and self.tells_start and not task.offering.late and task.still_out == 1:
@@ -428,12 +445,15 @@
         self._lagged(now, assignment)
 
     def _lagged(self, now: float, assignment: Assignment) -> None:
-        by = now - assignment.sent - assignment.wait
-        assignment.executor.lagged(now, by, self.lag_now(now))
-        self.lag, self.lag_at = max(self.lag_now(now) + COMMON_WEIGHT * by, 0.0), now
+        by, executor = now - assignment.sent - assignment.wait, assignment.executor
+        common = self.lag_now(now, executor.zone)
+        executor.lagged(now, by, common)
+        self.lags[executor.zone] = max(common + COMMON_WEIGHT * by, 0.0), now
 
-    def lag_now(self, now: float) -> float:
-        return self.lag * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
+    def lag_now(self, now: float, zone: int) -> float:
+        """Each zone has its own: one that is short of executors must not make the others look so too."""
+        lag, at = self.lags.get(zone, (0.0, now))
+        return lag * max(1.0 - (now - at) / LAG_FADE, 0.0)
 
     def progressed(self, now: float, assignment: Assignment, part: float) -> None:
         assignment.executor.strikes = 0
@@ -448,7 +468,7 @@
               report: dict[str, float] | None) -> None:
         task, executor = assignment.task, assignment.executor
         assignment.out, task.still_out = False, task.still_out - 1
-        executor.held -= 1
+        executor.held -= task.slots
         executor.work = executor.work - assignment.estimate if executor.held else 0.0
         assignment.may_have_run = how not in (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
         self._judge(now, assignment, how, took)
@@ -519,6 +539,7 @@
         if not task.open:
             return
         self._close(task)
+        self.moves = 0.0  # where tasks are turned away there is no room that moves could find
         ran = any(a.may_have_run and self.host.begun(a) for a in task.assignments)
         effect, group = task.offering.effect, task.offering.group
         if not ran or effect is Effect.IDEMPOTENT or (effect, group) == (Effect.FINGERPRINTED, Group.ALL):
--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -19,6 +19,12 @@
 CALL_TIME = 3.0        # seconds in which a call must begin to be answered: calls wait in turn
 
 
+def size(weight: object) -> float:
+    """What the list says of an executor's size; one without a usable figure counts as the smallest."""
+    fits = isinstance(weight, int | float) and 1.0 <= weight < 1e6
+    return float(weight) if fits else 1.0
+
+
 def entries(text: bytes | dict) -> tuple[int, bool, list[tuple]]:
     """The version, whether it is the whole list, and the entries; Malformed if it is no list. An entry that
     cannot be read is left out: the others must not go stale for it."""
@@ -33,7 +39,7 @@
             found.append((str(e["instanceId"]), parse(e["hostPort"]), e.get("zone", ""),
                           e.get("machineType", ""), int(e.get("cell", 0)),
                           LIFECYCLES.get(e.get("lifecycle"), Condition.DRAINING),  # other words: nothing new
-                          float(e.get("startedAtMs", 0)) / 1e3))
+                          float(e.get("startedAtMs", 0)) / 1e3, size(e.get("weight", 1.0))))
         except (KeyError, TypeError, ValueError, AttributeError) as problem:
             say(f"an entry of the list is left out: {problem!r}")
     return version, whole, found
--- a/firwalk/wirehost/__main__.py
+++ b/firwalk/wirehost/__main__.py
@@ -108,10 +108,10 @@
             node.list_broken(now)
             return
         named = {}
-        for kind, zone, condition, _weight, address, came_up, cell in entries:
+        for kind, zone, condition, size, address, came_up, cell in entries:
             executor = known.get(address)
             if executor is None:
-                executor = known[address] = node.new_executor(address, kind, zone, cell)
+                executor = known[address] = node.new_executor(address, kind, zone, cell, size)
             named[address] = executor
             node.heard(now, executor, c.CONDITIONS[condition], came_up * MICRO)
         if scope:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -25,7 +25,8 @@
         self.quiet = True  # leave probes out of the trace
         known = dict(own_number=0, nodes=1, zone=0, offerings=[offering()], tenants=[Tenant(10.0)],
                      tick=0.005, most=5, copies=True, may_cancel=True, may_probe=True, longest_advice=2.0,
-                     reports="on_probe", tells_start=True, must_ask=False, crossing=0.0, handshake=0.0,
+                     reports="on_probe", tells_start=True, must_ask=False, sized=False, crossing=0.0,
+                     handshake=0.0,
                      beyond_share=1.0, by_work=True, cold_from=0.2, cold_for=10.0, fall_multiple=3.0,
                      fall_window=2.0)
         known.update(settings)
@@ -86,15 +87,15 @@
     def hear(self, *names, condition=Condition.READY, zone=0, cell=0, came_up=0.0, slots=2):
         for name in names:
             if name not in self.executors:
-                self.executors[name] = self.node.new_executor(name, 0, zone, cell)
+                self.executors[name] = self.node.new_executor(name, 0, zone, cell, slots)
                 self.executors[name].slots = slots
             executor = self.executors[name]
             self.node.heard(self.now, executor, condition, came_up)
         self.node.list_heard()
 
-    def task(self, name, cost=0.1, kind=0, budget=None, again=False):
+    def task(self, name, cost=0.1, kind=0, budget=None, again=False, slots=1.0):
         budget = budget or self.node.offerings[kind].expiry
-        return self.node.task_arrived(self.now, name, kind, 0, budget, cost, 1.0, 0.0, again)
+        return self.node.task_arrived(self.now, name, kind, 0, budget, cost, slots, 0.0, again)
 
     def start(self, task, number=0):
         self.node.started(self.now, task.assignments[number])
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -222,7 +222,7 @@
     f.until(0.4)
     f.start(task)
     other = f.executors["B" if task.assignments[0].executor.ref == "A" else "A"]
-    assert 0.0 < f.node._wait(f.now, other) < f.node._wait(f.now, task.assignments[0].executor)
+    assert 0.0 < f.node._wait(f.now, other, 1.0) < f.node._wait(f.now, task.assignments[0].executor, 1.0)
 
 
 def test_own_work_in_reports_is_not_counted_as_others():
@@ -327,3 +327,42 @@
     task = f.task("t", cost=1.0, budget=0.5)
     assert not task.open and not task.assignments and "bounce" in f.lines[-1]
     assert f.task("u", cost=0.3, budget=0.5).assignments
+
+
+def test_sizes_from_the_list_and_wide_tasks_fill_slots_where_nothing_is_reported():
+    f = Fake(sized=True, reports="off")
+    a = f.node.new_executor("A", 0, 0, 0, 4.0)
+    f.node.heard(0.0, a, Condition.READY, 0.0)
+    f.node.list_heard()
+    assert f.task("wide", 0.2, slots=2.0).assignments and (a.slots, a.held) == (4.0, 2.0)
+    assert a.work == pytest.approx(0.4)
+    assert f.node._wait(0.0, a, 2.0) == 0.0 < f.node._wait(0.0, a, 4.0)
+    assert Fake().node.new_executor("B", 0, 0, 0, 4.0).slots == 1.0  # of sizes that mean nothing
+
+
+def test_a_late_zone_sends_across_though_it_has_not_met_the_other():
+    f = Fake(crossing=0.01, reports="off")
+    f.hear("near", "next")
+    f.hear("far", zone=1)
+    for n in range(2):
+        task = f.task(f"late{n}")
+        f.until(f.now + 0.2)
+        f.start(task)
+        f.end(task, Outcome.FINISHED)
+    assert f.task("t").assignments[0].executor.ref == "far"
+
+
+def test_without_copies_a_task_that_waits_is_called_off_and_placed_on_the_outcome_within_a_budget():
+    f = Fake(copies=False, reports="off", offerings=[offering(), offering(SIDE_EFFECTING)])
+    f.hear("A", "B", "C", "D")
+    tasks = [f.task(f"t{n}") for n in range(5)] + [f.task("once", kind=1)]
+    f.node.moves = 2.0
+    f.until(0.4)
+    assert len(f.called) == 2 and all(a.task.offering.effect is IDEMPOTENT for a in f.called)
+    for task in tasks:
+        assert len(task.assignments) == 1 and task.still_out == 1  # never two out
+    moved = f.called[0].task
+    f.end(moved, Outcome.CANCELLED)
+    assert [a.out for a in moved.assignments] == [False, True]
+    f.node._give_up(f.now, tasks[-1])
+    assert f.node.moves == 0.0
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -26,7 +26,7 @@
 
     def hear(self, *heard, whole=False, version=1):
         self.desk.report_list(version, whole, [
-            (name, ("127.0.0.1", 1 + int(name[1:])), "a", "m", 0, condition, 0.0)
+            (name, ("127.0.0.1", 1 + int(name[1:])), "a", "m", 0, condition, 0.0, 1.0)
             for name, condition in heard])
 
     def take(self, offering="read", budget=2.0):
