A zone that is out of reach twice in a row is set aside as a whole

Cause: _set_aside finds out the far half of the fleet one executor at a time. Two misses in a row at one far zone set it aside for 3 to 6 s; one more after that again.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -117,10 +117,21 @@
         self.value, self.beyond = 0.0, False             # beyond: over its tenant's share
 
 
+class Zone:
+    """The executors of one zone together, as this node sees them."""
+
+    def __init__(self) -> None:
+        self.lag, self.lag_at = 0.0, 0.0                 # common to those met lately
+        self.missed, self.away_until = 0, 0.0            # out of reach in a row
+
+    def lag_now(self, now: float) -> float:
+        return self.lag * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
+
+
 class Executor:
     """A worker as this node sees it."""
 
-    def __init__(self, ref: object, kind: int, zone: int, cell: int, speed: float):
+    def __init__(self, ref: object, kind: int, zone: Zone, cell: int, speed: float):
         self.ref, self.kind, self.zone, self.cell = ref, kind, zone, cell
         self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
         self.work, self.held = 0.0, 0.0                  # own outstanding estimates, and the slots they take
@@ -180,7 +191,8 @@
                  must_ask: bool, sized: bool, crossing: float, handshake: float, beyond_share: float,
                  by_work: bool, cold_from: float, cold_for: float, fall_multiple: float, fall_window: float):
         self.host, self.seed, self.counter = host, seed, 0
-        self.own_number, self.nodes, self.zone = own_number, max(nodes, 1), zone
+        self.zones: dict[int, Zone] = {zone: Zone()}
+        self.own_number, self.nodes, self.zone = own_number, max(nodes, 1), self.zones[zone]
         self.offerings, self.tenants, self.tick = offerings, tenants, tick
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
         self.longest_advice, self.tells_start, self.sized = longest_advice, tells_start, sized
@@ -199,7 +211,6 @@
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.mean_cost = self.mean_value = self.near_mean = self.far_mean = 0.0
         self.moves = MOST_MOVES
-        self.lags: dict[int, tuple[float, float]] = {}   # common to a zone's executors met lately, when
         if must_ask:
             host.set_timer(now + tick * own_number, lambda *_: host.watch(True), None)
         host.set_timer(now + (own_number + 1) / self.nodes * PROBE_EVERY, self._round, None)
@@ -215,7 +226,8 @@
         the list tells sizes it has that many slots until reports show more: without either, one for ever."""
         seen = self.kinds.setdefault(kind, [0.0, 1.0])
         known = [speed for speed, _ in self.kinds.values() if speed] or [1.0]
-        executor = Executor(ref, kind, zone, cell, seen[0] or sum(known) / len(known))
+        place = self.zones.setdefault(zone, Zone())
+        executor = Executor(ref, kind, place, cell, seen[0] or sum(known) / len(known))
         executor.slots = max(seen[1], round(size) if self.sized else 1.0)
         self.executors.append(executor)
         return executor
@@ -229,8 +241,8 @@
 
     def list_heard(self) -> None:
         ready = [e for e in self.executors if e.condition is Condition.READY]
-        self.near = [e for e in ready if e.zone == self.zone]
-        self.far = [e for e in ready if e.zone != self.zone]
+        self.near = [e for e in ready if e.zone is self.zone]
+        self.far = [e for e in ready if e.zone is not self.zone]
 
     def list_broken(self, now: float) -> None:
         self.host.set_timer(now + 0.5 + self._chance(), lambda *_: self.host.watch(True), None)
@@ -276,15 +288,17 @@
         near = self.crossing * self.mean_value > task.value and self.near
         side = task.offering.effect is Effect.SIDE_EFFECTING
         ties, own = 0, self.zone
-        commons = {zone: self.lag_now(now, zone) for zone in self.lags}
+        commons = {zone: zone.lag_now(now) for zone in self.zones.values()}
         for executor in self._order():
             # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
-            load = (0.0 if executor.zone == own else recv) + (0.0 if executor.idle else anew)
-            if best is not None and load > best_load or near and executor.zone != own:
+            load = (0.0 if executor.zone is own else recv) + (0.0 if executor.idle else anew)
+            if best is not None and load > best_load or near and executor.zone is not own:
+                continue
+            if executor.zone.away_until > now:
                 continue
             load += executor.work / executor.slots
             if self.tells_start:  # what others have waiting is not in the own sum
-                load += executor.lag_now(now, commons.get(executor.zone, 0.0))
+                load += executor.lag_now(now, commons[executor.zone])
             if best is not None and load > best_load or max(executor.away_until, executor.full_until) > now:
                 continue
             if executor.on_trial and (executor.held or side) or kind >= 0 and executor.kind != kind:
@@ -304,8 +318,8 @@
                 answer = wait + cost / executor.rate()
                 if ties == 1 or answer < best_answer:
                     best, best_load, best_answer = executor, load, answer
-                least = commons.get(executor.zone, 0.0) + (0.0 if executor.zone == own else recv)
-                if ties >= TIES and load <= least and (executor.zone != own or load <= recv or not self.far):
+                least = commons[executor.zone] + (0.0 if executor.zone is own else recv)
+                if ties >= TIES and load <= least and (executor.zone is not own or load <= recv or not self.far):
                     break
         return best
 
@@ -330,7 +344,7 @@
         """Seconds until so many slots are free, by own tasks there and what reports tell of others'."""
         others = executor.others if self.reports_count else 0.0
         over = executor.held + others + min(slots, executor.slots) - executor.slots
-        lag = executor.lag_now(now, self.lag_now(now, executor.zone)) if self.tells_start else 0.0
+        lag = executor.lag_now(now, executor.zone.lag_now(now)) if self.tells_start else 0.0
         if over <= 0.0 or not executor.held:
             return lag + max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
         return lag + over * executor.work / (executor.held * executor.slots)
@@ -352,7 +366,7 @@
         bears *= self.fall_multiple * self.fall_window
         if turn != executor.turn:
             # The nodes of its zone have all of it; those of others a part that fades with their number.
-            ours = self.zone_part if executor.zone == self.zone or not self.crossing else self.part ** 2
+            ours = self.zone_part if executor.zone is self.zone or not self.crossing else self.part ** 2
             grant = COLD_PART * bears * ours / self.mean_cost
             saved = executor.owed + grant * max(turn - executor.turn - 1, 0)
             saved = (saved % 1.0 if saved > 0.0 else saved) + grant
@@ -446,14 +460,10 @@
 
     def _lagged(self, now: float, assignment: Assignment) -> None:
         by, executor = now - assignment.sent - assignment.wait, assignment.executor
-        common = self.lag_now(now, executor.zone)
+        zone = executor.zone  # each has its own: one short of executors must not make the others look so too
+        common = zone.lag_now(now)
         executor.lagged(now, by, common)
-        self.lags[executor.zone] = max(common + COMMON_WEIGHT * by, 0.0), now
-
-    def lag_now(self, now: float, zone: int) -> float:
-        """Each zone has its own: one that is short of executors must not make the others look so too."""
-        lag, at = self.lags.get(zone, (0.0, now))
-        return lag * max(1.0 - (now - at) / LAG_FADE, 0.0)
+        zone.lag, zone.lag_at = max(common + COMMON_WEIGHT * by, 0.0), now
 
     def progressed(self, now: float, assignment: Assignment, part: float) -> None:
         assignment.executor.strikes = 0
@@ -485,9 +495,15 @@
 
     def _judge(self, now: float, assignment: Assignment, how: Outcome, took: float) -> None:
         """What an outcome says of its executor."""
-        executor = assignment.executor
+        executor, zone = assignment.executor, assignment.executor.zone
         if how in (Outcome.FINISHED, Outcome.ERROR, Outcome.FULL, Outcome.UNFIT):
             executor.idle += 1  # other ends close the connection
+            zone.missed = 0
+        elif how is Outcome.NO_CONNECTION and zone is not self.zone:
+            # A cut makes a whole zone silent: found out one by one, its executors cost as many connections.
+            zone.missed += 1
+            if zone.missed >= STRIKES:
+                zone.away_until = now + AWAY * (1.0 + self._chance())
         if how is Outcome.FINISHED:
             executor.errors -= FAULTS[Outcome.ERROR] * executor.errors
             executor.strikes, executor.on_trial = 0, False
