--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -41,7 +41,6 @@
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
 MOVES = 0.2            # moves that each new task adds to what may be called off and placed anew
 MOST_MOVES = 3.0       # and the most that add up
-LANE = 2.0
 OVERDUE = 2.0          # times its estimate after which running work counts as slow
 
 
@@ -122,18 +121,18 @@
     """The executors of one zone together, as this node sees them."""
 
     def __init__(self) -> None:
-        self.lag, self.lag_at = [0.0, 0.0], [0.0, 0.0]   # common to those met lately, of either lane
+        self.lag, self.lag_at = 0.0, 0.0                 # common to those met lately
         self.missed, self.away_until = 0, 0.0            # out of reach in a row
 
-    def lag_now(self, now: float, lane: bool) -> float:
-        return self.lag[lane] * max(1.0 - (now - self.lag_at[lane]) / LAG_FADE, 0.0)
+    def lag_now(self, now: float) -> float:
+        return self.lag * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
 
 
 class Executor:
     """A worker as this node sees it."""
 
-    def __init__(self, ref: object, kind: int, zone: Zone, cell: int, speed: float, mark: float):
-        self.ref, self.kind, self.zone, self.cell, self.mark = ref, kind, zone, cell, mark
+    def __init__(self, ref: object, kind: int, zone: Zone, cell: int, speed: float):
+        self.ref, self.kind, self.zone, self.cell = ref, kind, zone, cell
         self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
         self.work, self.held = 0.0, 0.0                  # own outstanding estimates, and the slots they take
         self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
@@ -211,7 +210,7 @@
         self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.mean_cost = self.mean_value = self.near_mean = self.far_mean = 0.0
-        self.moves, self.lane, self.bulk, self.widest = MOST_MOVES, 0.0, 0.0, 1.0
+        self.moves = MOST_MOVES
         if must_ask:
             host.set_timer(now + tick * own_number, lambda *_: host.watch(True), None)
         host.set_timer(now + (own_number + 1) / self.nodes * PROBE_EVERY, self._round, None)
@@ -222,13 +221,13 @@
 
     # -- the list of executors ---------------------------------------------------------------------
 
-    def new_executor(self, ref: object, kind: int, zone: int, cell: int, size: float, mark: float) -> Executor:
+    def new_executor(self, ref: object, kind: int, zone: int, cell: int, size: float) -> Executor:
         """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1. Where
         the list tells sizes it has that many slots until reports show more: without either, one for ever."""
         seen = self.kinds.setdefault(kind, [0.0, 1.0])
         known = [speed for speed, _ in self.kinds.values() if speed] or [1.0]
         place = self.zones.setdefault(zone, Zone())
-        executor = Executor(ref, kind, place, cell, seen[0] or sum(known) / len(known), mark)
+        executor = Executor(ref, kind, place, cell, seen[0] or sum(known) / len(known))
         executor.slots = max(seen[1], round(size) if self.sized else 1.0)
         self.executors.append(executor)
         return executor
@@ -263,11 +262,6 @@
         part = 0.02 if self.mean_cost else 1.0
         self.mean_cost += part * (task.work - self.mean_cost)
         self.mean_value += part * (value - self.mean_value)
-        bulky = task.slots > 1.0
-        self.bulk += part * (task.work * bulky - self.bulk)
-        self.widest = max(self.widest, task.slots)
-        if self.widest > 1.0:
-            self.lane = LANE * self.bulk / (LANE * self.bulk + self.mean_cost - self.bulk)
         if self.beyond_share < 1.0 and 0 <= tenant < len(self.tenants):
             task.beyond = not self.tenants[tenant].within(now, self.part)
         task.value = value * (self.beyond_share if task.beyond else 1.0)
@@ -294,8 +288,7 @@
         near = self.crossing * self.mean_value > task.value and self.near
         side = task.offering.effect is Effect.SIDE_EFFECTING
         ties, own = 0, self.zone
-        commons = {zone: (zone.lag_now(now, False), zone.lag_now(now, True)) for zone in self.zones.values()}
-        bulky, lane = task.slots > 1.0, self.lane
+        commons = {zone: zone.lag_now(now) for zone in self.zones.values()}
         for executor in self._order():
             # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
             load = (0.0 if executor.zone is own else recv) + (0.0 if executor.idle else anew)
@@ -304,10 +297,8 @@
             if executor.zone.away_until > now:
                 continue
             load += executor.work / executor.slots
-            if not bulky and executor.mark < lane:
-                load += 0.5 * cost / executor.speed
             if self.tells_start:  # what others have waiting is not in the own sum
-                load += executor.lag_now(now, commons[executor.zone][executor.mark < lane])
+                load += executor.lag_now(now, commons[executor.zone])
             if best is not None and load > best_load or max(executor.away_until, executor.full_until) > now:
                 continue
             if executor.on_trial and (executor.held or side) or kind >= 0 and executor.kind != kind:
@@ -327,7 +318,7 @@
                 answer = wait + cost / executor.rate()
                 if ties == 1 or answer < best_answer:
                     best, best_load, best_answer = executor, load, answer
-                least = commons[executor.zone][executor.mark < lane] + (0.0 if executor.zone is own else recv)
+                least = commons[executor.zone] + (0.0 if executor.zone is own else recv)
                 if ties >= TIES and load <= least and (executor.zone is not own or load <= recv or not self.far):
                     break
         return best
@@ -353,7 +344,7 @@
         """Seconds until so many slots are free, by own tasks there and what reports tell of others'."""
         others = executor.others if self.reports_count else 0.0
         over = executor.held + others + min(slots, executor.slots) - executor.slots
-        lag = executor.lag_now(now, executor.zone.lag_now(now, executor.mark < self.lane)) if self.tells_start else 0.0
+        lag = executor.lag_now(now, executor.zone.lag_now(now)) if self.tells_start else 0.0
         if over <= 0.0 or not executor.held:
             return lag + max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
         return lag + over * executor.work / (executor.held * executor.slots)
@@ -470,10 +461,9 @@
     def _lagged(self, now: float, assignment: Assignment) -> None:
         by, executor = now - assignment.sent - assignment.wait, assignment.executor
         zone = executor.zone  # each has its own: one short of executors must not make the others look so too
-        lane = executor.mark < self.lane
-        common = zone.lag_now(now, lane)
+        common = zone.lag_now(now)
         executor.lagged(now, by, common)
-        zone.lag[lane], zone.lag_at[lane] = max(common + COMMON_WEIGHT * by, 0.0), now
+        zone.lag, zone.lag_at = max(common + COMMON_WEIGHT * by, 0.0), now
 
     def progressed(self, now: float, assignment: Assignment, part: float) -> None:
         assignment.executor.strikes = 0
--- a/firwalk/wirehost/__main__.py
+++ b/firwalk/wirehost/__main__.py
@@ -7,7 +7,6 @@
 
 import sys
 from struct import error as StructError
-from zlib import crc32
 
 import orjson
 
@@ -112,7 +111,7 @@
         for kind, zone, condition, size, address, came_up, cell in entries:
             executor = known.get(address)
             if executor is None:
-                executor = known[address] = node.new_executor(address, kind, zone, cell, size, crc32(address) / 4294967296.0)
+                executor = known[address] = node.new_executor(address, kind, zone, cell, size)
             named[address] = executor
             node.heard(now, executor, c.CONDITIONS[condition], came_up * MICRO)
         if scope:
