--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -215,7 +215,7 @@
                 self.node.heard(now, executor, Condition.GONE, executor.came_up)
                 self.close_idle(executor)
         self.version = version
-        self.node.list_heard()
+        self.node.list_heard(now)
         self._settle(now)
 
     def forget_version(self) -> None:
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -22,6 +22,7 @@
 COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
 SHARE_WINDOW = 3.0     # seconds of its share that a tenant may use at once
+LEAST_SHARE = 5.0      # tasks that it may use at once anyhow: with a task a second chance rules less
 # Weights in an executor's share of errors. A break may be the connection's, and all executors may have those.
 FAULTS = {Outcome.ERROR: 0.3, Outcome.NO_CONNECTION: 0.3, Outcome.BROKEN: 0.15}
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
@@ -33,8 +34,8 @@
 PROBES_NEAR = 2        # probes for each task and each round, in the own zone
 PROBES_FAR = 1         # and in others
 COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
-LEAST_CHARGE = 0.5     # of a mean task, for each task sent to a cold executor
 HEAVY_PART = 0.15      # part of the pressure a cold executor bears that one task may be
+GOLDEN = 0.6180339887  # spreads the draws of cold executors evenly, whatever their number
 TIES = 4               # executors without own work that are compared with each other
 TRUST = 4.0            # tasks' weight of the trust that hints begin with
 HINT_WEIGHT = 0.01     # of a new hint in their means, at least
@@ -52,7 +53,7 @@
                  stretch: float = 0.0, kind: int = -1):
         self.due, self.expiry, self.importance, self.late = due, expiry, importance, late
         self.effect, self.group, self.remembered = effect, group, remembered
-        self.stretch, self.kind = stretch, kind
+        self.stretch, self.kind, self.most = stretch, kind, 0.0
         self.met, self.log_mean, self.log_spread = 0, 0.0, 0.0      # of the hints that arrived
         self.finished, self.log_hint, self.log_work = 0, 0.0, 0.0   # of the tasks that finished
         self.hint_spread = self.together = TRUST
@@ -83,12 +84,12 @@
     """A customer and its share, in tasks a second over all nodes."""
 
     def __init__(self, quota: float):
-        self.quota, self.tokens, self.at = quota, 1.0, 0.0
+        self.quota, self.tokens, self.at = quota, LEAST_SHARE, 0.0
 
     def within(self, now: float, part: float) -> bool:
         """Whether one more task is inside this node's part of the share, by a bucket of some seconds."""
         rate = self.quota * part
-        self.tokens = min(self.tokens + rate * (now - self.at), max(rate * SHARE_WINDOW, 1.0))
+        self.tokens = min(self.tokens + rate * (now - self.at), max(rate * SHARE_WINDOW, LEAST_SHARE))
         within, self.at = self.tokens >= 1.0, now
         self.tokens -= within
         return within
@@ -107,14 +108,15 @@
 class Task:
     """What a client asked for, until its one final answer and the end of its last assignment."""
 
-    def __init__(self, ref: object, offering: Offering, hint: float, cost: float, slots: float, due: float,
-                 expiry: float):
+    def __init__(self, ref: object, offering: Offering, hint: float, cost: float, slots: float, draw: float,
+                 due: float, expiry: float):
         self.ref, self.offering, self.hint, self.cost = ref, offering, hint, cost
         self.slots, self.work = slots, cost * slots      # slots that it takes for as long as it runs
         self.due, self.expiry = due, expiry
         self.assignments: list[Assignment] = []
         self.still_out, self.open, self.bound = 0, True, False
         self.value, self.beyond = 0.0, False             # beyond: over its tenant's share
+        self.draw = draw                                 # decides which cold executors it may go to
 
 
 class Zone:
@@ -131,7 +133,7 @@
 class Executor:
     """A worker as this node sees it."""
 
-    def __init__(self, ref: object, kind: int, zone: Zone, cell: int, speed: float):
+    def __init__(self, ref: object, kind: int, zone: Zone, cell: int, speed: float, draw: float):
         self.ref, self.kind, self.zone, self.cell = ref, kind, zone, cell
         self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
         self.work, self.held = 0.0, 0.0                  # own outstanding estimates, and the slots they take
@@ -142,7 +144,7 @@
         self.lag, self.lag_at = 0.0, 0.0                 # delay of starts beyond what own work explains
         self.errors, self.strikes = 0.0, 0
         self.away_until, self.full_until, self.on_trial = 0.0, 0.0, False
-        self.turn, self.credit, self.owed = -1, 0.0, 0.0  # while cold: mean tasks for this turn, and later
+        self.draw = draw                                 # by which tasks it is while cold
 
     def learn(self, cost: float, took: float) -> None:
         """Speed as the ratio of smoothed cost to smoothed time, so that light tasks do not rule it."""
@@ -188,20 +190,23 @@
     def __init__(self, host: Host, seed: int, now: float, *, own_number: int, nodes: int, zone: int,
                  offerings: list[Offering], tenants: list[Tenant], tick: float, most: int, copies: bool,
                  may_cancel: bool, may_probe: bool, longest_advice: float, reports: str, tells_start: bool,
-                 must_ask: bool, sized: bool, crossing: float, handshake: float, beyond_share: float,
-                 by_work: bool, cold_from: float, cold_for: float, fall_multiple: float, fall_window: float):
+                 must_ask: bool, sized: bool, marked: bool, crossing: float, handshake: float,
+                 beyond_share: float, by_work: bool, cold_from: float, cold_for: float,
+                 fall_multiple: float, fall_window: float):
         self.host, self.seed, self.counter = host, seed, 0
         self.zones: dict[int, Zone] = {zone: Zone()}
         self.own_number, self.nodes, self.zone = own_number, max(nodes, 1), self.zones[zone]
         self.offerings, self.tenants, self.tick = offerings, tenants, tick
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
-        self.longest_advice, self.tells_start, self.sized = longest_advice, tells_start, sized
+        self.longest_advice, self.tells_start = longest_advice, tells_start
+        self.sized, self.marked = sized, marked
         self.asks = reports == "on_probe" and may_probe
         # Reports that come only with answers are of executors just used and older than starts tell.
         self.reports_count = self.asks or not tells_start
         self.crossing, self.handshake = crossing, handshake
         self.by_work, self.beyond_share = by_work, beyond_share
-        self.part = self.zone_part = 1.0 / self.nodes    # of all traffic, this node's, and of its zone's
+        self.part = 1.0 / self.nodes                     # of all traffic, this node's
+        self.capacity, self.warm_at = 1.0, 0.0           # of all ready executors; when the near ones are warm
         self.cold_from, self.cold_for = cold_from, cold_for
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
@@ -227,7 +232,8 @@
         seen = self.kinds.setdefault(kind, [0.0, 1.0])
         known = [speed for speed, _ in self.kinds.values() if speed] or [1.0]
         place = self.zones.setdefault(zone, Zone())
-        executor = Executor(ref, kind, place, cell, seen[0] or sum(known) / len(known))
+        executor = Executor(ref, kind, place, cell, seen[0] or sum(known) / len(known),
+                            len(self.executors) * GOLDEN % 1.0)
         executor.slots = max(seen[1], round(size) if self.sized else 1.0)
         self.executors.append(executor)
         return executor
@@ -237,12 +243,18 @@
         if condition is Condition.READY and came_up > executor.came_up:
             executor.came_up, executor.cold_until = came_up, came_up + self.cold_for
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
-            executor.turn, executor.credit, executor.owed = -1, 0.0, self.own_number / self.nodes
 
-    def list_heard(self) -> None:
+    def _measure(self, now: float) -> None:
+        """What the ready executors can do together at present."""
+        ready = self.near + self.far
+        self.capacity = sum(e.slots * e.speed * self._warmth(now, e) for e in ready) or 1.0
+        self.warm_at = max((e.cold_until for e in self.near), default=0.0)
+
+    def list_heard(self, now: float) -> None:
         ready = [e for e in self.executors if e.condition is Condition.READY]
         self.near = [e for e in ready if e.zone is self.zone]
         self.far = [e for e in ready if e.zone is not self.zone]
+        self._measure(now)
 
     def list_broken(self, now: float) -> None:
         self.host.set_timer(now + 0.5 + self._chance(), lambda *_: self.host.watch(True), None)
@@ -254,8 +266,11 @@
         kind = self.offerings[offering]
         hint = cost or max(slots, 1.0)
         cost = kind.cost(hint)
-        due = kind.due + kind.stretch * cost - (max(kind.expiry - budget, 0.0) if again else 0.0)
-        task = Task(ref, kind, hint, cost, max(slots, 1.0),
+        # A retry has only what is left of its first try's time. Unmarked, it shows by its smaller budget.
+        kind.most = max(kind.most, budget)
+        gone = max((kind.expiry if self.marked else kind.most) - budget, 0.0)
+        due = kind.due + kind.stretch * cost - (gone if again or not self.marked else 0.0)
+        task = Task(ref, kind, hint, cost, max(slots, 1.0), self._chance(),
                     now + min(due, budget), now + budget)  # its client waits no longer
         value = kind.importance * (task.work if self.by_work else 1.0)
         self.moves = min(self.moves + MOVES, MOST_MOVES)
@@ -271,7 +286,7 @@
         return task
 
     def _place(self, now: float, task: Task) -> None:
-        executor = self._choose(now, task)
+        executor = (not task.assignments and self._turn(now, task)) or self._choose(now, task)
         if (executor is None or not self._send(now, task, executor)) and not task.still_out:
             self._give_up(now, task)  # in a queue it would only make those behind it late too
 
@@ -280,8 +295,9 @@
         among those that can still answer in time."""
         best, best_load, best_answer = None, 0.0, 0.0
         cost, left, kind = task.cost, task.due - now, task.offering.kind
-        # Beyond its tenant's share a task may wait only a part of its slack, or one's crowd makes all late.
-        part = self.beyond_share if task.beyond else 1.0
+        # What earns less for its work than the mean may wait only that part of its slack: cheap tasks of long
+        # slack, and a tenant's crowd beyond its share, made the dear ones late.
+        part = min(task.value * self.mean_cost / (task.work * self.mean_value), 1.0)
         price = max(left, 0.0) * self.mean_value / max(task.value, 1e-9)  # Recv, as time
         recv, anew = price * self.crossing, price * self.handshake
         # A light task earns less than its crossing costs: it stays where its zone has an executor at all.
@@ -307,7 +323,7 @@
                 continue
             speed = executor.speed  # not the rate: a busy executor makes a task wait, it does not run slower
             if executor.cold_until > now:
-                if not self._cold_room(now, executor, task.work):
+                if not self._cold_room(now, executor, task):
                     continue
                 speed *= self._warmth(now, executor)
             wait = self._wait(now, executor, task.slots)
@@ -319,7 +335,7 @@
                 if ties == 1 or answer < best_answer:
                     best, best_load, best_answer = executor, load, answer
                 least = commons[executor.zone] + (0.0 if executor.zone is own else recv)
-                if ties >= TIES and load <= least and (executor.zone is not own or load <= recv or not self.far):
+                if ties >= TIES and load <= min(least, recv if self.far else least):
                     break
         return best
 
@@ -355,26 +371,28 @@
         part = max(now - executor.came_up, 0.0) / max(self.cold_for, 0.001)
         return min(self.cold_from + (1.0 - self.cold_from) * part, 1.0)
 
-    def _cold_room(self, now: float, executor: Executor, cost: float) -> bool:
-        """A cold executor pushed over stays down, and no node sees what the others send it: each keeps to
-        its part of what may be sent in a window. What it does not use is lost; saved up at hundreds of
-        nodes, it would come all at once. Parts of a task make one in some turns, by own number."""
-        turn = int((now - executor.came_up) / self.fall_window + self.own_number / self.nodes)
-        if turn == executor.turn and executor.credit <= 0.0:
-            return False
+    def _cold_room(self, now: float, executor: Executor, task: Task) -> bool:
+        """A cold executor pushed over stays down, and no node sees what the others send it. Each task has one
+        draw: of all tasks of all nodes only its part by present capacity may go there, however tempting it
+        looks. Grants by time lapsed at nodes with a task a second; saved up at hundreds, all came at once."""
         bears = executor.slots * executor.speed * self._warmth(now, executor)
-        bears *= self.fall_multiple * self.fall_window
-        if turn != executor.turn:
-            # The nodes of its zone have all of it; those of others a part that fades with their number.
-            ours = self.zone_part if executor.zone is self.zone or not self.crossing else self.part ** 2
-            grant = COLD_PART * bears * ours / self.mean_cost
-            saved = executor.owed + grant * max(turn - executor.turn - 1, 0)
-            saved = (saved % 1.0 if saved > 0.0 else saved) + grant
-            executor.credit, executor.owed = (saved, 0.0) if saved >= 1.0 else (0.0, saved)
-            executor.turn = turn
+        part = min(COLD_PART * self.fall_multiple, 1.0) * bears / self.capacity
         # No queue at it: what it has not finished may be heavier, or it slower, than it looks.
         free = executor.held + executor.others < executor.slots
-        return free and executor.credit > 0.0 and cost <= HEAVY_PART * bears
+        return (free and (task.draw + executor.draw) % 1.0 < part
+                and task.work <= HEAVY_PART * bears * self.fall_multiple * self.fall_window)
+
+    def _turn(self, now: float, task: Task) -> Executor | None:
+        """A cold executor of the own zone, without own work, that the task's draw allows: left to chance
+        among all that have none, hardly any of the few tasks that may go there would."""
+        for executor in self.near if now < self.warm_at else ():
+            if (executor.cold_until > now and not executor.held and not executor.on_trial
+                    and max(executor.away_until, executor.full_until) <= now
+                    and self._cold_room(now, executor, task)):
+                run = task.cost / (executor.speed * self._warmth(now, executor))
+                if self._wait(now, executor, task.slots) + run <= task.due - now:
+                    return executor
+        return None
 
     # -- the gate that every send passes ---------------------------------------------------------------
 
@@ -403,12 +421,8 @@
             return False  # rule 3: nothing to one that drains or is gone
         if task.assignments and not self._may_repeat(now, task, executor):
             return False  # rule 2: no effect twice
-        if executor.cold_until > now:
-            if not self._cold_room(now, executor, task.work):
-                return False  # rule 4: a cold one is not pushed over
-            executor.credit -= max(task.work / self.mean_cost, LEAST_CHARGE)  # a light hint may be a whale
-            if executor.credit < 0.0:
-                executor.owed, executor.credit = executor.owed + executor.credit, 0.0
+        if executor.cold_until > now and not self._cold_room(now, executor, task):
+            return False  # rule 4: a cold one is not pushed over
         estimate = task.work / executor.rate()
         wait = self._wait(now, executor, task.slots)
         assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
@@ -559,7 +573,7 @@
         ran = any(a.may_have_run and self.host.begun(a) for a in task.assignments)
         effect, group = task.offering.effect, task.offering.group
         if not ran or effect is Effect.IDEMPOTENT or (effect, group) == (Effect.FINGERPRINTED, Group.ALL):
-            wait = min((e.work / e.slots for e in self.near + self.far), default=AWAY)
+            wait = min((self._wait(now, e, task.slots) for e in self.near + self.far), default=AWAY)
             self.host.bounce(task, min(max(wait, self.tick), self.longest_advice))
         else:
             self.host.abandon(task)
@@ -579,7 +593,7 @@
         near_held, near_used, self.near_mean = self._fade(now, self.near, self.near_mean)
         far_held, far_used, self.far_mean = self._fade(now, self.far, self.far_mean)
         self.part = self._part(near_held + far_held, near_used + far_used, self.part)
-        self.zone_part = self._part(near_held, near_used, self.zone_part) if self.crossing else self.part
+        self._measure(now)
         if self.asks:
             self._probe()
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -41,6 +41,7 @@
         reports=settings.get("load-report", {}).get("how", "off"),
         tells_start=bool(settings.get("specifics", {}).get("tells-start", False)),
         must_ask=settings.get("discovery") == "ask",
+        marked=settings.get("clients", {}).get("marks-retry", True),
         sized=settings.get("weights") in ("nominal", "rough"), crossing=prices.get("cross-zone", 0.0),
         handshake=prices.get("handshake", 0.0), beyond_share=settings.get("excess-importance", 1.0),
         by_work=settings.get("importance-by") == "work",
--- a/firwalk/wirehost/__main__.py
+++ b/firwalk/wirehost/__main__.py
@@ -118,7 +118,7 @@
             for address, executor in known.items():
                 if address not in named:
                     node.heard(now, executor, Condition.GONE, executor.came_up)
-        node.list_heard()
+        node.list_heard(now)
 
     def report(self, values):
         return dict(zip(self.names, values, strict=False)) if values else None
