--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -42,16 +42,15 @@
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
 MOVES = 0.2            # moves that each new task adds to what may be called off and placed anew
 MOST_MOVES = 3.0       # and the most that add up
-OVERDUE = 2.0          # times its estimate after which running work counts as slow
 
 
 class Offering:
     """A kind of task: when answers are wanted, what they earn, what a repeat would do."""
 
-    def __init__(self, due: float, expiry: float, *, importance: float = 1.0, late: float = 0.0,
+    def __init__(self, due: float, expiry: float, *, importance: float = 1.0,
                  effect: Effect = Effect.SIDE_EFFECTING, group: Group = Group.CELL, remembered: float = 0.0,
                  stretch: float = 0.0, kind: int = -1):
-        self.due, self.expiry, self.importance, self.late = due, expiry, importance, late
+        self.due, self.expiry, self.importance = due, expiry, importance
         self.effect, self.group, self.remembered = effect, group, remembered
         self.stretch, self.kind, self.most = stretch, kind, 0.0
         self.met, self.log_mean, self.log_spread = 0, 0.0, 0.0      # of the hints that arrived
@@ -124,6 +123,7 @@
 
     def __init__(self) -> None:
         self.lag, self.lag_at = 0.0, 0.0                 # common to those met lately
+        self.mean = 0.0                                  # others' load of a slot, by reports
         self.missed, self.away_until = 0, 0.0            # out of reach in a row
 
     def lag_now(self, now: float) -> float:
@@ -199,14 +199,13 @@
         self.offerings, self.tenants, self.tick = offerings, tenants, tick
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
         self.longest_advice, self.tells_start = longest_advice, tells_start
-        self.sized, self.marked = sized, marked
+        self.sized, self.marked, self.moves = sized, marked, MOST_MOVES
         self.asks = reports == "on_probe" and may_probe
         # Reports that come only with answers are of executors just used and older than starts tell.
         self.reports_count = self.asks or not tells_start
         self.crossing, self.handshake = crossing, handshake
         self.by_work, self.beyond_share = by_work, beyond_share
-        self.part = 1.0 / self.nodes                     # of all traffic, this node's
-        self.capacity, self.warm_at = 1.0, 0.0           # of all ready executors; when the near ones are warm
+        self.part, self.capacity = 1.0 / self.nodes, 1.0  # of all traffic, this node's; of all that are ready
         self.cold_from, self.cold_for = cold_from, cold_for
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
@@ -214,8 +213,7 @@
         self.far: list[Executor] = []
         self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
-        self.mean_cost = self.mean_value = self.near_mean = self.far_mean = 0.0
-        self.moves = MOST_MOVES
+        self.mean_cost = self.mean_value = 0.0
         if must_ask:
             host.set_timer(now + tick * own_number, lambda *_: host.watch(True), None)
         host.set_timer(now + (own_number + 1) / self.nodes * PROBE_EVERY, self._round, None)
@@ -248,7 +246,6 @@
         """What the ready executors can do together at present."""
         ready = self.near + self.far
         self.capacity = sum(e.slots * e.speed * self._warmth(now, e) for e in ready) or 1.0
-        self.warm_at = max((e.cold_until for e in self.near), default=0.0)
 
     def list_heard(self, now: float) -> None:
         ready = [e for e in self.executors if e.condition is Condition.READY]
@@ -286,18 +283,21 @@
         return task
 
     def _place(self, now: float, task: Task) -> None:
-        executor = (not task.assignments and self._turn(now, task)) or self._choose(now, task)
+        # Left to chance among all without own work, hardly a task that may go to a cold one would.
+        turns = [e for e in self.near if e.cold_until > now and not e.held and self._cold_room(now, e, task)]
+        executor = turns and self._choose(now, task, turns) or self._choose(now, task, self._order())
         if (executor is None or not self._send(now, task, executor)) and not task.still_out:
             self._give_up(now, task)  # in a queue it would only make those behind it late too
 
-    def _choose(self, now: float, task: Task, idle: bool = False, instead: bool = False) -> Executor | None:
+    def _choose(self, now: float, task: Task, among: list[Executor],
+                instead: bool = False) -> Executor | None:
         """The ordinary path: least own outstanding estimated work, plus what it takes to reach it (Recv),
         among those that can still answer in time."""
         best, best_load, best_answer = None, 0.0, 0.0
         cost, left, kind = task.cost, task.due - now, task.offering.kind
         # What earns less for its work than the mean may wait only that part of its slack: cheap tasks of long
         # slack, and a tenant's crowd beyond its share, made the dear ones late.
-        part = min(task.value * self.mean_cost / (task.work * self.mean_value), 1.0)
+        part = min(task.value * self.mean_cost / (task.work * self.mean_value), 1.0) ** 2
         price = max(left, 0.0) * self.mean_value / max(task.value, 1e-9)  # Recv, as time
         recv, anew = price * self.crossing, price * self.handshake
         # A light task earns less than its crossing costs: it stays where its zone has an executor at all.
@@ -305,17 +305,16 @@
         side = task.offering.effect is Effect.SIDE_EFFECTING
         ties, own = 0, self.zone
         commons = {zone: zone.lag_now(now) for zone in self.zones.values()}
-        for executor in self._order():
+        for executor in among:
             # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
             load = (0.0 if executor.zone is own else recv) + (0.0 if executor.idle else anew)
             if best is not None and load > best_load or near and executor.zone is not own:
                 continue
-            if executor.zone.away_until > now:
-                continue
             load += executor.work / executor.slots
             if self.tells_start:  # what others have waiting is not in the own sum
                 load += executor.lag_now(now, commons[executor.zone])
-            if best is not None and load > best_load or max(executor.away_until, executor.full_until) > now:
+            away = max(executor.away_until, executor.full_until, executor.zone.away_until)
+            if best is not None and load > best_load or away > now:
                 continue
             if executor.on_trial and (executor.held or side) or kind >= 0 and executor.kind != kind:
                 continue
@@ -327,7 +326,7 @@
                     continue
                 speed *= self._warmth(now, executor)
             wait = self._wait(now, executor, task.slots)
-            if wait <= (left - cost / speed) * part and not (idle and wait):
+            if wait <= (left - cost / speed) * part:
                 # A node with a few tasks a second has nothing outstanding mostly. If each of hundreds gave
                 # its ties to the fastest executor, that one would drown: a few by chance are compared.
                 ties = ties + 1 if best is not None and load == best_load else 1
@@ -382,18 +381,6 @@
         return (free and (task.draw + executor.draw) % 1.0 < part
                 and task.work <= HEAVY_PART * bears * self.fall_multiple * self.fall_window)
 
-    def _turn(self, now: float, task: Task) -> Executor | None:
-        """A cold executor of the own zone, without own work, that the task's draw allows: left to chance
-        among all that have none, hardly any of the few tasks that may go there would."""
-        for executor in self.near if now < self.warm_at else ():
-            if (executor.cold_until > now and not executor.held and not executor.on_trial
-                    and max(executor.away_until, executor.full_until) <= now
-                    and self._cold_room(now, executor, task)):
-                run = task.cost / (executor.speed * self._warmth(now, executor))
-                if self._wait(now, executor, task.slots) + run <= task.due - now:
-                    return executor
-        return None
-
     # -- the gate that every send passes ---------------------------------------------------------------
 
     def _may_repeat(self, now: float, task: Task, executor: Executor, instead: bool = False) -> bool:
@@ -432,8 +419,8 @@
         executor.idle = max(executor.idle - 1, 0)
         self.host.send(task, executor, 0.0)
         patience = max(task.due - now - task.cost / executor.speed, 0.0)
-        run = task.cost / executor.rate()
-        patience = patience / 2 if self.tells_start else max(patience, wait + OVERDUE * run)
+        if self.tells_start:  # a move by cancel may come sooner than one by a copy, which adds to the load
+            patience /= 2 if self.copies else 3
         self.host.set_timer(now + max(patience, 2 * self.tick), self._overdue, assignment)
         return True
 
@@ -448,19 +435,19 @@
             self._lagged(now, assignment)
         if now - assignment.sent > assignment.wait + task.cost / executor.rate():
             executor.strikes += self.tells_start or not self.may_probe
-            if executor.strikes >= STRIKES or executor.on_trial:
+            if executor.strikes >= (STRIKES if self.reports_count else 1) or executor.on_trial:
                 self._set_aside(now, executor)
         # Without second copies it is called off first, and placed anew when that is confirmed.
         # Where a cancel stops nothing each move adds to the load: unbounded, a burst's queues never ended.
         first = not self.copies and self.tells_start and self.may_cancel and self.moves >= 1.0
-        other = self._choose(now, task, idle=not self.tells_start, instead=first) if task.open else None
+        other = self._choose(now, task, self._order(), first) if task.open else None
         if other is not None and first:
             self.moves -= 1.0
             self.host.cancel(assignment)
         elif other is not None and self._send(now, task, other):
             if self.tells_start and self.may_cancel:
                 self.host.cancel(assignment)
-        elif task.open and self.tells_start and not task.offering.late and task.still_out == 1:
+        elif task.open and self.tells_start and task.still_out == 1:
             # Waiting work that can only end late and for nothing makes all behind it late as well.
             left = task.due - now - task.cost / executor.speed
             if left > self.tick:
@@ -590,33 +577,24 @@
                 self._set_aside(now, executor)
 
     def _round(self, now: float, _: None) -> None:
-        near_held, near_used, self.near_mean = self._fade(now, self.near, self.near_mean)
-        far_held, far_used, self.far_mean = self._fade(now, self.far, self.far_mean)
-        self.part = self._part(near_held + far_held, near_used + far_used, self.part)
+        """Without news others' load fades to the mean of its zone: an old report of free slots still believed
+        draws the tasks of hundreds of nodes, an old queue keeps them away for ever."""
+        held = used = 0.0
+        sums = {zone: [0.0, 0.0] for zone in self.zones.values()}
+        for executor in self.near + self.far:
+            held, used, zone = held + executor.held_mean, used + executor.used_mean, sums[executor.zone]
+            if executor.cold_until < now:  # the empty slots of cold ones would make full ones look free
+                zone[0], zone[1] = zone[0] + executor.others, zone[1] + executor.slots
+            if executor.reported_at < now - PROBE_EVERY:
+                executor.others += STALE * (executor.zone.mean * executor.slots - executor.others)
+        for zone, (others, slots) in sums.items():
+            zone.mean = others / slots if slots else 0.0
+        if used > 1.0:  # this node's part of the work, as the reports show it
+            self.part += PART_WEIGHT * (min(max(held / used, 0.5 / self.nodes), 1.0) - self.part)
         self._measure(now)
         if self.asks:
             self._probe()
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
-    def _fade(self, now: float, among: list[Executor], mean: float) -> tuple[float, float, float]:
-        """Without news others' load fades to the mean: an old report of free slots still believed draws the
-        tasks of hundreds of nodes, an old queue keeps them away for ever. Tells held, used and the mean."""
-        held = used = slots = others = 0.0
-        old = now - PROBE_EVERY
-        for executor in among:
-            held += executor.held_mean
-            used += executor.used_mean
-            if executor.cold_until < now:  # the empty slots of cold ones would make full ones look free
-                slots += executor.slots
-                others += executor.others
-            if executor.reported_at < old:
-                executor.others += STALE * (mean * executor.slots - executor.others)
-        return held, used, others / slots if slots else 0.0
-
-    def _part(self, held: float, used: float, before: float) -> float:
-        """This node's part of the work at some executors, as their reports show it."""
-        part = min(max(held / used, 0.5 / self.nodes), 1.0) if used > 1.0 else before
-        return before + PART_WEIGHT * (part - before)
-
     def peer_said(self, now: float, peer: int, content: bytes) -> None:
         """Peers' messages are not used: each node can keep the rules and judge executors alone."""
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -18,7 +18,7 @@
     return [
         Offering(
             o.get("due-time-us", o.get("expiry-us", 0)) * MICRO, o.get("expiry-us", 0) * MICRO,
-            importance=o.get("importance", 1.0), late=o.get("late-importance", 0.0),
+            importance=o.get("importance", 1.0),
             effect=EFFECTS.get(o.get("repeat"), Effect.SIDE_EFFECTING),
             group=GROUPS.get(o.get("group"), Group.CELL), remembered=o.get("key-ttl-us", 0) * MICRO,
             stretch=o.get("aim-stretch", stretch[i] if i < len(stretch) else 0.0),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -113,8 +113,8 @@
         assert text == path.read_text()
 
 
-def offering(effect=Effect.IDEMPOTENT, group=Group.ALL, due=0.5, expiry=5.0, late=0.0, remembered=3.0):
-    return Offering(due, expiry, importance=5.0, late=late, effect=effect, group=group, remembered=remembered,
+def offering(effect=Effect.IDEMPOTENT, group=Group.ALL, due=0.5, expiry=5.0, remembered=3.0):
+    return Offering(due, expiry, importance=5.0, effect=effect, group=group, remembered=remembered,
                     stretch=2.0)
 
 
