--- a/firwalk/__main__.py
+++ b/firwalk/__main__.py
@@ -8,42 +8,30 @@
 import signal
 import sys
 
-import orjson
 import uvloop
 
 from firwalk.log import say
 from firwalk.net.service import Service
-
-
-def _config(path: str) -> dict:
-    with open(path, "rb") as file:
-        config = orjson.loads(file.read())
-    if not isinstance(config, dict) or not isinstance(config.get("settings"), dict):
-        raise ValueError("no settings in it")
-    return config
-
-
-def _told(problem: Exception) -> str:
-    return f"{type(problem).__name__}: {' '.join(str(problem).split())}"
+from firwalk.settings import load, told
 
 
 def _reload(service: Service, path: str) -> None:
     try:
-        service.reload(_config(path))
+        service.reload(load(path))
     except Exception as problem:  # a bad file must not end a node that serves
-        say(f"all stays as it was: cannot use {path}: {_told(problem)}")
+        say(f"all stays as it was: cannot use {path}: {told(problem)}")
 
 
 async def _run(path: str) -> int:
     loop = asyncio.get_running_loop()
     try:
-        service = Service(_config(path))
+        service = Service(load(path))
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, service.ending.set)
         loop.add_signal_handler(signal.SIGHUP, _reload, service, path)
         await service.open()
     except Exception as problem:  # whatever is wrong with it, operators want one plain line
-        print(f"firwalk: cannot start with {path}: {_told(problem)}", file=sys.stderr)
+        print(f"firwalk: cannot start with {path}: {told(problem)}", file=sys.stderr)
         return 2
     gc.collect()
     gc.freeze()
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -27,6 +27,7 @@
 FAULTS = {Outcome.ERROR: 0.3, Outcome.NO_CONNECTION: 0.3, Outcome.BROKEN: 0.15}
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
 STRIKES = 2            # signs of silence in a row that set an executor aside
+MISSED = 3             # different executors of a zone out of reach in a row, with which all of it is
 AWAY = 3.0             # seconds an executor is set aside, plus up to as long again by chance
 MOST_AWAY = 0.34       # share of the ready executors that may be set aside at once
 PROBE_EVERY = 1.0      # seconds between rounds of probes
@@ -111,11 +112,10 @@
                  due: float, expiry: float):
         self.ref, self.offering, self.hint, self.cost = ref, offering, hint, cost
         self.slots, self.work = slots, cost * slots      # slots that it takes for as long as it runs
-        self.due, self.expiry = due, expiry
+        self.due, self.expiry, self.draw = due, expiry, draw  # its draw: which cold executors it may go to
         self.assignments: list[Assignment] = []
         self.still_out, self.open, self.bound = 0, True, False
         self.value, self.beyond = 0.0, False             # beyond: over its tenant's share
-        self.draw = draw                                 # decides which cold executors it may go to
 
 
 class Zone:
@@ -124,7 +124,7 @@
     def __init__(self) -> None:
         self.lag, self.lag_at = 0.0, 0.0                 # common to those met lately
         self.mean = 0.0                                  # others' load of a slot, by reports
-        self.missed, self.away_until = 0, 0.0            # out of reach in a row
+        self.missed, self.away_until = [], 0.0           # those out of reach since one was not
 
     def lag_now(self, now: float) -> float:
         return self.lag * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
@@ -499,11 +499,11 @@
         executor, zone = assignment.executor, assignment.executor.zone
         if how in (Outcome.FINISHED, Outcome.ERROR, Outcome.FULL, Outcome.UNFIT):
             executor.idle += 1  # other ends close the connection
-            zone.missed = 0
+            zone.missed.clear()
         elif how is Outcome.NO_CONNECTION and zone is not self.zone:
             # A cut makes a whole zone silent: found out one by one, its executors cost as many connections.
-            zone.missed += 1
-            if zone.missed >= STRIKES:
+            zone.missed += [executor] if executor not in zone.missed else []
+            if len(zone.missed) >= MISSED:
                 zone.away_until = now + AWAY * (1.0 + self._chance())
         if how is Outcome.FINISHED:
             executor.errors -= FAULTS[Outcome.ERROR] * executor.errors
