Many nodes' probes keep to few executors each, over connections that are open

No connect timed out and none was broken, so neither the network nor dead executors explain it: 1900 to 2700 connections stood open at once, 40 x 60 being 2400. At fault: Node._probe asked whoever was next in turn, Executors._probe opened a connection for it. Change: past 10 nodes an executor without an open connection is asked only while the node has met fewer than (10 / nodes)^2 of them; up to 10 nodes nothing changes.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -1,10 +1,9 @@
 """firwalk's decisions: which executor gets a task, when to try again, and when to give it up.
 
 How to call it: make one `Node` with a host and the settings; then call one method for each thing that
-happens (`task_arrived`, `started`, `ended`, `probed`, `heard`, ...), with the time in seconds first. It
-acts only through the host it was given; that interface and all enums are in `firwalk/host.py`. Timers come
-back as calls of the function that was handed to `Host.set_timer`. `Executor.ref` and `Task.ref` are the
-host's own handles and mean nothing here. The design and each departure from it: `docs/design.md`.
+happens (`task_arrived`, `started`, `ended`, `probed`, `heard`, ...), with the time in seconds first. It acts
+only through its host; that interface and all enums are in `firwalk/host.py`. Timers come back as calls of
+the function that was set. `Executor.ref` and `Task.ref` are the host's own. Departures: `docs/design.md`.
 """
 from __future__ import annotations
 
@@ -34,6 +33,7 @@
 PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
 PROBES_NEAR = 2        # probes for each task and each round, in the own zone
 PROBES_FAR = 1         # and in others
+PROBE_NODES = 10       # of so many, all open connections to all executors for probes alone
 COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
 HEAVY_PART = 0.15      # part of the pressure a cold executor bears that one task may be
 GOLDEN = 0.6180339887  # spreads the draws of cold executors evenly, whatever their number
@@ -138,8 +138,7 @@
         self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
         self.work, self.held = 0.0, 0.0                  # own outstanding estimates, and the slots they take
         self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
-        self.slots, self.others = 1.0, 0.0
-        self.idle = 0                                    # connections to it that should be open and free
+        self.slots, self.others, self.idle = 1.0, 0.0, 0  # idle: connections that should be open and free
         self.used_mean, self.held_mean, self.reported_at = 0.0, 0.0, 0.0
         self.lag, self.lag_at = 0.0, 0.0                 # delay of starts beyond what own work explains
         self.errors, self.strikes = 0.0, 0
@@ -167,8 +166,7 @@
             return
         used = held if held is not None else self.slots - free if busy is None else busy * self.slots
         # Smoothed alike, own tasks just ended do not pass for others'; with little own traffic, soon.
-        gap = now - self.reported_at
-        weight = gap / (gap + REPORT_AGE * part)
+        weight = (now - self.reported_at) / (now - self.reported_at + REPORT_AGE * part)
         self.used_mean += weight * (used - self.used_mean)
         self.held_mean += weight * (self.held - self.held_mean)
         self.reported_at = now
@@ -180,8 +178,7 @@
 
     def lag_now(self, now: float, common: float) -> float:
         """Without news it fades to the common one: when all are late, moving tasks to those only churns."""
-        fresh = 1.0 - (now - self.lag_at) / LAG_FADE
-        return common + (self.lag - common) * fresh if fresh > 0.0 else common
+        return common + (self.lag - common) * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
 
 
 class Node:
@@ -203,14 +200,12 @@
         self.asks = reports == "on_probe" and may_probe
         # Reports that come only with answers are of executors just used and older than starts tell.
         self.reports_count = self.asks or not tells_start
-        self.crossing, self.handshake = crossing, handshake
-        self.by_work, self.beyond_share = by_work, beyond_share
+        self.crossing, self.handshake, self.by_work = crossing, handshake, by_work
         self.part, self.capacity = 1.0 / self.nodes, 1.0  # of all traffic, this node's; of all that are ready
-        self.cold_from, self.cold_for = cold_from, cold_for
+        self.cold_from, self.cold_for, self.beyond_share = cold_from, cold_for, beyond_share
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
         self.executors: list[Executor] = []
-        self.near: list[Executor] = []                   # those ready in the own zone
-        self.far: list[Executor] = []
+        self.near, self.far = [], []                     # those ready in the own zone, and in others
         self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.mean_cost = self.mean_value = 0.0
@@ -229,9 +224,8 @@
         the list tells sizes it has that many slots until reports show more: without either, one for ever."""
         seen = self.kinds.setdefault(kind, [0.0, 1.0])
         known = [speed for speed, _ in self.kinds.values() if speed] or [1.0]
-        place = self.zones.setdefault(zone, Zone())
-        executor = Executor(ref, kind, place, cell, seen[0] or sum(known) / len(known),
-                            len(self.executors) * GOLDEN % 1.0)
+        executor = Executor(ref, kind, self.zones.setdefault(zone, Zone()), cell,
+                            seen[0] or sum(known) / len(known), len(self.executors) * GOLDEN % 1.0)
         executor.slots = max(seen[1], round(size) if self.sized else 1.0)
         self.executors.append(executor)
         return executor
@@ -244,8 +238,7 @@
 
     def _measure(self, now: float) -> None:
         """What the ready executors can do together at present."""
-        ready = self.near + self.far
-        self.capacity = sum(e.slots * e.speed * self._warmth(now, e) for e in ready) or 1.0
+        self.capacity = sum(e.slots * e.speed * self._warmth(now, e) for e in self.near + self.far) or 1.0
 
     def list_heard(self, now: float) -> None:
         ready = [e for e in self.executors if e.condition is Condition.READY]
@@ -347,13 +340,21 @@
         return near[:i][::-1] + near[i:][::-1] + far[:j][::-1] + far[j:][::-1]
 
     def _probe(self) -> None:
-        """As many as tasks pay for: in a large fleet, probes of all would take a node all its time."""
-        near, far = min(PROBES_NEAR, len(self.near)), min(PROBES_FAR, len(self.far))
-        for n in range(near):
-            self.host.probe(self.near[(self.near_at + n) % len(self.near)])
-        for n in range(far):
-            self.host.probe(self.far[(self.far_at + n) % len(self.far)])
-        self.near_at, self.far_at = self.near_at + near, self.far_at + far
+        """As many as tasks pay for: in a large fleet, probes of all would take a node all its time. A place
+        at an executor serves each node less the more share it: opened by all, none were left for tasks."""
+        self.near_at = self._ask_some(self.near, self.near_at, PROBES_NEAR)
+        self.far_at = self._ask_some(self.far, self.far_at, PROBES_FAR)
+
+    def _ask_some(self, among: list[Executor], at: int, most: int) -> int:
+        new = min(PROBE_NODES / self.nodes, 1.0) ** 2 * len(among) - sum(e.idle + e.held > 0 for e in among)
+        for executor in among[at % (len(among) or 1):] + among[:at % (len(among) or 1)]:
+            if most <= 0:
+                break
+            if executor.idle or new >= 1.0:
+                new, most = new - (not executor.idle), most - 1
+                self.host.probe(executor)
+            at += 1
+        return at
 
     def _wait(self, now: float, executor: Executor, slots: float) -> float:
         """Seconds until so many slots are free, by own tasks there and what reports tell of others'."""
@@ -531,9 +532,8 @@
     def _set_aside(self, now: float, executor: Executor, unreachable: bool = False) -> None:
         """Keep tasks from a bad executor for a while, but not from so many that the rest tip over, unless
         they cannot be reached anyway."""
-        ready = self.near + self.far
-        away = sum(e.away_until > now for e in ready)
-        if executor.away_until > now or (away + 1 > MOST_AWAY * len(ready) and not unreachable):
+        away = [e.away_until > now for e in self.near + self.far]
+        if executor.away_until > now or (sum(away) + 1 > MOST_AWAY * len(away) and not unreachable):
             return
         executor.away_until = now + AWAY * (1.0 + self._chance())
         executor.on_trial, executor.strikes, executor.errors = True, 0, 0.0
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -251,6 +251,23 @@
     assert len({line.split()[-1] for line in f.lines}) == 4
 
 
+def test_many_nodes_open_few_connections_for_probes_alone():
+    """Executors hold few: with all nodes' probes opening theirs, tasks found no place, and a connection that
+    was turned away set a good executor aside."""
+    f = Fake(nodes=40)
+    f.quiet = False
+    f.hear(*(f"e{n}" for n in range(60)))
+    for second in range(20):
+        f.until(second + 0.5)
+        for line in f.lines:  # its connection stays open
+            f.node.idle_now(f.executors[line.split()[-1]], 1)
+    met = {line.split()[-1] for line in f.lines}
+    assert 0 < len(met) <= 60 * (10 / 40) ** 2
+    f.lines.clear()
+    f.until(30.5)
+    assert {line.split()[-1] for line in f.lines} == met  # and those are asked on
+
+
 def test_a_copy_leaves_the_first_assignment_running():
     f = Fake(offerings=[offering(due=5.0, expiry=9.0)], tells_start=False, may_probe=False)
     f.hear("A", "B")
