List calls of many nodes are spread over the fleet and repeated ever more seldom

Seen (lists told, calls and their ends over all nodes): all 40 nodes call within 0.2 s. 16 get their list, the last of these 1.9 s late, at a pace of one call in 0.12 s. Hence the service works off also what it has given up. After the restart of 28 nodes most have the list from before the release, by whose end all of its executors are gone: up to 56 of 60 are set aside at a node, and half of the tasks bounced. Ruled out: the service being down (watches that stood got their changes), and this node's own limit of 3 s (the service ends the calls at 2 s). At fault: Node.__init__ and Node.list_broken time the calls as if the node were alone. Change: past 10 nodes, 0.1 s between the first calls of two nodes, and repeats after that long times the calls missed, bounded by the time in which the settings want a node to ask. A call waits for its turn 0.1 s longer for each node.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -33,6 +33,8 @@
 PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
 PROBES_NEAR = 2        # probes for each task and each round, in the own zone
 PROBES_FAR = 1         # and in others
+CALLERS = 10           # nodes that call for lists as they like
+CALL_GAP = 0.1         # seconds between the calls of more
 PROBE_NODES = 10       # of so many, all open connections to all executors for probes alone
 COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
 HEAVY_PART = 0.15      # part of the pressure a cold executor bears that one task may be
@@ -114,16 +116,14 @@
         self.slots, self.work = slots, cost * slots      # slots that it takes for as long as it runs
         self.due, self.expiry, self.draw = due, expiry, draw  # its draw: which cold executors it may go to
         self.assignments: list[Assignment] = []
-        self.still_out, self.open, self.bound = 0, True, False
-        self.value, self.beyond = 0.0, False             # beyond: over its tenant's share
+        self.still_out, self.open, self.bound, self.value = 0, True, False, 0.0
 
 
 class Zone:
     """The executors of one zone together, as this node sees them."""
 
     def __init__(self) -> None:
-        self.lag, self.lag_at = 0.0, 0.0                 # common to those met lately
-        self.mean = 0.0                                  # others' load of a slot, by reports
+        self.lag, self.lag_at, self.mean = 0.0, 0.0, 0.0  # of those met lately; others' load of a slot
         self.missed, self.away_until = [], 0.0           # those out of reach since one was not
 
     def lag_now(self, now: float) -> float:
@@ -135,15 +135,14 @@
 
     def __init__(self, ref: object, kind: int, zone: Zone, cell: int, speed: float, draw: float):
         self.ref, self.kind, self.zone, self.cell = ref, kind, zone, cell
+        self.draw = draw                                 # by which tasks it is while cold
         self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
         self.work, self.held = 0.0, 0.0                  # own outstanding estimates, and the slots they take
         self.speed, self.cost_mean, self.time_mean = speed, 0.0, 0.0
         self.slots, self.others, self.idle = 1.0, 0.0, 0  # idle: connections that should be open and free
         self.used_mean, self.held_mean, self.reported_at = 0.0, 0.0, 0.0
-        self.lag, self.lag_at = 0.0, 0.0                 # delay of starts beyond what own work explains
-        self.errors, self.strikes = 0.0, 0
+        self.lag, self.lag_at, self.errors, self.strikes = 0.0, 0.0, 0.0, 0  # lag: of starts, unexplained
         self.away_until, self.full_until, self.on_trial = 0.0, 0.0, False
-        self.draw = draw                                 # by which tasks it is while cold
 
     def learn(self, cost: float, took: float) -> None:
         """Speed as the ratio of smoothed cost to smoothed time, so that light tasks do not rule it."""
@@ -158,7 +157,7 @@
 
     def report(self, now: float, values: dict[str, float], part: float) -> None:
         """The load of others only: own work, in the sum already, would count twice (the paper's word)."""
-        held, free, busy = values.get("held"), values.get("free_slots"), values.get("busy")
+        held, free, busy = (values.get(word) for word in ("held", "free_slots", "busy"))
         if free is not None:
             # Free slots beside a long queue (a wide task waits at its head) must not pass for more slots.
             self.slots = max(self.slots, round(free), round(held + free) if held and held <= free else 1.0)
@@ -188,11 +187,11 @@
                  offerings: list[Offering], tenants: list[Tenant], tick: float, most: int, copies: bool,
                  may_cancel: bool, may_probe: bool, longest_advice: float, reports: str, tells_start: bool,
                  must_ask: bool, sized: bool, marked: bool, crossing: float, handshake: float,
-                 beyond_share: float, by_work: bool, cold_from: float, cold_for: float,
-                 fall_multiple: float, fall_window: float):
-        self.host, self.seed, self.counter = host, seed, 0
-        self.zones: dict[int, Zone] = {zone: Zone()}
-        self.own_number, self.nodes, self.zone = own_number, max(nodes, 1), self.zones[zone]
+                 beyond_share: float, by_work: bool, cold_from: float, cold_for: float, fall_multiple: float,
+                 fall_window: float, ask_within: float):
+        self.host, self.seed, self.counter, self.nodes = host, seed, 0, max(nodes, 1)
+        self.zone = Zone()
+        self.zones = {zone: self.zone}
         self.offerings, self.tenants, self.tick = offerings, tenants, tick
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
         self.longest_advice, self.tells_start = longest_advice, tells_start
@@ -204,13 +203,14 @@
         self.part, self.capacity = 1.0 / self.nodes, 1.0  # of all traffic, this node's; of all that are ready
         self.cold_from, self.cold_for, self.beyond_share = cold_from, cold_for, beyond_share
         self.fall_multiple, self.fall_window = fall_multiple, fall_window
-        self.executors: list[Executor] = []
-        self.near, self.far = [], []                     # those ready in the own zone, and in others
+        self.executors, self.near, self.far = [], [], []  # all; those ready in the own zone; and in others
         self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
-        self.mean_cost = self.mean_value = 0.0
+        self.mean_cost, self.mean_value, self.misses, self.ask_within = 0.0, 0.0, 0, ask_within
+        self.pace = min(max(self.nodes - CALLERS, 0) * CALL_GAP, ask_within / 3)  # of all nodes' list calls
         if must_ask:
-            host.set_timer(now + tick * own_number, lambda *_: host.watch(True), None)
+            at = now + (tick + self.pace / self.nodes) * own_number
+            host.set_timer(at, lambda *_: host.watch(True), None)
         host.set_timer(now + (own_number + 1) / self.nodes * PROBE_EVERY, self._round, None)
 
     def _chance(self) -> float:
@@ -224,8 +224,8 @@
         the list tells sizes it has that many slots until reports show more: without either, one for ever."""
         seen = self.kinds.setdefault(kind, [0.0, 1.0])
         known = [speed for speed, _ in self.kinds.values() if speed] or [1.0]
-        executor = Executor(ref, kind, self.zones.setdefault(zone, Zone()), cell,
-                            seen[0] or sum(known) / len(known), len(self.executors) * GOLDEN % 1.0)
+        speed, draw = seen[0] or sum(known) / len(known), len(self.executors) * GOLDEN % 1.0
+        executor = Executor(ref, kind, self.zones.setdefault(zone, Zone()), cell, speed, draw)
         executor.slots = max(seen[1], round(size) if self.sized else 1.0)
         self.executors.append(executor)
         return executor
@@ -241,13 +241,17 @@
         self.capacity = sum(e.slots * e.speed * self._warmth(now, e) for e in self.near + self.far) or 1.0
 
     def list_heard(self, now: float) -> None:
-        ready = [e for e in self.executors if e.condition is Condition.READY]
+        self.misses, ready = 0, [e for e in self.executors if e.condition is Condition.READY]
         self.near = [e for e in ready if e.zone is self.zone]
         self.far = [e for e in ready if e.zone is not self.zone]
         self._measure(now)
 
     def list_broken(self, now: float) -> None:
-        self.host.set_timer(now + 0.5 + self._chance(), lambda *_: self.host.watch(True), None)
+        """The list's service works off all calls in turn, even those that it cannot answer in time any more:
+        asked again by many nodes at the pace of one, it never came to an end of them."""
+        self.misses += 1
+        wait = (0.5 + self._chance()) * min(1.0 + self.pace * self.misses, max(self.ask_within / 2, 1.0))
+        self.host.set_timer(now + wait, lambda *_: self.host.watch(True), None)
 
     # -- a task's life -------------------------------------------------------------------------------
 
@@ -267,9 +271,9 @@
         part = 0.02 if self.mean_cost else 1.0
         self.mean_cost += part * (task.work - self.mean_cost)
         self.mean_value += part * (value - self.mean_value)
-        if self.beyond_share < 1.0 and 0 <= tenant < len(self.tenants):
-            task.beyond = not self.tenants[tenant].within(now, self.part)
-        task.value = value * (self.beyond_share if task.beyond else 1.0)
+        beyond = (self.beyond_share < 1.0 and 0 <= tenant < len(self.tenants)
+                  and not self.tenants[tenant].within(now, self.part))
+        task.value = value * (self.beyond_share if beyond else 1.0)
         self._place(now, task)
         if self.asks:
             self._probe()  # for the next task; before the choice, those without an answer yet would be first
@@ -320,8 +324,7 @@
                 speed *= self._warmth(now, executor)
             wait = self._wait(now, executor, task.slots)
             if wait <= (left - cost / speed) * part:
-                # A node with a few tasks a second has nothing outstanding mostly. If each of hundreds gave
-                # its ties to the fastest executor, that one would drown: a few by chance are compared.
+                # A node's sums are zero mostly. Of hundreds each one's ties, given to the fastest, drown it.
                 ties = ties + 1 if best is not None and load == best_load else 1
                 answer = wait + cost / executor.rate()
                 if ties == 1 or answer < best_answer:
@@ -487,7 +490,7 @@
         if report:
             executor.report(now, report, self.part)
         if complete:
-            self._close(task)
+            self.withdrawn(now, task)
         elif now >= task.expiry or task.bound:
             self._give_up(now, task)
         elif task.open and (not task.still_out or how is not Outcome.CANCELLED):
@@ -541,10 +544,7 @@
     # -- the end of a task -----------------------------------------------------------------------------
 
     def withdrawn(self, now: float, task: Task) -> None:
-        """The client left: nothing is owed, and what still waits for a slot need not run."""
-        self._close(task)
-
-    def _close(self, task: Task) -> None:
+        """The client left, or has its answer: nothing is owed, and what waits for a slot need not run."""
         if task.open:
             task.open = False
             for assignment in task.assignments if self.may_cancel else ():
@@ -555,7 +555,7 @@
         """The one place of final answers: a bounce where a retry is sure to be harmless, else abandoned."""
         if not task.open:
             return
-        self._close(task)
+        self.withdrawn(now, task)
         self.moves = 0.0  # where tasks are turned away there is no room that moves could find
         ran = any(a.may_have_run and self.host.begun(a) for a in task.assignments)
         effect, group = task.offering.effect, task.offering.group
--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -17,6 +17,7 @@
 SILENCE = 4.5          # seconds without a line (one comes every two) after which a watch has ended
 LIFECYCLES = {"active": Condition.READY, "leaving": Condition.DRAINING, "left": Condition.GONE}
 CALL_TIME = 3.0        # seconds in which a call must begin to be answered: calls wait in turn
+TURN = 0.1             # and as many more for each node that may be before it: asked anew it would wait again
 
 
 def size(weight: object) -> float:
@@ -46,8 +47,9 @@
 
 
 class Discovery:
-    def __init__(self, desk: Desk, buffers: Buffers, address: tuple[str, int]):
+    def __init__(self, desk: Desk, buffers: Buffers, address: tuple[str, int], nodes: int = 1):
         self.desk, self.buffers, self.address = desk, buffers, address
+        self.call_time = CALL_TIME + TURN * nodes
         self.watching: asyncio.Task | None = None
         self.asking: asyncio.Task | None = None
         self.left: asyncio.Task | None = None    # the watch of the service before, until the new one tells
@@ -111,10 +113,10 @@
             async with asyncio.timeout(CONNECT_TIME):
                 await loop.sock_connect(sock, address)
             parser = http.Answers(told.began, told.line, told.ended)
-            async with asyncio.timeout(CALL_TIME):
+            async with asyncio.timeout(self.call_time):
                 await loop.sock_sendall(sock, http.ask(b"GET", target, [host_header(address)]))
             while not told.over:
-                async with asyncio.timeout(SILENCE if told.status else CALL_TIME):
+                async with asyncio.timeout(SILENCE if told.status else self.call_time):
                     count = await loop.sock_recv_into(sock, buffer)
                 if not count:
                     return
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -54,7 +54,8 @@
             self.desk, self.budget, self.buffers, allowed.get("connect-timeout-us", 1000000) * 1e-6,
             allowed.get("idle-close-us", 60000000) * 1e-6)
         self.clients = Clients(self.desk, self.executors, self.budget, self.buffers)
-        self.discovery = discovery.Discovery(self.desk, self.buffers, parse(config["discovery"]))
+        self.discovery = discovery.Discovery(
+            self.desk, self.buffers, parse(config["discovery"]), settings.get("siblings", 1))
         to_all = config.get("peers_all")
         self.peers = Peers(self.desk, [parse(text) for text in config.get("peers", [])],
                            parse(to_all) if to_all else None)
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -63,7 +63,7 @@
     "limits.max-retry-after-us": SPAN, "limits.connect-timeout-us": SPAN, "limits.idle-close-us": SPAN,
     "prices.cross-zone": _number(0), "prices.handshake": _number(0),
     "guarantees.cold-from": _number(0, 1), "guarantees.cold-us": SPAN, "guarantees.fall-multiple": _number(0),
-    "guarantees.tip-after-us": SPAN,
+    "guarantees.tip-after-us": SPAN, "guarantees.ask-within-us": SPAN,
 }
 OFFERING = {
     "name": _text, "due-time-us": SPAN, "expiry-us": SPAN, "importance": _number(0),
@@ -153,4 +153,5 @@
         handshake=prices.get("handshake", 0.0), beyond_share=settings.get("excess-importance", 1.0),
         by_work=settings.get("importance-by") == "work",
         cold_from=rules.get("cold-from", 1.0), cold_for=rules.get("cold-us", 0) * MICRO,
-        fall_multiple=rules.get("fall-multiple", 1.0), fall_window=rules.get("tip-after-us", 0) * MICRO)
+        fall_multiple=rules.get("fall-multiple", 1.0), fall_window=rules.get("tip-after-us", 0) * MICRO,
+        ask_within=rules.get("ask-within-us", 0) * MICRO)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -27,7 +27,7 @@
                      tick=0.005, most=5, copies=True, may_cancel=True, may_probe=True, longest_advice=2.0,
                      reports="on_probe", tells_start=True, must_ask=False, sized=False, marked=True,
                      crossing=0.0, handshake=0.0, beyond_share=1.0, by_work=True, cold_from=0.2,
-                     cold_for=10.0, fall_multiple=3.0, fall_window=2.0)
+                     cold_for=10.0, fall_multiple=3.0, fall_window=2.0, ask_within=10.0)
         known.update(settings)
         self.node = Node(self, 7, 0.0, **known)
         self.executors = {}
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -242,6 +242,34 @@
     f.compare("watch")
 
 
+def test_many_nodes_spread_their_calls_for_lists():
+    """Dozens of nodes, killed at once, against a list service that takes 0.12 s for each call, answers none
+    after 2 s, and works off also those that it has given up: at the pace of few nodes it never came to an
+    end of them, and most nodes went without a list."""
+    fleet = [Fake(must_ask=True, own_number=n, nodes=40) for n in range(40)]
+    for number, f in enumerate(fleet):
+        f.node.seed = number
+    free, told, calls, seen = 0.0, {}, 0, [0] * 40
+    for step in range(3000):
+        now = step * 0.01
+        for number, f in enumerate(fleet):
+            f.until(now)
+            if len(f.lines) > seen[number]:
+                seen[number], calls, free = len(f.lines), calls + 1, max(free, now) + 0.12
+                if free <= now + 2.0:
+                    told[number] = free
+                else:
+                    f.set_timer(now + 2.0, lambda at, _, node=f.node: node.list_broken(at), None)
+    assert len(told) == 40 and max(told.values()) < 10.0 and calls < 80
+
+
+def test_few_nodes_call_for_lists_at_once():
+    fleet = [Fake(must_ask=True, own_number=n, nodes=6) for n in range(6)]
+    for f in fleet:
+        f.until(0.1)
+    assert all(f.lines for f in fleet)
+
+
 def test_a_large_fleet_does_not_take_a_node_all_its_time_in_probes():
     f = Fake()
     f.quiet = False
@@ -383,7 +411,7 @@
 def test_a_tenant_with_a_task_a_second_at_this_node_is_not_judged_by_chance():
     f = Fake(beyond_share=0.1, nodes=50)
     f.hear("A", "B")
-    assert [f.task(f"t{n}").beyond for n in range(7)] == [False] * 5 + [True] * 2
+    assert [f.task(f"t{n}").value < 0.1 for n in range(7)] == [False] * 5 + [True] * 2
 
 
 def test_a_cut_zone_is_found_out_once_and_tried_again():
