--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -13,11 +13,10 @@
 from heapq import heappop, heappush
 from typing import Any
 
-from firwalk import hearsay
 from firwalk.host import Condition, Effect, Outcome
 from firwalk.log import must
 from firwalk.logic import Assignment, Executor, Task
-from firwalk.settings import REPORT_WORDS, build_node, report_words
+from firwalk.settings import REPORT_WORDS, build_node
 
 WAY_BACK = 0.02        # seconds kept for an answer's way to the client: at its expiry it would be too late
 LAST_WORD = 0.01       # seconds past a task's expiry, after its time-out
@@ -42,7 +41,7 @@
     CLOSE_IDLE = 1  # place
     WATCH = 2       # whether to, the list's version
     ASK_LIST = 3
-    TELL = 4        # content, for all peers
+    TELL = 4        # number of a peer or None for all, content
     NOTE = 5        # a line
 
 
@@ -86,7 +85,6 @@
         self.open: dict[Errand, None] = {}
         self.closing_at = float("inf")
         self.places: dict[str, Executor] = {}
-        self.marks, self.words = hearsay.Marks(), report_words(settings)
         self.version = 0
         self.offerings = {o.get("name"): n for n, o in enumerate(settings.get("offerings", []))}
         self.tenants = {t.get("name"): n for n, t in enumerate(settings.get("tenants", []))}
@@ -205,11 +203,8 @@
             if executor is None:
                 if condition is Condition.GONE:
                     continue
-                mark = hearsay.mark_of(name.encode())
                 executor = self.places[name] = self.node.new_executor(
-                    Place(name, address), self.kinds.get(kind, -1), self.zones.get(zone, -1), cell, size,
-                    mark)
-                self.marks.add(mark, executor)
+                    Place(name, address), self.kinds.get(kind, -1), self.zones.get(zone, -1), cell, size)
             if condition is Condition.GONE or address != executor.ref.address:
                 self.close_idle(executor)
             executor.ref.address = address
@@ -237,14 +232,10 @@
         self.node.probed(now, self.places[place.name], how, took, self._words(load))
         self._settle(now)
 
-    def report_peer(self, content: bytes) -> None:
-        """Another node passed on what it knows of an executor."""
-        told = hearsay.unpack(content, self.words)
-        executor = self.marks.find(told[0]) if told else None
-        if executor is not None:
-            now = self.clock()
-            self.node.peer_told(now, executor, told[1])
-            self._settle(now)
+    def report_peer(self, number: int, content: bytes) -> None:
+        now = self.clock()
+        self.node.peer_said(now, number, content)
+        self._settle(now)
 
     def report_sending(self, errand: Errand, number: int) -> bool:
         """The first byte is about to be written; False: no more. While a connection was awaited, the executor
@@ -328,9 +319,8 @@
         self.label += 1
         heappush(self.timers, (when, self.label, act, about))
 
-    def tell_peers(self, executor: Executor, report: dict[str, float]) -> None:
-        mark = hearsay.mark_of(executor.ref.name.encode())
-        self.chores.append((Chore.TELL, hearsay.pack(mark, report)))
+    def tell_peer(self, peer: int | None, content: bytes) -> None:
+        self.chores.append((Chore.TELL, peer, content))
 
     def watch(self, on: bool) -> None:
         self.chores.append((Chore.WATCH, on))
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -33,9 +33,9 @@
 PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
 PROBES_NEAR = 2        # probes for each task and each round, in the own zone
 PROBES_FAR = 1         # and in others
-FEW = 10               # nodes that call for lists, and open connections for probes, as they like
+CALLERS = 10           # nodes that call for lists as they like
 CALL_GAP = 0.1         # seconds between the calls of more
-WATCHERS = 2           # nodes that probe an executor for all, where nodes may talk
+PROBE_NODES = 10       # of so many, all open connections to all executors for probes alone
 COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
 HEAVY_PART = 0.15      # part of the pressure a cold executor bears that one task may be
 GOLDEN = 0.6180339887  # spreads the draws of cold executors evenly, whatever their number
@@ -188,7 +188,7 @@
                  may_cancel: bool, may_probe: bool, longest_advice: float, reports: str, tells_start: bool,
                  must_ask: bool, sized: bool, marked: bool, crossing: float, handshake: float,
                  beyond_share: float, by_work: bool, cold_from: float, cold_for: float, fall_multiple: float,
-                 fall_window: float, ask_within: float, peers: bool):
+                 fall_window: float, ask_within: float):
         self.host, self.seed, self.counter, self.nodes = host, seed, 0, max(nodes, 1)
         self.zone = Zone()
         self.zones = {zone: self.zone}
@@ -197,7 +197,6 @@
         self.longest_advice, self.tells_start = longest_advice, tells_start
         self.sized, self.marked, self.moves = sized, marked, MOST_MOVES
         self.asks = reports == "on_probe" and may_probe
-        self.own_number, self.shared = own_number, self.asks and peers and self.nodes > FEW
         # Reports that come only with answers are of executors just used and older than starts tell.
         self.reports_count = self.asks or not tells_start
         self.crossing, self.handshake, self.by_work = crossing, handshake, by_work
@@ -208,7 +207,7 @@
         self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.mean_cost, self.mean_value, self.misses, self.ask_within = 0.0, 0.0, 0, ask_within
-        self.pace = min(max(self.nodes - FEW, 0) * CALL_GAP, ask_within / 3)  # of all nodes' list calls
+        self.pace = min(max(self.nodes - CALLERS, 0) * CALL_GAP, ask_within / 3)  # of all nodes' list calls
         if must_ask:
             at = now + (tick + self.pace / self.nodes) * own_number
             host.set_timer(at, lambda *_: host.watch(True), None)
@@ -220,7 +219,7 @@
 
     # -- the list of executors ---------------------------------------------------------------------
 
-    def new_executor(self, ref: object, kind: int, zone: int, cell: int, size: float, mark: int) -> Executor:
+    def new_executor(self, ref: object, kind: int, zone: int, cell: int, size: float) -> Executor:
         """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1. Where
         the list tells sizes it has that many slots until reports show more: without either, one for ever."""
         seen = self.kinds.setdefault(kind, [0.0, 1.0])
@@ -228,7 +227,6 @@
         speed, draw = seen[0] or sum(known) / len(known), len(self.executors) * GOLDEN % 1.0
         executor = Executor(ref, kind, self.zones.setdefault(zone, Zone()), cell, speed, draw)
         executor.slots = max(seen[1], round(size) if self.sized else 1.0)
-        executor.watched = self.own_number in (crc32(b"%d:%d" % (mark, n)) % self.nodes for n in range(WATCHERS))
         self.executors.append(executor)
         return executor
 
@@ -277,7 +275,7 @@
                   and not self.tenants[tenant].within(now, self.part))
         task.value = value * (self.beyond_share if beyond else 1.0)
         self._place(now, task)
-        if self.asks and not self.shared:
+        if self.asks:
             self._probe()  # for the next task; before the choice, those without an answer yet would be first
         return task
 
@@ -311,8 +309,7 @@
                 continue
             load += executor.work / executor.slots
             if self.tells_start:  # what others have waiting is not in the own sum
-                load += (self._wait(now, executor, task.slots) if self.shared
-                         else executor.lag_now(now, commons[executor.zone]))
+                load += executor.lag_now(now, commons[executor.zone])
             away = max(executor.away_until, executor.full_until, executor.zone.away_until)
             if best is not None and load > best_load or away > now:
                 continue
@@ -340,27 +337,27 @@
     def _order(self) -> list[Executor]:
         """The own zone first, then the newest reports first: that differs at each node; else by chance."""
         near, far = self.near, self.far
-        if not self.asks or self.shared:
+        if not self.asks:
             self.near_at = self.far_at = int(self._chance() * 4294967296.0)
         i, j = self.near_at % (len(near) or 1), self.far_at % (len(far) or 1)
         return near[:i][::-1] + near[i:][::-1] + far[:j][::-1] + far[j:][::-1]
 
     def _probe(self) -> None:
-        """As many as tasks pay for: in a large fleet, probes of all would take a node all its time, and the few
-        connections that executors hold: its nodes ask where theirs are open, or each a part for all."""
-        for executor in self.near + self.far if self.shared else ():
-            if executor.watched:
+        """As many as tasks pay for: in a large fleet, probes of all would take a node all its time. A place
+        at an executor serves each node less the more share it: opened by all, none were left for tasks."""
+        self.near_at = self._ask_some(self.near, self.near_at, PROBES_NEAR)
+        self.far_at = self._ask_some(self.far, self.far_at, PROBES_FAR)
+
+    def _ask_some(self, among: list[Executor], at: int, most: int) -> int:
+        new = min(PROBE_NODES / self.nodes, 1.0) ** 2 * len(among) - sum(e.idle + e.held > 0 for e in among)
+        for executor in among[at % (len(among) or 1):] + among[:at % (len(among) or 1)]:
+            if most <= 0:
+                break
+            if executor.idle or new >= 1.0:
+                new, most = new - (not executor.idle), most - 1
                 self.host.probe(executor)
-        near, far = min(PROBES_NEAR, len(self.near)), min(PROBES_FAR, len(self.far))
-        for n in range(0 if self.shared else near):
-            self._ask(self.near[(self.near_at + n) % len(self.near)])
-        for n in range(0 if self.shared else far):
-            self._ask(self.far[(self.far_at + n) % len(self.far)])
-        self.near_at, self.far_at = self.near_at + near, self.far_at + far
-
-    def _ask(self, executor: Executor) -> None:
-        if executor.idle or self.nodes <= FEW:
-            self.host.probe(executor)
+            at += 1
+        return at
 
     def _wait(self, now: float, executor: Executor, slots: float) -> float:
         """Seconds until so many slots are free, by own tasks there and what reports tell of others'."""
@@ -573,9 +570,7 @@
     def probed(self, now: float, executor: Executor, how: Outcome, took: float,
                report: dict[str, float] | None) -> None:
         if how is Outcome.FINISHED and report:
-            self.peer_told(now, executor, report)
-            if self.shared:
-                self.host.tell_peers(executor, report)
+            executor.report(now, report, self.part)
         elif how not in (Outcome.FINISHED, Outcome.FULL):
             executor.strikes += 1
             if executor.strikes >= STRIKES or how is Outcome.NO_CONNECTION:
@@ -601,6 +596,5 @@
             self._probe()
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
-    def peer_told(self, now: float, executor: Executor, report: dict[str, float]) -> None:
-        """A node with a task a second hears too little alone: a report is as good from who asked for all."""
-        executor.report(now, report, self.part)
+    def peer_said(self, now: float, peer: int, content: bytes) -> None:
+        """Peers' messages are not used: each node can keep the rules and judge executors alone."""
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -133,11 +133,6 @@
         for i, o in enumerate(settings.get("offerings", []))]
 
 
-def report_words(settings: dict) -> list[str]:
-    """The words that load reports of this deployment have."""
-    return [REPORT_WORDS.get(name, name) for name in settings.get("load-report", {}).get("names", [])]
-
-
 def build_node(host: Host, seed: int, settings: dict, now: float) -> Node:
     """What the settings leave out gets the value that promises least."""
     limits, rules = settings.get("limits", {}), settings.get("guarantees", {})
@@ -159,4 +154,4 @@
         by_work=settings.get("importance-by") == "work",
         cold_from=rules.get("cold-from", 1.0), cold_for=rules.get("cold-us", 0) * MICRO,
         fall_multiple=rules.get("fall-multiple", 1.0), fall_window=rules.get("tip-after-us", 0) * MICRO,
-        ask_within=rules.get("ask-within-us", 0) * MICRO, peers=limits.get("peers", False))
+        ask_within=rules.get("ask-within-us", 0) * MICRO)
--- a/firwalk/wirehost/__main__.py
+++ b/firwalk/wirehost/__main__.py
@@ -10,9 +10,8 @@
 
 import orjson
 
-from firwalk import hearsay
 from firwalk.host import Condition
-from firwalk.settings import MICRO, build_node, report_words
+from firwalk.settings import MICRO, REPORT_WORDS, build_node
 from firwalk.wirehost import codec as c
 
 LONGEST = 0xFFFFFFFF
@@ -31,8 +30,7 @@
         self.executors: dict[bytes, object] = {}
         self.timers: dict[int, tuple] = {}
         self.label = 0
-        self.marks = hearsay.Marks()
-        self.names = report_words(settings)
+        self.names = [REPORT_WORDS.get(n, n) for n in settings.get("load-report", {}).get("names", [])]
         self.node = build_node(self, seed, settings, now)
 
     # -- the host's side: what the node asks for -------------------------------------------------------
@@ -65,9 +63,9 @@
         self.timers[self.label] = (act, about)
         self.out.append(c.DEFER.pack(c.DO_DEFER, self.number, int(when * 1e6) + 1, self.label))
 
-    def tell_peers(self, executor, report):
-        content = hearsay.pack(hearsay.mark_of(executor.ref), report)
-        self.out.append(c.ANNOUNCE.pack(c.DO_ANNOUNCE, self.number, c.EVERY_PEER, len(content)) + content)
+    def tell_peer(self, peer, content):
+        to = c.EVERY_PEER if peer is None else peer
+        self.out.append(c.ANNOUNCE.pack(c.DO_ANNOUNCE, self.number, to, len(content)) + content)
 
     def watch(self, on):
         self.out.append(c.WATCH.pack(c.DO_WATCH, self.number, on))
@@ -113,9 +111,7 @@
         for kind, zone, condition, size, address, came_up, cell in entries:
             executor = known.get(address)
             if executor is None:
-                mark = hearsay.mark_of(address)
-                executor = known[address] = node.new_executor(address, kind, zone, cell, size, mark)
-                self.marks.add(mark, executor)
+                executor = known[address] = node.new_executor(address, kind, zone, cell, size)
             named[address] = executor
             node.heard(now, executor, c.CONDITIONS[condition], came_up * MICRO)
         if scope:
@@ -124,12 +120,6 @@
                     node.heard(now, executor, Condition.GONE, executor.came_up)
         node.list_heard(now)
 
-    def said(self, now, content):
-        told = hearsay.unpack(content, self.names)
-        executor = self.marks.find(told[0]) if told else None
-        if executor is not None:
-            self.node.peer_told(now, executor, told[1])
-
     def report(self, values):
         return dict(zip(self.names, values, strict=False)) if values else None
 
@@ -248,7 +238,7 @@
         elif code == c.ESTABLISHED:
             one.node.streaming(now, one.tasks[f[1]].assignments[f[2]])
         elif code == c.SAID:
-            one.said(now, content)
+            one.node.peer_said(now, f[1], content)
 
 
 def main() -> int:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -27,8 +27,7 @@
                      tick=0.005, most=5, copies=True, may_cancel=True, may_probe=True, longest_advice=2.0,
                      reports="on_probe", tells_start=True, must_ask=False, sized=False, marked=True,
                      crossing=0.0, handshake=0.0, beyond_share=1.0, by_work=True, cold_from=0.2,
-                     cold_for=10.0, fall_multiple=3.0, fall_window=2.0, ask_within=10.0,
-                     peers=False)
+                     cold_for=10.0, fall_multiple=3.0, fall_window=2.0, ask_within=10.0)
         known.update(settings)
         self.node = Node(self, 7, 0.0, **known)
         self.executors = {}
@@ -63,8 +62,8 @@
         self.counter += 1
         heapq.heappush(self.timers, (when, self.counter, act, about))
 
-    def tell_peers(self, executor, report):
-        self.say(f"tell {executor.ref} {report}")
+    def tell_peer(self, peer, content):
+        self.say(f"tell {peer}")
 
     def watch(self, on):
         self.say(f"watch {on}")
@@ -87,7 +86,7 @@
     def hear(self, *names, condition=Condition.READY, zone=0, cell=0, came_up=0.0, slots=2):
         for name in names:
             if name not in self.executors:
-                self.executors[name] = self.node.new_executor(name, 0, zone, cell, slots, 0)
+                self.executors[name] = self.node.new_executor(name, 0, zone, cell, slots)
                 self.executors[name].slots = slots
             executor = self.executors[name]
             self.node.heard(self.now, executor, condition, came_up)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -328,13 +328,13 @@
 
 def test_sizes_from_the_list_and_wide_tasks_fill_slots_where_nothing_is_reported():
     f = Fake(sized=True, reports="off")
-    a = f.node.new_executor("A", 0, 0, 0, 4.0, 0)
+    a = f.node.new_executor("A", 0, 0, 0, 4.0)
     f.node.heard(0.0, a, Condition.READY, 0.0)
     f.node.list_heard(0.0)
     assert f.task("wide", 0.2, slots=2.0).assignments and (a.slots, a.held) == (4.0, 2.0)
     assert a.work == pytest.approx(0.4)
     assert f.node._wait(0.0, a, 2.0) == 0.0 < f.node._wait(0.0, a, 4.0)
-    assert Fake().node.new_executor("B", 0, 0, 0, 4.0, 0).slots == 1.0  # of sizes that mean nothing
+    assert Fake().node.new_executor("B", 0, 0, 0, 4.0).slots == 1.0  # of sizes that mean nothing
 
 
 def test_a_late_zone_sends_across_though_it_has_not_met_the_other():
