A tenant's share is judged by three times a node's mean part of the traffic at least

Seen (every arrival with its verdict, over all 40 nodes, against a bucket over the fleet): tenants well within their shares, 20% to 26% of first tries taken for tasks beyond (560 of 2697, 542 of 2139, 787 of 2777); over the fleet 0 to 152 were. Ruled out: retries counted again (a fifth of the wrong verdicts). At fault: Node.task_arrived gives a tenant the node's part as reports show it; believed parts lie between 0.013 and 0.02 whatever the true one (0.001 to 0.075, mean 0.025), as few reports arrive and others' work stands against nearly none of its own. Change: the part is 3 times the mean at least. At few nodes that is rarely more than reports show.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -20,6 +20,7 @@
 LAG_WEIGHT = 0.5       # of one start's unexplained delay in an executor's lag
 COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
+PARTS = 3.0            # times its mean part of all traffic that a node may have without a report showing it
 SHARE_WINDOW = 3.0     # seconds of its share that a tenant may use at once
 LEAST_SHARE = 5.0      # tasks that it may use at once anyhow: with a task a second chance rules less
 # Weights in an executor's share of errors. A break may be the connection's, and all executors may have those.
@@ -33,9 +34,8 @@
 PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
 PROBES_NEAR = 2        # probes for each task and each round, in the own zone
 PROBES_FAR = 1         # and in others
-CALLERS = 10           # nodes that call for lists as they like
+FEW = 10               # nodes that call for lists, open connections and judge errors each by itself
 CALL_GAP = 0.1         # seconds between the calls of more
-PROBE_NODES = 10       # of so many, all open connections to all executors for probes alone
 COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
 HEAVY_PART = 0.15      # part of the pressure a cold executor bears that one task may be
 GOLDEN = 0.6180339887  # spreads the draws of cold executors evenly, whatever their number
@@ -189,16 +189,15 @@
                  must_ask: bool, sized: bool, marked: bool, crossing: float, handshake: float,
                  beyond_share: float, by_work: bool, cold_from: float, cold_for: float, fall_multiple: float,
                  fall_window: float, ask_within: float):
-        self.host, self.seed, self.counter, self.nodes = host, seed, 0, max(nodes, 1)
-        self.zone = Zone()
+        self.host, self.seed, self.counter, self.nodes = host, seed, 0, nodes
+        self.zone, self.pace = Zone(), min(max(nodes - FEW, 0) * CALL_GAP, ask_within / 3)  # of list calls
         self.zones = {zone: self.zone}
-        self.offerings, self.tenants, self.tick = offerings, tenants, tick
+        self.offerings, self.tenants, self.tick, self.tells_start = offerings, tenants, tick, tells_start
         self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
-        self.longest_advice, self.tells_start = longest_advice, tells_start
+        self.longest_advice = longest_advice
         self.sized, self.marked, self.moves = sized, marked, MOST_MOVES
         self.asks = reports == "on_probe" and may_probe
-        # Reports that come only with answers are of executors just used and older than starts tell.
-        self.reports_count = self.asks or not tells_start
+        self.reports_count = self.asks or not tells_start  # else older than starts
         self.crossing, self.handshake, self.by_work = crossing, handshake, by_work
         self.part, self.capacity = 1.0 / self.nodes, 1.0  # of all traffic, this node's; of all that are ready
         self.cold_from, self.cold_for, self.beyond_share = cold_from, cold_for, beyond_share
@@ -207,10 +206,8 @@
         self.kinds: dict[int, list[float]] = {}          # smoothed speed and most slots of each kind
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.mean_cost, self.mean_value, self.misses, self.ask_within = 0.0, 0.0, 0, ask_within
-        self.pace = min(max(self.nodes - CALLERS, 0) * CALL_GAP, ask_within / 3)  # of all nodes' list calls
         if must_ask:
-            at = now + (tick + self.pace / self.nodes) * own_number
-            host.set_timer(at, lambda *_: host.watch(True), None)
+            host.set_timer(now + (tick + self.pace / nodes) * own_number, lambda *_: host.watch(True), None)
         host.set_timer(now + (own_number + 1) / self.nodes * PROBE_EVERY, self._round, None)
 
     def _chance(self) -> float:
@@ -220,8 +217,7 @@
     # -- the list of executors ---------------------------------------------------------------------
 
     def new_executor(self, ref: object, kind: int, zone: int, cell: int, size: float) -> Executor:
-        """A new one starts at the mean speed of those of its kind, or of all; at the very start, at 1. Where
-        the list tells sizes it has that many slots until reports show more: without either, one for ever."""
+        """At first it has the mean speed of its kind, or of all, or 1; and one slot, if no size is listed."""
         seen = self.kinds.setdefault(kind, [0.0, 1.0])
         known = [speed for speed, _ in self.kinds.values() if speed] or [1.0]
         speed, draw = seen[0] or sum(known) / len(known), len(self.executors) * GOLDEN % 1.0
@@ -272,7 +268,7 @@
         self.mean_cost += part * (task.work - self.mean_cost)
         self.mean_value += part * (value - self.mean_value)
         beyond = (self.beyond_share < 1.0 and 0 <= tenant < len(self.tenants)
-                  and not self.tenants[tenant].within(now, self.part))
+                  and not self.tenants[tenant].within(now, max(self.part, PARTS / self.nodes)))
         task.value = value * (self.beyond_share if beyond else 1.0)
         self._place(now, task)
         if self.asks:
@@ -290,8 +286,8 @@
                 instead: bool = False) -> Executor | None:
         """The ordinary path: least own outstanding estimated work, plus what it takes to reach it (Recv),
         among those that can still answer in time."""
-        best, best_load, best_answer = None, 0.0, 0.0
-        cost, left, kind = task.cost, task.due - now, task.offering.kind
+        best, best_load, best_answer, ties = None, 0.0, 0.0, 0
+        cost, left, kind, own = task.cost, task.due - now, task.offering.kind, self.zone
         # What earns less for its work than the mean may wait only that part of its slack: cheap tasks of long
         # slack, and a tenant's crowd beyond its share, made the dear ones late.
         part = min(task.value * self.mean_cost / (task.work * self.mean_value), 1.0) ** 2
@@ -300,7 +296,6 @@
         # A light task earns less than its crossing costs: it stays where its zone has an executor at all.
         near = self.crossing * self.mean_value > task.value and self.near
         side = task.offering.effect is Effect.SIDE_EFFECTING
-        ties, own = 0, self.zone
         commons = {zone: zone.lag_now(now) for zone in self.zones.values()}
         for executor in among:
             # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
@@ -349,15 +344,12 @@
         self.far_at = self._ask_some(self.far, self.far_at, PROBES_FAR)
 
     def _ask_some(self, among: list[Executor], at: int, most: int) -> int:
-        new = min(PROBE_NODES / self.nodes, 1.0) ** 2 * len(among) - sum(e.idle + e.held > 0 for e in among)
-        for executor in among[at % (len(among) or 1):] + among[:at % (len(among) or 1)]:
-            if most <= 0:
-                break
-            if executor.idle or new >= 1.0:
-                new, most = new - (not executor.idle), most - 1
-                self.host.probe(executor)
-            at += 1
-        return at
+        room = (FEW / self.nodes) ** 2 * len(among) - sum(e.idle + e.held > 0 for e in among)
+        asked = [n for n in range(len(among))
+                 if self.nodes <= FEW or room >= 1.0 or among[(at + n) % len(among)].idle][:most]
+        for n in asked:
+            self.host.probe(among[(at + n) % len(among)])
+        return at + asked[-1] + 1 if asked else at
 
     def _wait(self, now: float, executor: Executor, slots: float) -> float:
         """Seconds until so many slots are free, by own tasks there and what reports tell of others'."""
@@ -533,8 +525,7 @@
                 self._set_aside(now, executor, how is Outcome.NO_CONNECTION)
 
     def _set_aside(self, now: float, executor: Executor, unreachable: bool = False) -> None:
-        """Keep tasks from a bad executor for a while, but not from so many that the rest tip over, unless
-        they cannot be reached anyway."""
+        """Spare a bad executor for a while, but not so many that the rest tip over, unless out of reach."""
         away = [e.away_until > now for e in self.near + self.far]
         if executor.away_until > now or (sum(away) + 1 > MOST_AWAY * len(away) and not unreachable):
             return
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -138,7 +138,7 @@
     limits, rules = settings.get("limits", {}), settings.get("guarantees", {})
     prices = settings.get("prices", {})
     return Node(
-        host, seed, now, own_number=settings.get("self-index", 0), nodes=settings.get("siblings", 1),
+        host, seed, now, own_number=settings.get("self-index", 0), nodes=max(settings.get("siblings", 1), 1),
         zone=settings.get("az", 0), offerings=_offerings(settings),
         tenants=[Tenant(t.get("quota-per-s", 0.0)) for t in settings.get("tenants", [])],
         tick=settings.get("resolution-us", 0) * MICRO,
