A late task keeps its place in the first queue while a copy waits in another

Seen (every sending with its end, over all nodes): of 612 tasks moved for want of a start on herd+vast 128 ended in time, 459 were called off again unstarted; 184 of 650 on zone+vast, 163 of 530 on join+vast. Ruled out: executors that refuse (FULL and no connection are 5% of the ends). At fault: Node._overdue called the first assignment off as soon as the copy was out, so each move began at the end of another queue. Change: both wait, two at the most; the first to start calls the other off; with the slack gone the task is given up at once, as before for one.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -436,14 +436,12 @@
         # Without second copies it is called off first, and placed anew when that is confirmed.
         # Where a cancel stops nothing each move adds to the load: unbounded, a burst's queues never ended.
         first = not self.copies and self.tells_start and self.may_cancel and self.moves >= 1.0
-        other = self._choose(now, task, self._order(), first) if task.open else None
+        other = self._choose(now, task, self._order(), first) if task.open and task.still_out < 2 else None
         if other is not None and first:
             self.moves -= 1.0
             self.host.cancel(assignment)
-        elif other is not None and self._send(now, task, other):
-            if self.tells_start and self.may_cancel:
-                self.host.cancel(assignment)
-        elif task.open and self.tells_start and task.still_out == 1:
+        elif ((other is None or not self._send(now, task, other)) and task.open and self.tells_start
+              and not any(a.out and a.started_at for a in task.assignments)):
             # Waiting work that can only end late and for nothing makes all behind it late as well.
             left = task.due - now - task.cost / executor.speed
             if left > self.tick:
@@ -454,6 +452,9 @@
     def started(self, now: float, assignment: Assignment) -> None:
         assignment.started_at, assignment.executor.strikes = now, 0
         self._lagged(now, assignment)
+        for other in assignment.task.assignments:
+            if other is not assignment and other.out and self.may_cancel and not other.started_at:
+                self.host.cancel(other)
 
     def _lagged(self, now: float, assignment: Assignment) -> None:
         by, executor = now - assignment.sent - assignment.wait, assignment.executor
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -297,6 +297,19 @@
     assert {line.split()[-1] for line in f.lines} == met  # and those are asked on
 
 
+def test_a_copy_that_waits_too_leaves_the_first_its_place_in_the_queue():
+    """Called off when the copy went out, the first lost its place, and the copy began at the end of another
+    queue: of a hundred such moves twenty-one ended in time, and each closed a connection."""
+    f = Fake(offerings=[offering(due=0.8)])
+    f.hear("A", "B")
+    task = f.task("t", 0.1)
+    f.until(0.6)
+    first, copy = task.assignments
+    assert first.out and copy.out and not f.called
+    f.start(task, 0)
+    assert f.called == [copy]
+
+
 def test_a_copy_leaves_the_first_assignment_running():
     f = Fake(offerings=[offering(due=5.0, expiry=9.0)], tells_start=False, may_probe=False)
     f.hear("A", "B")
