Kinds learn by the geometric mean, and only where load is reported do they tell of the unmet

There no load is reported: what others have waiting is in the speeds of those met, and given to all, few looked in time. That last step is not measured by itself. Change: only where reports come on probes do executors not met yet take their kind's speed and slots. The geometric mean stays: one heavy task must not make a whole machine type look slow, as the ratio of means does.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -513,8 +513,8 @@
             if executor.cold_until > now:
                 took *= self._warmth(now, executor)  # else its coldness would count twice
             seen = self.kinds[executor.kind]
-            seen.learn(assignment.task.cost, took, max(1.0 / (seen.met + 2), KIND_WEIGHT))
-            seen.slots = max(seen.slots, executor.slots)
+            seen.met, seen.slots = seen.met + 1, max(seen.slots, executor.slots)
+            seen.speed *= (assignment.task.cost / took / seen.speed) ** max(1.0 / (seen.met + 1), KIND_WEIGHT)
             executor.learn(assignment.task.cost, took, WEIGHT)
             assignment.task.offering.learn(assignment.task.hint, took * executor.speed)
         elif how is Outcome.FULL:
@@ -578,7 +578,7 @@
         sums = {zone: [0.0, 0.0] for zone in self.zones.values()}
         for executor in self.near + self.far:
             held, used, zone = held + executor.held_mean, used + executor.used_mean, sums[executor.zone]
-            if not executor.met:  # a node with a task a second has no end from most of dozens for long
+            if self.asks and not executor.met:  # at a task a second, most of dozens for a long time
                 pace = self.kinds[executor.kind]
                 executor.speed, executor.slots = pace.speed, max(executor.slots, pace.slots)
             if executor.cold_until < now:  # the empty slots of cold ones would make full ones look free
