--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -116,7 +116,10 @@
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MOST_UNREAD)  # for what it accepts
         self.listener.listen(BACKLOG)
         if self.config.get("peer_listen") and self.config["settings"].get("limits", {}).get("peers"):
-            await self.peers.open(parse(self.config["peer_listen"]))
+            try:
+                await self.peers.open(parse(self.config["peer_listen"]))
+            except OSError as problem:  # their warnings help, but no rule rests on them
+                say(f"other nodes cannot be heard: {problem}")
 
     def reload(self, config: dict) -> None:
         """Takes over what can change live. All is read before anything is changed: half a configuration is
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,5 +1,6 @@
 """The program itself, started and spoken to over sockets."""
 import asyncio
+import errno
 import os
 import signal
 import socket
@@ -11,11 +12,11 @@
 
 import orjson
 import pytest
+from helpers import LIMITS, OFFERINGS, World, address_of, post
 from helpers import Executor as StandIn
-from helpers import World, address_of, post
 
-from firwalk.facade import Errand, Place
-from firwalk.host import Outcome
+from firwalk.facade import Desk, Errand, Place, Step
+from firwalk.host import Condition, Outcome
 from firwalk.net.address import parse
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
@@ -362,6 +363,93 @@
     play(story, known=old, refuse_list=2)
 
 
+@pytest.mark.parametrize("how", ["reset", "half a line", "an end"])
+def test_a_watch_that_breaks_off_leaves_the_list_and_is_renewed(how):
+    async def story(w):
+        await w.until(lambda: w.watches)
+        if how == "half a line":
+            w.watches[-1].write(b"40\r\n{\"generation\":9,\"reset\":true,\"inst")
+            await w.watches[-1].drain()
+        if how == "reset":
+            w.watches[-1].transport.abort()
+        else:
+            w.watches[-1].close()
+        assert (await w.ask(post(name="a")))[0] == 200
+        await w.until(lambda: len(w.watches) == 2)
+        await asyncio.sleep(0.5)
+        assert (await w.ask(post(name="b")))[0] == 200 and len(w.asked) == 2
+    play(story)
+
+
+def test_an_older_change_is_passed_over_and_an_empty_list_is_taken_at_its_word():
+    async def story(w):
+        await w.until(lambda: w.watches)
+        await w.tell(w.entry(0))
+        w.version -= 3
+        await w.tell(w.entry(0, lifecycle="leaving"))
+        await asyncio.sleep(0.05)
+        assert (await w.ask(post(name="a")))[0] == 200
+        w.version += 5
+        await w.tell(whole=True)
+        await asyncio.sleep(0.05)
+        began = time.monotonic()
+        assert (await w.ask(post(name="b")))[0] == 503 and time.monotonic() - began < 0.5
+        await w.tell(w.entry(0), whole=True)
+        await asyncio.sleep(0.05)
+        assert (await w.ask(post(name="c")))[0] == 200
+    play(story)
+
+
+def test_a_silent_list_service_is_asked_seldom_and_costs_no_task():
+    async def story(w):
+        for n in range(5):
+            assert (await w.ask(post(name=f"t{n}")))[0] == 200
+            await asyncio.sleep(1.0)
+        assert len(w.asked) == 2
+    play(story, silent=True)
+
+
+@pytest.mark.parametrize("known", [{}, {"generation": 5, "reset": True, "instances": []}])
+def test_without_a_known_list_tasks_are_bounced_until_the_first_one_comes(known):
+    async def story(w):
+        assert (await w.ask(post(name="early")))[0] == 503
+        await w.until(lambda: w.watches, 8.0)
+        await asyncio.sleep(0.05)
+        assert (await w.ask(post(name="late")))[0] == 200
+    play(story, known=known, refuse_list=1)
+
+
+def test_a_node_serves_on_where_its_socket_for_peers_cannot_be_opened():
+    with socket.socket(type=socket.SOCK_DGRAM) as taken:
+        taken.bind(("127.0.0.1", 0))
+
+        async def story(w):
+            assert (await w.ask(post()))[0] == 200
+        play(story, peer_port=taken.getsockname()[1])
+
+
+@pytest.mark.parametrize("number", [errno.ENOSYS, errno.EMFILE, errno.ENOBUFS])
+def test_a_system_call_that_is_not_to_be_had_ends_an_assignment_unsent(number, monkeypatch):
+    """Where a call answers ENOSYS or the like, the task is told at once, and nothing is tried in a loop."""
+    calls = []
+
+    def fails(*_):
+        calls.append(1)
+        raise OSError(number, "not here")
+    monkeypatch.setattr("firwalk.net.executors.new_socket", fails)
+
+    async def run():
+        desk = Desk({"offerings": OFFERINGS, "limits": LIMITS}, 7, time.time, lambda: None)
+        desk.report_list(1, True, [("e0", ("127.0.0.1", 1), "a", "m", 0, Condition.READY, 0.0, 1.0)])
+        executors = Executors(desk, Budget(64, int(1e8)), Buffers(), 0.25, 60.0)
+        errand = desk.report_task("read", "", 2.0, 0.01, 1.0, 0.0, False)
+        step = await desk.pick(errand)
+        executors.carry(errand, step[1], step[2], b"t", lambda: b"bytes")
+        return await asyncio.wait_for(desk.pick(errand), 1), executors.budget.links
+    step, links = asyncio.run(run())
+    assert step[0] is Step.BOUNCED and len(calls) == 2 and links == 0
+
+
 def test_a_new_configuration_moves_the_list_and_what_is_bad_changes_nothing():
     async def story(w):
         await w.until(lambda: w.watches)
