--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -581,12 +581,12 @@
             if self.asks and not executor.met:  # at a task a second, most of dozens for a long time
                 pace = self.kinds[executor.kind]
                 executor.speed, executor.slots = pace.speed, max(executor.slots, pace.slots)
-            if executor.cold_until < now < executor.reported_at + 3 * PROBE_EVERY:  # cold, unasked look free
+            if executor.cold_until < now:  # the empty slots of cold ones would make full ones look free
                 zone[0], zone[1] = zone[0] + executor.others, zone[1] + executor.slots
             if executor.reported_at < now - PROBE_EVERY:
                 executor.others += STALE * (executor.zone.mean * executor.slots - executor.others)
         for zone, (others, slots) in sums.items():
-            zone.mean = others / slots if slots else zone.mean
+            zone.mean = others / slots if slots else 0.0
         if used > 1.0:  # this node's part of the work, as the reports show it
             self.part += PART_WEIGHT * (min(max(held / used, 0.5 / self.nodes), 1.0) - self.part)
         self._measure(now)
