Second address: executors are taken out and called back by operators

The facade hands the decision module DRAINING for who is out (firwalk/maintenance.py keeps who that is), so the module's one gate, and report_sending for what waits for a connection, keep the rule; the module is unchanged. net/management.py accepts with descriptors kept out of the clients' share.

--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -17,6 +17,7 @@
 from firwalk.host import Condition, Effect, Outcome
 from firwalk.log import must
 from firwalk.logic import Assignment, Executor, Task
+from firwalk.maintenance import Maintenance
 from firwalk.settings import REPORT_WORDS, build_node
 
 WAY_BACK = 0.02        # seconds kept for an answer's way to the client: at its expiry it would be too late
@@ -86,6 +87,8 @@
         self.open: dict[Errand, None] = {}
         self.closing_at = float("inf")
         self.places: dict[str, Executor] = {}
+        self.maintenance = Maintenance()
+        self.list_at = 0.0              # when a list came last
         self.marks = hearsay.Marks()
         self.version = 0
         self.offerings = {o.get("name"): n for n, o in enumerate(settings.get("offerings", []))}
@@ -212,15 +215,48 @@
                 self.close_idle(executor)
             executor.ref.address = address
             named.add(name)
-            self.node.heard(now, executor, condition, came_up)
+            self.node.heard(now, executor, *self.maintenance.hear(name, condition, came_up))
         for name, executor in self.places.items() if whole else ():
             if name not in named and executor.condition is not Condition.GONE:
-                self.node.heard(now, executor, Condition.GONE, executor.came_up)
+                self.node.heard(
+                    now, executor, *self.maintenance.hear(name, Condition.GONE, executor.came_up))
                 self.close_idle(executor)
-        self.version = version
+        self.version, self.list_at = version, now
         self.node.list_heard(now)
         self._settle(now)
 
+    def report_out(self, name: str) -> bool:
+        """Operators take an executor out: to the decisions it drains, so that their one gate keeps this rule
+        too. False: nobody knows it."""
+        if not self.maintenance.knows(name):
+            return False
+        now, executor = self.clock(), self.places.get(name)
+        self.maintenance.take_out(name, now)
+        if executor is not None:
+            self._as_listed(now, executor)
+            self.close_idle(executor)  # the restart that it is taken out for would end them under a task
+        return True
+
+    def report_back(self, name: str) -> bool:
+        """Operators call it back: it comes back cold, whatever the list has noticed of its restart."""
+        if not self.maintenance.knows(name):
+            return False
+        now, executor = self.clock(), self.places.get(name)
+        if self.maintenance.call_back(name, now) and executor is not None:
+            self._as_listed(now, executor)
+        return True
+
+    def _as_listed(self, now: float, executor: Executor) -> None:
+        listed = self.maintenance.listed.get(executor.ref.name)
+        if listed is not None:
+            self.node.heard(now, executor, *self.maintenance.hear(executor.ref.name, *listed))
+            self.node.list_heard(now)
+            self._settle(now)
+
+    def kept(self, place: Place) -> bool:
+        """Whether connections to it are worth keeping: to one that is out they end with its restart."""
+        return place.name not in self.maintenance.out
+
     def forget_version(self) -> None:
         """The list comes from another service, whose versions need not follow on those before."""
         self.version = 0
--- a/firwalk/net/budget.py
+++ b/firwalk/net/budget.py
@@ -24,8 +24,8 @@
 
 
 class Budget:
-    def __init__(self, descriptors: int, memory: int):
-        rest = max(descriptors - BASE, 8)
+    def __init__(self, descriptors: int, memory: int, reserved: int = 0):
+        rest = max(descriptors - BASE - reserved, 8)
         room = max(memory - PROGRAM, 0.1 * memory)
         self.most_spare = max(int(rest * SPARE_PART), 2)
         self.most = rest - self.most_spare
--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -269,7 +269,7 @@
     # -- the pool ----------------------------------------------------------------------------------------
 
     def give(self, link: Link) -> None:
-        if not link.open or link.address != link.place.address:
+        if not link.open or link.address != link.place.address or not self.desk.kept(link.place):
             link.close()  # the executor has moved: at its old address may be another one
             return
         link.idle_since = monotonic()
--- /dev/null
+++ b/firwalk/net/management.py
@@ -0,0 +1,120 @@
+"""The second address, for operators alone: one line to a connection, one line back, and the close.
+
+It has descriptors of its own. Callers that say nothing, or half a call, go after a while, or as soon as
+their place is wanted; a whole call never waits, since it is answered when it is read.
+"""
+from __future__ import annotations
+
+import asyncio
+import re
+import socket
+from collections.abc import Awaitable, Callable
+
+from firwalk.log import say, trouble
+from firwalk.net.address import new_socket
+
+SILENT_TIME = 5.0      # seconds in which a call must be whole
+LONGEST = 256          # bytes of a call
+BACKLOG = 128
+MOST = 24              # callers at a time
+LEAST = 4              # of these where descriptors are few
+PART = 16              # of the descriptors, one in so many
+WORD = re.compile(rb"[!-~]+")
+
+
+def places(descriptors: int) -> int:
+    """How many descriptors are kept for callers."""
+    return min(max(descriptors // PART, LEAST), MOST)
+
+
+class Management:
+    """`act(word, id)` carries out a call that is well formed and gives a reason if it cannot."""
+
+    def __init__(self, most: int, act: Callable[[str, str], Awaitable[str]]):
+        self.most, self.act = most, act
+        self.open: dict[asyncio.Task, None] = {}     # the one that has been there longest first
+        self.listener: socket.socket | None = None
+        self.accepting: asyncio.Task | None = None
+
+    def listen(self, address: tuple[str, int]) -> None:
+        self.listener = new_socket(address)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(address)
+        self.listener.listen(BACKLOG)
+        self.accepting = asyncio.get_running_loop().create_task(self._accept())
+
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(self.listener)
+            except OSError as problem:
+                say(f"no operator's call accepted: {problem}")
+                await asyncio.sleep(0.05)
+                continue
+            sock.setblocking(False)
+            while len(self.open) >= self.most:
+                oldest = next(iter(self.open))
+                oldest.cancel()
+                self.open.pop(oldest)
+                await asyncio.sleep(0)   # its descriptor is given back before this one is counted
+            caller = loop.create_task(self._attend(sock))
+            self.open[caller] = None
+            caller.add_done_callback(lambda _, sock=sock, caller=caller: self._over(caller, sock))
+
+    def _over(self, caller: asyncio.Task, sock: socket.socket) -> None:
+        self.open.pop(caller, None)
+        sock.close()
+
+    async def _attend(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            line, complaint = await self._call(loop, sock)
+            if line is not None or complaint:
+                complaint = complaint or await self._answer(line)
+                await loop.sock_sendall(sock, f"-ERR {complaint}\n".encode() if complaint else b"+OK\n")
+                sock.shutdown(socket.SHUT_WR)
+                while len(sock.recv(4096)) == 4096:  # unread bytes at the close would take the answer along
+                    pass
+        except OSError:
+            pass  # it left, or what it sent is read up
+        except Exception as problem:
+            trouble("attending to an operator's call", problem)
+
+    async def _call(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> tuple[bytes | None, str]:
+        """The line, or what is wrong with what came instead; neither: it left without a word."""
+        text = b""
+        try:
+            async with asyncio.timeout(SILENT_TIME):
+                while b"\n" not in text and len(text) <= LONGEST:
+                    part = await loop.sock_recv(sock, LONGEST + 1)
+                    if not part:
+                        return None, "a line without end" if text else ""
+                    text += part
+        except TimeoutError:
+            return None, "a line without end" if text else "no call came"
+        line, _, more = text.partition(b"\n")
+        if len(line) > LONGEST:
+            return None, "a line over the limit"
+        return (None, "one call to a connection") if more else (line.removesuffix(b"\r"), "")
+
+    async def _answer(self, line: bytes) -> str:
+        words = line.split(b" ")
+        if not line.strip():
+            return "an empty line; calls are PING, DETACH ID, ATTACH ID"
+        if not all(WORD.fullmatch(word) for word in words):
+            return "words of plain text, one space between them"
+        word, *rest = (part.decode() for part in words)
+        if word not in ("PING", "DETACH", "ATTACH"):
+            return "no such call; calls are PING, DETACH ID, ATTACH ID"
+        if len(rest) != (word != "PING"):
+            return "PING stands alone" if word == "PING" else f"{word} takes one id"
+        return await self.act(word, *rest)
+
+    def close(self) -> None:
+        if self.accepting is not None:
+            self.accepting.cancel()
+        for caller in list(self.open):
+            caller.cancel()
+        if self.listener is not None:
+            self.listener.close()
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -14,6 +14,7 @@
 from firwalk.net.buffers import Buffers
 from firwalk.net.clients import Clients
 from firwalk.net.executors import Executors
+from firwalk.net.management import Management, places
 from firwalk.net.peers import Peers
 
 BACKLOG = 1024
@@ -22,6 +23,7 @@
 KEPT = 2.0             # seconds after it in which clients' connections stay open, and tasks are taken on them
 QUIET = 0.1            # seconds without a new connection after which none is expected any more
 LONGEST_END = 3.4      # seconds after the signal in which all is answered, whatever the expiries
+LIST_TIME = 2.0        # seconds that the first yes waits for a fresh list
 LAST = 0.1             # seconds for the last answers to be written
 # What a new configuration may change while the node runs; the last two mean something at a start only.
 LIVE = ("discovery", "known", "seed")
@@ -47,7 +49,10 @@
             about.get("message", "running"), about.get("exception") or RuntimeError("unknown")))
         self.desk = Desk(settings, int(str(config.get("seed", "0")), 16), self.clock, self._wake)
         files = min(int(limits.get("sockets", 1024)), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        self.budget = Budget(files, int(limits.get("memory_mb", 192) * 1e6))
+        self.managed = bool(config.get("management"))
+        callers = places(files) if self.managed else 0
+        self.management = Management(callers, self._call)
+        self.budget = Budget(files, int(limits.get("memory_mb", 192) * 1e6), callers + self.managed)
         self.buffers = Buffers()
         allowed = settings.get("limits", {})
         self.executors = Executors(
@@ -63,7 +68,9 @@
         if known:
             version, _, entries = discovery.entries(known)
             self.desk.report_list(version, True, entries)
+        self.opened_at = self.clock()
         self.ending = asyncio.Event()
+        self.serving_at = float("inf")   # when it began to take clients
 
     # -- time --------------------------------------------------------------------------------------------
 
@@ -121,6 +128,23 @@
             except OSError as problem:  # their warnings help, but no rule rests on them
                 say(f"other nodes cannot be heard: {problem}")
 
+        if self.managed:
+            self.management.listen(parse(self.config["management"]))
+
+    async def _call(self, word: str, name: str = "") -> str:
+        """Carries out an operator's call; the reason, if it cannot be."""
+        if word == "PING":
+            return "" if self._serves() else "not yet: the list of executors has not come"
+        known = self.desk.report_out(name) if word == "DETACH" else self.desk.report_back(name)
+        if known:
+            say(f"operators: {name} is {'taken out' if word == 'DETACH' else 'in use again'}")
+        return "" if known else "no such executor"
+
+    def _serves(self) -> bool:
+        """It takes clients and knows its executors: by a fresh list, or, if none comes, by the one kept."""
+        waited = monotonic() - self.serving_at
+        return waited > LIST_TIME or waited >= 0.0 and self.desk.list_at > self.opened_at
+
     def reload(self, config: dict) -> None:
         """Takes over what can change live. All is read before anything is changed: half a configuration is
         worse than the old one."""
@@ -138,6 +162,7 @@
     async def run(self) -> None:
         standing = [self.loop.create_task(self.clients.accept(self.listener)),
                     self.loop.create_task(self.clients.sweep()), self.loop.create_task(self._sweep())]
+        self.serving_at = monotonic()
         self._wake()
         say(f"{self.config.get('name', 'node')} listens at {self.config['listen']}")
         await self.ending.wait()
@@ -162,6 +187,7 @@
             await asyncio.sleep(0.02)
         for work in standing:
             work.cancel()
+        self.management.close()
         say(f"ended, {len(self.clients.open)} clients left; {self.clients.malformed} were sent away")
 
     def _last_clients(self) -> None:
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -49,7 +49,7 @@
 SPAN = _number(0, 1e11)         # microseconds
 CONFIG = {
     "name": _text, "listen": _text, "discovery": _text, "peer_listen": _text, "peers": _texts,
-    "peers_all": _text,
+    "peers_all": _text, "management": _text,
     "limits.memory_mb": _number(1), "limits.sockets": _number(1, whole=True),
 }
 SETTINGS = {
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -200,7 +200,8 @@
     """The program under test, started with stand-ins round it."""
 
     def __init__(self, *behaviours, known=None, settings=None, limits=None, refuse_list=0,
-                 silent=False, peer_port=0):
+                 silent=False, peer_port=0, managed=False):
+        self.managed = managed                           # whether it has the second address
         self.silent, self.peer_port = silent, peer_port  # a list service that says nothing; a port in use
         self.behaviours, self.known, self.refuse_list = behaviours or (None,), known, refuse_list
         self.settings = {"offerings": OFFERINGS, "limits": LIMITS, "discovery": "ask", "azs": ["a"],
@@ -220,9 +221,11 @@
     async def __aenter__(self):
         self.executors = [await Executor(behave).open() for behave in self.behaviours]
         self.lists = await asyncio.start_server(self._list, "127.0.0.1", 0)
-        with socket.socket() as one, socket.socket(type=socket.SOCK_DGRAM) as two:
-            one.bind(("127.0.0.1", 0))
-            two.bind(("127.0.0.1", 0))
+        with (socket.socket() as one, socket.socket(type=socket.SOCK_DGRAM) as two,
+              socket.socket() as three):
+            for sock in (one, two, three):
+                sock.bind(("127.0.0.1", 0))
+            self.management_port = three.getsockname()[1]
             self.port, self.peer_port = one.getsockname()[1], self.peer_port or two.getsockname()[1]
         all_of_them = [self.entry(n) for n in range(len(self.executors))]
         known = self.news(*all_of_them, whole=True) if self.known is None else self.known
@@ -230,11 +233,14 @@
                        "discovery": address_of(self.lists), "known": known,
                        "peer_listen": f"127.0.0.1:{self.peer_port}", "peers": [f"127.0.0.1:{self.peer_port}"],
                        "settings": self.settings}
+        if self.managed:
+            self.config["management"] = f"127.0.0.1:{self.management_port}"
         self.folder = tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name) / "config.json"
         self.path.write_bytes(orjson.dumps(self.config))
         self.program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "firwalk", "--config", self.path, stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", "firwalk", "--config", self.path, stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"TMPDIR": self.folder.name})
         line = await self.program.stderr.readline()
         assert b"listens" in line or self.peer_port and b"cannot be heard" in line, line
         return self
@@ -250,6 +256,14 @@
         if problem[0] is None:
             assert "error while" not in self.log and self.program.returncode == 0, self.log
 
+    async def start(self, path):
+        """Another program, to its end: what it said and how it ended."""
+        other = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "firwalk", "--config", path, stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"TMPDIR": self.folder.name})
+        said = (await asyncio.wait_for(other.stderr.read(), 10)).decode()
+        return said, await other.wait()
+
     async def _list(self, reader, writer):
         while message := await read_message(reader):
             self.asked.append(message[0])
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,166 @@
+"""Executors that operators take out and call back, and the second address on which they say so."""
+import asyncio
+
+import orjson
+import pytest
+from helpers import World, post
+from test_facade import Play
+from test_service import play
+
+from firwalk.facade import Chore, Step
+from firwalk.host import Condition, Outcome
+from firwalk.maintenance import Maintenance
+from firwalk.net.management import LEAST, places
+
+COLD = {"guarantees": {"cold-us": 3000000, "cold-from": 0.2, "fall-multiple": 2.5, "tip-after-us": 2000000}}
+
+
+def sent_to(p, errand):
+    """Where it was sent; it is finished, so that the next one finds the executor free."""
+    place = [step[2].name for step in errand.steps if step[0] is Step.SEND][0]
+    p.desk.report_outcome(errand, 0, Outcome.FINISHED)
+    return place
+
+
+def test_who_is_out_gets_nothing_whatever_the_list_says():
+    p = Play(2)
+    assert p.desk.report_out("e0")
+    news = [[("e0", Condition.READY)], [("e0", Condition.READY), ("e1", Condition.READY)],
+            [("e0", Condition.GONE)], [("e0", Condition.READY)]]
+    for version, entries in enumerate(news, 2):
+        p.hear(*entries, whole=len(entries) > 1, version=version)
+        assert [sent_to(p, p.take()) for _ in range(4)] == ["e1"] * 4
+    p.desk.forget_version()
+    p.hear(("e0", Condition.READY), ("e1", Condition.READY), whole=True, version=1)
+    assert sent_to(p, p.take()) == "e1"
+
+
+def test_what_waits_for_a_connection_to_one_that_is_taken_out_is_not_sent():
+    p = Play(1)
+    errand = p.take()
+    assert p.desk.report_sending(errand, 0)
+    p.desk.report_out("e0")
+    assert not p.desk.report_sending(errand, 0)
+    assert not p.desk.kept(p.desk.places["e0"].ref)
+    assert Chore.CLOSE_IDLE in [chore[0] for chore in p.until(p.now)]
+
+
+def test_taken_out_twice_one_call_back_undoes_both():
+    p = Play(1)
+    assert p.desk.report_out("e0") and p.desk.report_out("e0")
+    assert not p.desk.node.near and not p.desk.node.far
+    assert p.desk.report_back("e0") and p.desk.report_back("e0")
+    assert sent_to(p, p.take()) == "e0"
+
+
+def test_nobody_knows_an_id_that_no_list_had():
+    p = Play(1)
+    assert not p.desk.report_out("e7") and not p.desk.report_back("e7") and not p.desk.maintenance.out
+    p.hear(("e0", Condition.GONE))
+    assert p.desk.report_out("e0")
+    p.hear(("e0", Condition.READY), version=3)
+    assert p.desk.places["e0"].condition is Condition.DRAINING
+
+
+def test_called_back_it_is_cold_with_nothing_old_against_it():
+    p = Play(2, COLD)
+    e = p.desk.places["e0"]
+    e.errors, e.strikes, e.away_until = 0.4, 1, p.now + 60.0
+    p.desk.report_out("e0")
+    p.until(p.now + 4.0)
+    p.desk.report_back("e0")
+    assert e.condition is Condition.READY and e.cold_until == p.now + 3.0
+    assert (e.errors, e.strikes, e.away_until) == (0.0, 0, 0.0)
+    p.hear(("e0", Condition.READY), version=2)  # a list that has not noticed the restart
+    assert e.came_up == p.now
+
+
+def test_a_later_start_that_the_list_tells_counts_as_told():
+    m = Maintenance()
+    m.hear("a", Condition.READY, 5.0)
+    m.take_out("a", 10.0)
+    assert m.hear("a", Condition.READY, 12.0) == (Condition.DRAINING, 12.0)
+    assert m.call_back("a", 20.0) and m.hear("a", Condition.READY, 12.0) == (Condition.READY, 12.0)
+    assert not m.call_back("a", 21.0)
+    m.take_out("a", 30.0)
+    m.call_back("a", 40.0)
+    assert m.hear("a", Condition.READY, 12.0) == (Condition.READY, 40.0)
+    assert m.hear("a", Condition.READY, 50.0) == (Condition.READY, 50.0)
+
+
+async def call(w, data, pause=0.0):
+    """One call in the pieces given; what came back until the close."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", w.management_port)
+    for part in data if isinstance(data, list) else [data]:
+        writer.write(part)
+        await writer.drain()
+        await asyncio.sleep(pause)
+    answer = await asyncio.wait_for(reader.read(), 1.0)
+    writer.close()
+    return answer
+
+
+def test_an_executor_is_taken_out_and_called_back_by_operators():
+    async def story(w):
+        assert await call(w, [b"PI", b"NG", b"\r\n"], 0.02) == b"+OK\n"
+        assert await call(w, b"DETACH e0\n") == await call(w, b"DETACH e0\r\n") == b"+OK\n"
+        await w.tell(w.entry(0), w.entry(1), whole=True)
+        for n in range(6):
+            assert (await w.ask(post(name=f"t{n}")))[0] == 200
+        assert not w.executors[0].got and len(w.executors[1].got) == 6
+        assert await call(w, b"ATTACH e0\n") == b"+OK\n"
+        assert await call(w, b"DETACH e1\n") == b"+OK\n"
+        for n in range(6):
+            assert (await w.ask(post(name=f"u{n}")))[0] == 200
+        assert len(w.executors[0].got) == 6
+        assert (await call(w, b"DETACH e9\n")).startswith(b"-ERR no such")
+    play(story, None, None, managed=True)
+
+
+def test_nonsense_is_told_so_and_does_nothing():
+    async def story(w):
+        for line in (b"\n", b"\r\n", b" \n", b"STOP e0\n", b"ping\n", b"PING e0\n", b"DETACH\n", b"DETACH \n",
+                     b"DETACH e0 e1\n", b"DETACH  e0\n", b" PING\n", b"DETACH \xff\xfe\n", b"\0\0\n",
+                     b"PING\nPING\n", b"DETACH e0\nATTACH e0\n", b"x" * 5000,
+                     b"DETACH " + b"e" * 900 + b"\n"):
+            assert (await call(w, line)).startswith(b"-ERR "), line
+        reader, writer = await asyncio.open_connection("127.0.0.1", w.management_port)
+        writer.write(b"DETACH e0")
+        writer.write_eof()
+        assert (await reader.read()).startswith(b"-ERR ")
+        assert (await w.ask(post()))[0] == 200 and w.executors[0].got
+    play(story, managed=True)
+
+
+def test_dozens_that_say_nothing_keep_nobody_out():
+    async def story(w):
+        idle = [await asyncio.open_connection("127.0.0.1", w.management_port) for _ in range(60)]
+        for number, (_, writer) in enumerate(idle):
+            writer.write(b"PIN" if number % 2 else b"")
+        assert await call(w, b"PING\n") == b"+OK\n"
+        for _, writer in idle:
+            writer.close()
+    assert places(64) == LEAST
+    play(story, managed=True, limits={"sockets": 64})
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1", "nowhere:1", "127.0.0.1:0", 7])
+def test_an_address_that_is_none_is_one_plain_line(address):
+    async def run():
+        async with World(managed=True) as w:
+            path = w.path.parent / "other.json"
+            path.write_bytes(orjson.dumps(w.config | {
+                "listen": f"127.0.0.2:{w.port}", "management": address, "peer_listen": ""}))
+            return await w.start(path)
+    said, code = asyncio.run(run())
+    assert code == 2 and said.count("\n") == 1 and "cannot start" in said, said
+
+
+def test_an_address_in_use_is_one_plain_line():
+    async def run():
+        async with World(managed=True) as w:
+            path = w.path.parent / "other.json"
+            path.write_bytes(orjson.dumps(w.config | {"listen": f"127.0.0.2:{w.port}", "peer_listen": ""}))
+            return await w.start(path)
+    said, code = asyncio.run(run())
+    assert code == 2 and said.count("\n") == 1 and "in use" in said, said
