Replacement of the process: listener, clients' connections and who is out are handed over

Faults met on the way: a condition that came as a plain number from the state was never READY (is compares enums), so the new process turned 89 % away; the old process, when it ended, took itself for the survivor and bound the meeting place anew, so that the third process found nobody.

--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -88,6 +88,7 @@
         self.closing_at = float("inf")
         self.places: dict[str, Executor] = {}
         self.maintenance = Maintenance()
+        self.entries: dict[str, tuple] = {}     # the list as it was told last
         self.list_at = 0.0              # when a list came last
         self.marks = hearsay.Marks()
         self.version = 0
@@ -203,7 +204,11 @@
         if version < self.version and not whole:
             return  # an old change, told again
         now, named = self.clock(), set()
-        for name, address, zone, kind, cell, condition, came_up, size in entries:
+        if whole:
+            self.entries.clear()
+        for entry in entries:
+            name, address, zone, kind, cell, condition, came_up, size = entry
+            self.entries[name] = entry
             executor = self.places.get(name)
             if executor is None:
                 if condition is Condition.GONE:
@@ -225,10 +230,10 @@
         self.node.list_heard(now)
         self._settle(now)
 
-    def report_out(self, name: str) -> bool:
+    def report_out(self, name: str, sure: bool = False) -> bool:
         """Operators take an executor out: to the decisions it drains, so that their one gate keeps this rule
-        too. False: nobody knows it."""
-        if not self.maintenance.knows(name):
+        too. False: nobody knows it. `sure`: another process of this node does."""
+        if not (sure or self.maintenance.knows(name)):
             return False
         now, executor = self.clock(), self.places.get(name)
         self.maintenance.take_out(name, now)
@@ -257,6 +262,12 @@
         """Whether connections to it are worth keeping: to one that is out they end with its restart."""
         return place.name not in self.maintenance.out
 
+    def report_kept_list(self, version: int, entries: list[tuple]) -> None:
+        """The list as another process of this node had it: no news, so that a fresh one is still awaited."""
+        at = self.list_at
+        self.report_list(version, True, entries)
+        self.list_at = at
+
     def forget_version(self) -> None:
         """The list comes from another service, whose versions need not follow on those before."""
         self.version = 0
--- a/firwalk/maintenance.py
+++ b/firwalk/maintenance.py
@@ -22,6 +22,15 @@
         # It was restarted while out: a list that is behind must not make a cold one pass for warm.
         return condition, max(came_up, self.back.get(name, 0.0))
 
+    def state(self) -> dict:
+        """What another process of the same node must know."""
+        return {"out": dict(self.out), "back": dict(self.back)}
+
+    def restore(self, state: dict) -> None:
+        """All of it or nothing: ValueError and its like if it is none of ours."""
+        self.out, self.back = [
+            {str(name): float(at) for name, at in state.get(word, {}).items()} for word in ("out", "back")]
+
     def knows(self, name: str) -> bool:
         return name in self.listed or name in self.out
 
--- a/firwalk/net/budget.py
+++ b/firwalk/net/budget.py
@@ -25,15 +25,23 @@
 
 class Budget:
     def __init__(self, descriptors: int, memory: int, reserved: int = 0):
-        rest = max(descriptors - BASE - reserved, 8)
+        self.reserved, self.clients, self.links, self.spare, self.bodies = reserved, 0, 0, 0, 0
+        self.shed_client: Callable[[bool], bool] = lambda spare: False  # close an idle one; was there one?
+        self.shed_link: Callable[[], bool] = lambda: False
+        self.limit(descriptors, memory)
+
+    def limit(self, descriptors: int, memory: int) -> None:
+        """Other limits from now on; what is open beyond them stays until it is wanted or ends."""
+        rest = max(descriptors - BASE - self.reserved, 8)
         room = max(memory - PROGRAM, 0.1 * memory)
         self.most_spare = max(int(rest * SPARE_PART), 2)
         self.most = rest - self.most_spare
         self.most_clients = min(int(self.most * CLIENT_PART), int(room * CLIENT_MEMORY / CLIENT_HOLDS))
-        self.clients = self.links = self.spare = 0
-        self.bodies, self.most_bodies = 0, int(room * BODY_PART / BODY_COPIES)
-        self.shed_client: Callable[[bool], bool] = lambda spare: False  # close an idle one; was there one?
-        self.shed_link: Callable[[], bool] = lambda: False
+        self.most_bodies = int(room * BODY_PART / BODY_COPIES)
+
+    def held(self) -> int:
+        """Descriptors that are in use, or kept in reserve."""
+        return BASE + self.reserved + self.clients + self.links + self.spare
 
     def open_client(self) -> bool:
         if self.clients >= self.most_clients and not self.shed_client(False):
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -4,6 +4,7 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Callable
 from time import monotonic
 
 from firwalk.facade import Desk, Errand, Step
@@ -12,6 +13,7 @@
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
 from firwalk.net.executors import Executors
+from firwalk.net.waiting import readable
 
 HEALTH = b"/_health"
 READ_TIME = 2.0        # seconds in which a message must be whole, the first one counted from the connect
@@ -39,6 +41,7 @@
         self.heard_at, self.closing, self.gone = monotonic(), False, False
         self.leaving = 0                                 # what it is told for a message that ends it all
         self.turned_away_at, self.pushes = 0.0, 0
+        self.heir: Callable[[socket.socket], None] | None = None    # who gets it when its reader has let go
         self.reading = asyncio.get_running_loop().create_task(self._read())
         self.reading.add_done_callback(self._closed)
 
@@ -46,7 +49,7 @@
         buffer, loop = self.clients.buffers.take(), asyncio.get_running_loop()
         view = memoryview(buffer)
         try:
-            while count := await loop.sock_recv_into(self.sock, buffer):
+            while count := await self._received(buffer):
                 if not self.parser.partial and self.used:
                     self.heard_at = monotonic()
                 self.parser.feed(view[:count])
@@ -66,6 +69,14 @@
             view.release()
             self.clients.buffers.give(buffer)
 
+    async def _received(self, buffer: bytearray) -> int:
+        while True:
+            await readable(self.sock)
+            try:
+                return self.sock.recv_into(buffer)
+            except BlockingIOError:
+                pass
+
     async def _spoilt(self, problem: http.Malformed, buffer: bytearray) -> None:
         """Where one message ends and the next begins is not sure any more: with a wrong length, also the task
         in hand is not what its client meant. It is called off, and told so."""
@@ -93,7 +104,10 @@
         self._forget()
         if self.writing is not None:
             self.writing.cancel()
-        self.sock.close()
+        if self.heir is None:
+            self.sock.close()
+        else:
+            self.heir(self.sock)
         self.clients.closed(self)
 
     async def _turn_away(self, status: int, buffer: bytearray) -> None:
@@ -157,6 +171,15 @@
         if not self.room.done():
             self.room.set_result(None)
 
+    def still(self) -> bool:
+        """Nothing of a message is read and nothing in work; what may be unread stays in the socket."""
+        return not (self.busy or self.closing or self.parser.partial or self.leaving or self.waiting)
+
+    def hand_over(self, heir: Callable[[socket.socket], None]) -> None:
+        """Another process goes on with it, as soon as the event loop has let go of it."""
+        self.heir = heir
+        self.close()
+
     def idle(self) -> bool:
         """Nothing is in work, nor about to be."""
         return not (self.busy or self.closing or self.parser.partial or self.leaving) and self._read_up()
@@ -206,10 +229,12 @@
     # -- connections -------------------------------------------------------------------------------------
 
     async def accept(self, listener: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             try:
-                sock, _ = await loop.sock_accept(listener)
+                await readable(listener)
+                sock, _ = listener.accept()
+            except BlockingIOError:  # another process of this node was quicker
+                continue
             except OSError as problem:
                 say(f"no connection accepted: {problem}")
                 await asyncio.sleep(0.05)
@@ -228,6 +253,14 @@
         self.open[Client(self, sock, spare)] = None
         return True
 
+    def adopt(self, sock: socket.socket, known: bool) -> None:
+        """A connection that another process of this node had: counted there until now, it fits."""
+        self.budget.clients += 1
+        sock.setblocking(False)
+        client = Client(self, sock, False)
+        client.known = client.used = known
+        self.open[client] = None
+
     def closed(self, client: Client) -> None:
         self.open.pop(client, None)
         self.budget.close_client(client.spare)
--- a/firwalk/net/peers.py
+++ b/firwalk/net/peers.py
@@ -16,10 +16,15 @@
         self.desk, self.to_all = desk, to_all
         self.numbers = {address: number for number, address in enumerate(peers)}
         self.dropped, self.transport = 0, None
+        self.sock: socket.socket | None = None
 
-    async def open(self, address: tuple[str, int]) -> None:
-        sock = new_socket(address, socket.SOCK_DGRAM)
-        sock.bind(address)
+    def bind(self, address: tuple[str, int]) -> None:
+        self.sock = new_socket(address, socket.SOCK_DGRAM)
+        self.sock.bind(address)
+
+    async def open(self) -> None:
+        sock = self.sock.dup()  # the transport closes its own; another process may still be given this one
+        sock.setblocking(False)
         self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, sock=sock)
 
     def datagram_received(self, data: bytes, sender: tuple) -> None:
@@ -32,6 +37,11 @@
     def error_received(self, problem: OSError) -> None:
         say(f"a message to a node: {problem}")
 
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
+
     def tell(self, content: bytes) -> None:
         if self.transport is None or self.to_all is None or len(content) > LONGEST:
             self.dropped += 1
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -14,8 +14,10 @@
 from firwalk.net.buffers import Buffers
 from firwalk.net.clients import Clients
 from firwalk.net.executors import Executors
+from firwalk.net.handover import steer
 from firwalk.net.management import Management, places
 from firwalk.net.peers import Peers
+from firwalk.net.succession import Succession
 
 BACKLOG = 1024
 MOST_UNREAD = 1 << 16  # bytes of a client that wait unread with the machine, which may charge them to us
@@ -52,7 +54,8 @@
         self.managed = bool(config.get("management"))
         callers = places(files) if self.managed else 0
         self.management = Management(callers, self._call)
-        self.budget = Budget(files, int(limits.get("memory_mb", 192) * 1e6), callers + self.managed)
+        self.files, self.memory = files, int(limits.get("memory_mb", 192) * 1e6)
+        self.budget = Budget(files, self.memory, callers + self.managed)
         self.buffers = Buffers()
         allowed = settings.get("limits", {})
         self.executors = Executors(
@@ -70,7 +73,10 @@
             self.desk.report_list(version, True, entries)
         self.opened_at = self.clock()
         self.ending = asyncio.Event()
-        self.serving_at = float("inf")   # when it began to take clients
+        self.begun_at = monotonic()
+        self.accepting: asyncio.Task | None = None
+        self.listener: socket.socket | None = None
+        self.succession = Succession(self)
 
     # -- time --------------------------------------------------------------------------------------------
 
@@ -96,7 +102,8 @@
 
     def _do(self, kind: Chore, *about) -> None:
         if kind is Chore.PROBE:
-            self.executors.probe(*about)
+            if not self.succession.handed:  # the process that takes the tasks probes for them
+                self.executors.probe(*about)
         elif kind is Chore.CLOSE_IDLE:
             self.executors.close_idle(*about)
         elif kind is Chore.WATCH:
@@ -117,33 +124,79 @@
 
     async def open(self) -> None:
         address = parse(self.config["listen"])
+        management = parse(self.config["management"]) if self.managed else None
+        shared = await self.succession.join()
+        if shared:
+            self.listener, *peers = shared
+            self.listener.setblocking(False)
+            self.peers.sock = peers[0] if peers else None
+        else:
+            self._listen(address)
+            self._hear_peers()
+        if management is not None:
+            self.management.listen(management)
+
+    def _listen(self, address: tuple[str, int]) -> None:
         self.listener = new_socket(address)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.succession.hung:  # beside the one that hangs; its listener allows that
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.listener.bind(address)
+        if self.managed:  # only now: two nodes that know nothing of each other must not share an address
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MOST_UNREAD)  # for what it accepts
         self.listener.listen(BACKLOG)
+        if self.succession.hung:
+            steer(self.listener)
+
+    def _hear_peers(self) -> None:
         if self.config.get("peer_listen") and self.config["settings"].get("limits", {}).get("peers"):
             try:
-                await self.peers.open(parse(self.config["peer_listen"]))
+                self.peers.bind(parse(self.config["peer_listen"]))
             except OSError as problem:  # their warnings help, but no rule rests on them
                 say(f"other nodes cannot be heard: {problem}")
 
-        if self.managed:
-            self.management.listen(parse(self.config["management"]))
+    # -- two processes as one node -------------------------------------------------------------------------
+
+    def shared(self) -> list[socket.socket]:
+        """What both processes hold."""
+        return [self.listener] + ([self.peers.sock] if self.peers.sock is not None else [])
+
+    def limit(self, descriptors: int, part: float) -> None:
+        self.budget.limit(descriptors, int(self.memory * part))
+
+    def stop_accepting(self) -> list[socket.socket]:
+        """The other process accepts; what was accepted and not let in yet goes to it."""
+        self.accepting.cancel()
+        self.peers.close()
+        held, self.clients.held = self.clients.held, None
+        return [held] if held is not None else []
+
+    def accept_again(self) -> None:
+        if not self.clients.stopping:
+            self._accept()
+
+    def _accept(self) -> None:
+        self.accepting = self.loop.create_task(self.clients.accept(self.listener))
+        if self.peers.sock is not None:
+            self.clients.keep(self.loop.create_task(self.peers.open()))
 
     async def _call(self, word: str, name: str = "") -> str:
         """Carries out an operator's call; the reason, if it cannot be."""
         if word == "PING":
             return "" if self._serves() else "not yet: the list of executors has not come"
-        known = self.desk.report_out(name) if word == "DETACH" else self.desk.report_back(name)
+        out = word == "DETACH"
+        known = self.desk.report_out(name) if out else self.desk.report_back(name)
+        known = await self.succession.tell(name, out) or known
         if known:
             say(f"operators: {name} is {'taken out' if word == 'DETACH' else 'in use again'}")
         return "" if known else "no such executor"
 
     def _serves(self) -> bool:
         """It takes clients and knows its executors: by a fresh list, or, if none comes, by the one kept."""
-        waited = monotonic() - self.serving_at
-        return waited > LIST_TIME or waited >= 0.0 and self.desk.list_at > self.opened_at
+        if self.accepting is None:
+            return False
+        return self.desk.list_at > self.opened_at or monotonic() > self.begun_at + LIST_TIME
 
     def reload(self, config: dict) -> None:
         """Takes over what can change live. All is read before anything is changed: half a configuration is
@@ -160,10 +213,13 @@
             say(f"changes that need a restart: {', '.join(fixed)}")
 
     async def run(self) -> None:
-        standing = [self.loop.create_task(self.clients.accept(self.listener)),
-                    self.loop.create_task(self.clients.sweep()), self.loop.create_task(self._sweep())]
-        self.serving_at = monotonic()
+        standing = [self.loop.create_task(self.clients.sweep()), self.loop.create_task(self._sweep())]
         self._wake()
+        if self.succession.before is not None:
+            await self.succession.fresh(LIST_TIME, self.ending)
+            await self.succession.take()
+        self._accept()
+        self.succession.listen()
         say(f"{self.config.get('name', 'node')} listens at {self.config['listen']}")
         await self.ending.wait()
         await self._end(standing)
@@ -173,20 +229,23 @@
         began = monotonic()
         say("told to end")
         self.desk.close_by(self.clock() + LONGEST_END)
-        self.clients.ending = True
+        self.clients.ending = self.succession.after is None
         # Another node may be ending too: a client whose connections all close would have nowhere to go.
         while (now := monotonic()) < began + KEPT and (
                 self.clients.open or now < max(began + STILL_COMING, self.clients.accepted_at + QUIET)):
             await asyncio.sleep(0.02)
-        self.clients.stopping = True
-        standing[0].cancel()
-        await asyncio.sleep(0)
-        self._last_clients()
-        while self.clients.open and monotonic() < began + LONGEST_END + LAST:
-            self.clients.close_idle()
+        if not self.succession.handed:
+            self.clients.stopping = True
+            self.accepting.cancel()
+            await asyncio.sleep(0)
+            self._last_clients()
+        while (self.clients.open or self.clients.works) and monotonic() < began + LONGEST_END + LAST:
+            if self.clients.stopping:
+                self.clients.close_idle()
             await asyncio.sleep(0.02)
         for work in standing:
             work.cancel()
+        self.succession.close()
         self.management.close()
         say(f"ended, {len(self.clients.open)} clients left; {self.clients.malformed} were sent away")
 
--- /dev/null
+++ b/firwalk/net/succession.py
@@ -0,0 +1,228 @@
+"""What the two processes of one node do for each other, on both sides: see `firwalk.net.handover`."""
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from time import monotonic
+from typing import TYPE_CHECKING
+
+from firwalk.host import Condition
+from firwalk.log import say, trouble
+from firwalk.net.handover import VERSION, Broken, Line, Meeting, hello
+
+if TYPE_CHECKING:
+    from firwalk.net.service import Service
+
+HAND_OVER_EVERY = 0.01 # seconds between looks for connections that can be handed over
+NEW_PART = 4           # of the descriptors, one in so many is the new process's until it takes over
+NEW_LEAST = 36         # or so many, where that is less
+MARGIN = 8             # descriptors that the old process may still open for what it finishes
+
+
+class Succession:
+    def __init__(self, service: Service):
+        self.service, self.desk = service, service.desk
+        config, folder = service.config, os.environ.get("TMPDIR")
+        self.meeting = None
+        if service.managed and folder and os.path.isdir(folder):
+            self.meeting = Meeting(folder, str(config.get("name", "")), config["listen"], self._come)
+        self.before: Line | None = None      # to the process that this one replaces
+        self.after: Line | None = None       # to the one that replaces this one
+        self.handed = False                  # the one after accepts now
+        self.hung = False                    # the one before does not answer
+        self.yours: asyncio.Future | None = None
+        self.closed = False
+        self.works: dict[asyncio.Task, None] = {}
+
+    def _keep(self, work) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(work)
+        self.works[task] = None
+        task.add_done_callback(lambda _: self.works.pop(task, None))
+        return task
+
+    # -- the new process -----------------------------------------------------------------------------------
+
+    async def join(self) -> list[socket.socket]:
+        """Asks the process before for the node: the listener and the peers' socket, or nothing."""
+        if self.meeting is None:
+            return []
+        line, state, files, self.hung = await hello(self.meeting)
+        kept = state.get("out") if line is not None else self.meeting.kept()
+        try:
+            self.desk.maintenance.restore(kept)
+        except (TypeError, ValueError, AttributeError) as problem:
+            say(f"begun without who was taken out: {problem!r}")
+        if self.desk.maintenance.out:
+            say(f"taken out by operators: {', '.join(self.desk.maintenance.out)}")
+        if line is None:
+            return []
+        self._learn(state)
+        self.before = line
+        self.yours = asyncio.get_running_loop().create_future()
+        self._shares()
+        self._keep(self._follow(line))
+        return files
+
+    def _learn(self, state: dict) -> None:
+        try:
+            version, entries = int(state["version"]), [
+                (str(e[0]), (str(e[1][0]), int(e[1][1])), *e[2:5], Condition(e[5]), *e[6:])
+                for e in state["entries"]]
+            self.desk.report_kept_list(version, entries)
+            if state["discovery"] != self.service.config["discovery"]:
+                self.desk.forget_version()
+        except (KeyError, TypeError, ValueError, IndexError) as problem:
+            say(f"begun without the list of the process before: {problem!r}")
+
+    async def take(self) -> None:
+        """Tells the one before to stop accepting; what it has accepted already it finishes or hands over."""
+        if self.before is not None:
+            self.before.say({"take": True})
+            await self.yours
+
+    async def _follow(self, line: Line) -> None:
+        try:
+            while True:
+                about, files = await line.next()
+                if "client" in about:
+                    self.service.clients.adopt(files[0], bool(about["client"]))
+                elif "yours" in about:
+                    self._free()
+                elif "holds" in about:
+                    self._shares(int(about["holds"]))
+                else:
+                    self._called(line, about)
+        except Broken:
+            say("the process before has ended; this one has the whole of the limits")
+        except Exception as problem:
+            trouble("following the process before", problem)
+        finally:
+            self.before = None
+            line.close()
+            self._free()
+            self._shares()
+
+    def _free(self) -> None:
+        if not self.yours.done():
+            self.yours.set_result(None)
+
+    # -- the old process -----------------------------------------------------------------------------------
+
+    def _come(self, line: Line) -> None:
+        self._keep(self._attend(line))
+
+    async def _attend(self, line: Line) -> None:
+        """Another process of this node has come, to replace this one."""
+        try:
+            about, _ = await line.next()
+            if about.get("hello") != VERSION:
+                line.say({"busy": False, "why": "it is of another version"})
+            elif self.after is not None or self.before is not None:
+                line.say({"busy": True})
+            else:
+                self.after = line
+                say("another process of this node has come")
+                line.say({"state": self._state()}, *self.service.shared())
+                self._shares()
+                while True:
+                    about, _ = await line.next()
+                    if "take" in about:
+                        self._hand(line)
+                    else:
+                        self._called(line, about)
+        except Broken:
+            pass
+        except Exception as problem:
+            trouble("handing the node over", problem)
+        finally:
+            line.close()
+            if self.after is line and not self.closed:
+                self._alone()
+
+    def _state(self) -> dict:
+        desk = self.desk
+        return {"version": desk.version, "discovery": self.service.config["discovery"],
+                "entries": list(desk.entries.values()), "out": desk.maintenance.state()}
+
+    def _hand(self, line: Line) -> None:
+        self.meeting.close()    # the path belongs to the new process from here on
+        self.handed = True
+        held = self.service.stop_accepting()
+        line.say({"yours": True})
+        for sock in held:
+            line.say({"client": False}, sock, give=True)
+        say("another process of this node serves from now on; this one finishes what it has taken")
+        self._keep(self._hand_over(line))
+
+    async def _hand_over(self, line: Line) -> None:
+        """Connections on which nothing is in work go over; what is unread on them goes along."""
+        holds, budget = -1, self.service.budget
+        while line.open:
+            for client in list(self.service.clients.open):
+                if client.still():
+                    known = client.known
+                    client.hand_over(lambda sock, known=known: line.say({"client": known}, sock, give=True))
+            if holds != budget.held():
+                holds = budget.held()
+                self.service.limit(holds + MARGIN, 0.5)
+                line.say({"holds": holds + MARGIN})
+            await asyncio.sleep(HAND_OVER_EVERY)
+
+    def _alone(self) -> None:
+        """The new process is gone, and this one still there: it goes on as before."""
+        self.after = None
+        self._shares()
+        if self.handed:
+            say("the process that was to replace this one has ended; this one serves again")
+            self.handed = False
+            self.service.accept_again()
+            self.meeting.listen()
+
+    # -- both ----------------------------------------------------------------------------------------------
+
+    def listen(self) -> None:
+        if self.meeting is not None:
+            self.meeting.listen()
+
+    def _shares(self, holds: int | None = None) -> None:
+        """Limits are the node's, whichever process uses them."""
+        files = self.service.files
+        new = min(max(files // NEW_PART, NEW_LEAST), files // 2)
+        if self.before is not None:
+            self.service.limit(new if holds is None else max(files - holds, new), 0.5)
+        elif self.after is not None:
+            self.service.limit(files - new, 0.5)
+        else:
+            self.service.limit(files, 1.0)
+
+    def _called(self, line: Line, about: dict) -> None:
+        """What operators told the other process."""
+        if "out" in about:
+            known = self.desk.report_out(about["out"], sure=about["on"]) if about["on"] else (
+                self.desk.report_back(about["out"]))
+            line.say({"done": about["number"], "known": known})
+        elif about.get("done") in line.asked:
+            line.asked[about["done"]].set_result(bool(about.get("known")))
+
+    async def tell(self, name: str, on: bool) -> bool:
+        """An operator's call, kept for a process to come and told to the other one, if there is one. Whether
+        that one knows the executor."""
+        if self.meeting is not None:
+            self.meeting.keep(self.desk.maintenance.state())
+        line = self.before or self.after
+        return bool(line is not None and await line.ask({"out": name, "on": on}))
+
+    async def fresh(self, seconds: float, ending: asyncio.Event) -> None:
+        """Waits for a list that came since the start, for so long at most."""
+        end = monotonic() + seconds
+        while monotonic() < end and self.desk.list_at <= self.service.opened_at and not ending.is_set():
+            await asyncio.sleep(0.01)
+
+    def close(self) -> None:
+        self.closed = True
+        if self.meeting is not None:
+            self.meeting.close(unlink=not self.handed)
+        for work in list(self.works):
+            work.cancel()
+
