Tests of two processes as one node; who is out holds for the list that a start knows

Found by the tests: a process that read who is out from its file had handed the known list to the decisions before, so those executors were in use until the next whole list; an id that only the other process knew was always taken as known.

--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -242,9 +242,16 @@
             self.close_idle(executor)  # the restart that it is taken out for would end them under a task
         return True
 
-    def report_back(self, name: str) -> bool:
+    def report_kept_out(self, state: dict) -> None:
+        """Who was out when another process of this node served; ValueError and its like if it says nothing
+        that can be used. The list that this one began with had them in use."""
+        self.maintenance.restore(state)
+        for executor in self.places.values():
+            self._as_listed(self.clock(), executor)
+
+    def report_back(self, name: str, sure: bool = False) -> bool:
         """Operators call it back: it comes back cold, whatever the list has noticed of its restart."""
-        if not self.maintenance.knows(name):
+        if not (sure or self.maintenance.knows(name)):
             return False
         now, executor = self.clock(), self.places.get(name)
         if self.maintenance.call_back(name, now) and executor is not None:
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -187,7 +187,7 @@
             return "" if self._serves() else "not yet: the list of executors has not come"
         out = word == "DETACH"
         known = self.desk.report_out(name) if out else self.desk.report_back(name)
-        known = await self.succession.tell(name, out) or known
+        known = await self.succession.tell(name, out, known)
         if known:
             say(f"operators: {name} is {'taken out' if word == 'DETACH' else 'in use again'}")
         return "" if known else "no such executor"
--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -50,7 +50,7 @@
         line, state, files, self.hung = await hello(self.meeting)
         kept = state.get("out") if line is not None else self.meeting.kept()
         try:
-            self.desk.maintenance.restore(kept)
+            self.desk.report_kept_out(kept)
         except (TypeError, ValueError, AttributeError) as problem:
             say(f"begun without who was taken out: {problem!r}")
         if self.desk.maintenance.out:
@@ -199,19 +199,22 @@
     def _called(self, line: Line, about: dict) -> None:
         """What operators told the other process."""
         if "out" in about:
-            known = self.desk.report_out(about["out"], sure=about["on"]) if about["on"] else (
-                self.desk.report_back(about["out"]))
+            report = self.desk.report_out if about["on"] else self.desk.report_back
+            known = report(about["out"], bool(about["sure"]))
             line.say({"done": about["number"], "known": known})
         elif about.get("done") in line.asked:
             line.asked[about["done"]].set_result(bool(about.get("known")))
 
-    async def tell(self, name: str, on: bool) -> bool:
+    async def tell(self, name: str, on: bool, known: bool) -> bool:
         """An operator's call, kept for a process to come and told to the other one, if there is one. Whether
-        that one knows the executor."""
+        either knows the executor: a list may have reached one of them only."""
         if self.meeting is not None:
             self.meeting.keep(self.desk.maintenance.state())
         line = self.before or self.after
-        return bool(line is not None and await line.ask({"out": name, "on": on}))
+        theirs = line is not None and await line.ask({"out": name, "on": on, "sure": known})
+        if theirs and not known:
+            (self.desk.report_out if on else self.desk.report_back)(name, True)
+        return known or theirs
 
     async def fresh(self, seconds: float, ending: asyncio.Event) -> None:
         """Waits for a list that came since the start, for so long at most."""
--- /dev/null
+++ b/tests/test_succession.py
@@ -0,0 +1,293 @@
+"""Two real processes as one node: nobody is refused, reset or left unread while one replaces the other."""
+import asyncio
+import os
+import signal
+import socket
+import sys
+import time
+
+import orjson
+import pytest
+from helpers import World, post, read_message
+from test_service import play, silent, slowly
+
+from firwalk.maintenance import Maintenance
+from firwalk.net.handover import Line, Meeting
+
+
+class Another:
+    """A further process of the world's node, with a second address of its own."""
+
+    def __init__(self, w, **changes):
+        self.w, self.changes = w, changes
+
+    async def start(self):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            self.port = sock.getsockname()[1]
+        self.w.path.write_bytes(orjson.dumps(
+            self.w.config | {"management": f"127.0.0.1:{self.port}"} | self.changes))
+        self.program = await asyncio.create_subprocess_exec(
+            sys.executable, "-O", "-m", "firwalk", "--config", self.w.path, stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"TMPDIR": self.w.folder.name})
+        return self
+
+    async def ready(self, seconds=6.0):
+        end = time.monotonic() + seconds
+        while True:
+            try:
+                if await call(self.port, b"PING\n") == b"+OK\n":
+                    return self
+            except OSError:
+                pass
+            assert time.monotonic() < end and self.program.returncode is None
+            await asyncio.sleep(0.02)
+
+    async def end(self):
+        if self.program.returncode is None:
+            self.program.send_signal(signal.SIGTERM)
+        said = (await asyncio.wait_for(self.program.stderr.read(), 8)).decode()
+        assert await self.program.wait() == 0 and "error while" not in said, said
+        return said
+
+
+async def call(port, data):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    answer = await asyncio.wait_for(reader.read(), 2.0)
+    writer.close()
+    return answer
+
+
+async def over(w):
+    """The world's first process is told to end, and ends well."""
+    w.program.send_signal(signal.SIGTERM)
+    assert await asyncio.wait_for(w.program.wait(), 5) == 0
+
+
+class Load:
+    """Clients that go on until they are stopped, on kept connections and on new ones."""
+
+    def __init__(self, w, clients=6):
+        self.w, self.going, self.ended, self.wrong, self.number = w, True, 0, [], 0
+        self.works = [asyncio.create_task(self._run(n % 2)) for n in range(clients)]
+
+    async def _run(self, keep):
+        pair = None
+        while self.going:
+            self.number += 1
+            name = f"t{self.number}"
+            try:
+                pair = pair or await self.w.connect()
+                data = post(name=name)
+                pair[1].write(data[:40])        # in pieces, so that some are half read when it changes
+                await asyncio.sleep(0.003)
+                pair[1].write(data[40:])
+                answer = await asyncio.wait_for(read_message(pair[0]), 6)
+                if answer is None or not answer[0].startswith("HTTP/1.1 200") or (
+                        answer[2] != f"made of {name}".encode()):
+                    self.wrong.append((name, answer))
+                    pair = None
+            except OSError as problem:
+                self.wrong.append((name, problem))
+                pair = None
+            self.ended += 1
+            if pair is not None and not keep:
+                pair[1].close()
+                pair = None
+
+    async def stop(self):
+        self.going = False
+        await asyncio.gather(*self.works)
+
+
+def test_under_load_three_processes_follow_one_another_and_no_client_notices():
+    async def story(w):
+        idle = await w.connect()
+        assert (await w.ask(post(name="first"), idle))[0] == 200
+        silent_one = await w.connect()
+        load = Load(w)
+        await w.until(lambda: load.ended > 20)
+        second = await (await Another(w).start()).ready()
+        await over(w)
+        ended = load.ended
+        await w.until(lambda: load.ended > ended + 30)
+        third = await (await Another(w).start()).ready()
+        await second.end()
+        ended = load.ended
+        await w.until(lambda: load.ended > ended + 30)
+        await load.stop()
+        assert not load.wrong, load.wrong[:3]
+        assert (await w.ask(post(name="last"), idle))[0] == 200        # the same connection all along
+        assert (await w.ask(post(name="late"), silent_one))[0] == 200  # one on which nothing had come yet
+        names = [got[1]["x-request-id"] for e in w.executors for got in e.got]
+        assert len(names) == len(set(names)) == load.number + 3
+        await third.end()
+    play(story, None, None, managed=True)
+
+
+def test_what_the_old_process_took_it_finishes_after_the_new_one_serves():
+    async def story(w):
+        pair = await w.connect()
+        task = asyncio.create_task(w.ask(post("/act/k", name="old"), pair))
+        await w.until(lambda: w.executors[0].got)
+        other = await (await Another(w).start()).ready()
+        ending = asyncio.create_task(over(w))
+        assert (await task) == (200, b"made of old") and len(w.executors[0].got) == 1
+        await ending
+        assert (await w.ask(post(name="new"), pair))[0] == 200  # handed over when it was answered
+        await other.end()
+    play(story, slowly, managed=True)
+
+
+def test_who_is_out_stays_out_and_either_process_is_told():
+    async def story(w):
+        assert await call(w.management_port, b"DETACH e0\n") == b"+OK\n"
+        other = await (await Another(w).start()).ready()
+        for n in range(4):
+            assert (await w.ask(post(name=f"t{n}")))[0] == 200
+        assert not w.executors[0].got
+        assert await call(w.management_port, b"ATTACH e0\n") == b"+OK\n"   # at the old one
+        assert await call(w.management_port, b"DETACH e1\n") == b"+OK\n"
+        for n in range(4):
+            assert (await w.ask(post(name=f"u{n}")))[0] == 200
+        assert len(w.executors[0].got) == len(w.executors[1].got) == 4
+        assert await call(other.port, b"DETACH e9\n") == b"-ERR no such executor\n"
+        await over(w)
+        assert "taken out by operators: e0" in await other.end()
+    play(story, None, None, managed=True)
+
+
+def test_one_killed_outright_leaves_who_is_out_in_its_file():
+    async def story(w):
+        assert await call(w.management_port, b"DETACH e0\n") == b"+OK\n"
+        w.killed = True
+        w.program.kill()
+        await w.program.wait()
+        other = await (await Another(w).start()).ready()
+        assert (await w.ask(post()))[0] == 200
+        assert not w.executors[0].got and len(w.executors[1].got) == 1
+        assert await call(other.port, b"ATTACH e0\n") == b"+OK\n"
+        await other.end()
+        other = await (await Another(w).start()).ready()
+        assert "taken out" not in await other.end()
+    play(story, None, None, managed=True)
+
+
+def test_a_new_process_that_dies_before_or_after_it_serves_costs_nothing_to_come():
+    async def story(w):
+        w.path.write_bytes(b"{}")
+        bad = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "firwalk", "--config", w.path, stderr=asyncio.subprocess.DEVNULL,
+            env=os.environ | {"TMPDIR": w.folder.name})
+        assert await bad.wait() == 2
+        bad = await Another(w, management=f"127.0.0.1:{w.management_port}").start()     # an address in use
+        assert await bad.program.wait() == 2
+        assert (await w.ask(post(name="t1")))[0] == 200
+        other = await (await Another(w).start()).ready()
+        other.program.kill()
+        await w.logs("this one serves again")
+        assert (await w.ask(post(name="t2")))[0] == 200
+        other = await (await Another(w).start()).ready()
+        await over(w)
+        assert (await w.ask(post(name="t3")))[0] == 200
+        await other.end()
+    play(story, managed=True)
+
+
+def test_beside_one_that_hangs_the_new_process_gets_all_new_connections():
+    async def story(w):
+        assert await call(w.management_port, b"DETACH e0\n") == b"+OK\n"
+        w.program.send_signal(signal.SIGSTOP)
+        other = await (await Another(w).start()).ready()
+        for n in range(8):
+            assert (await w.ask(post(name=f"t{n}")))[0] == 200
+        assert not w.executors[0].got and len(w.executors[1].got) == 8
+        w.program.send_signal(signal.SIGCONT)
+        await over(w)
+        assert (await w.ask(post(name="u")))[0] == 200
+        await other.end()
+    play(story, None, None, managed=True)
+
+
+def test_a_stranger_at_the_same_address_is_refused_at_the_start():
+    async def story(w):
+        for changes in ({"name": "other"}, {"name": "other", "management": None}):
+            stranger = Another(w, peer_listen="", **changes)
+            if changes.get("management", 1) is None:
+                w.config.pop("management")
+            await stranger.start()
+            said = (await stranger.program.stderr.read()).decode()
+            assert await stranger.program.wait() == 2 and "in use" in said and said.count("\n") == 1, said
+        assert (await w.ask(post()))[0] == 200
+    play(story, managed=True)
+
+
+def test_the_old_process_hands_the_limits_back():
+    async def story(w):
+        many = [await w.connect() for _ in range(30)]
+        for n, pair in enumerate(many):
+            assert (await w.ask(post(name=f"t{n}"), pair))[0] == 200
+        other = await (await Another(w).start()).ready()
+        files = [len(os.listdir(f"/proc/{pid}/fd")) for pid in (w.program.pid, other.program.pid)]
+        assert sum(files) < 96, files
+        await over(w)
+        for n, pair in enumerate(many):
+            assert (await w.ask(post(name=f"u{n}"), pair))[0] == 200
+        assert "the whole of the limits" in await other.end()
+    play(story, managed=True, limits={"sockets": 96})
+
+
+def test_a_task_that_never_ends_does_not_keep_the_old_process():
+    async def story(w):
+        pair = await w.connect()
+        pair[1].write(post("/act/k", name="old", X_Deadline="60000m"))
+        await w.until(lambda: w.executors[0].got)
+        other = await (await Another(w).start()).ready()
+        began = time.monotonic()
+        await over(w)
+        assert time.monotonic() - began < 3.6
+        assert (await read_message(pair[0]))[0].startswith("HTTP/1.1 500")
+        await other.end()
+    play(story, silent, managed=True)
+
+
+@pytest.mark.parametrize("text", [b"", b"{", b"[]", b'{"version":9}', b'{"version":1,"out":7}', b"\xff" * 99,
+                                  b'{"version":1,"out":{"e0":"x"}}', b"1" * (1 << 21)])
+def test_a_file_that_cannot_be_used_costs_a_line_and_no_more(tmp_path, text, monkeypatch):
+    said = []
+    monkeypatch.setattr("firwalk.net.handover.say", said.append)
+    meeting = Meeting(str(tmp_path), "n0", "127.0.0.1:1", lambda line: None)
+    meeting.file.write_bytes(text)
+    kept = meeting.kept()
+    assert kept == {} or kept["version"] == 1
+    if kept:
+        with pytest.raises((TypeError, ValueError, AttributeError)):
+            Maintenance().restore(kept)
+    assert len(said) == (not kept) and "\n" not in "".join(said)
+    meeting.keep({"out": {"e0": 5.0}})
+    assert meeting.kept()["out"] == {"e0": 5.0} and len(list(tmp_path.iterdir())) == 1
+
+
+def test_descriptors_arrive_beside_their_lines_and_a_full_line_waits():
+    async def run():
+        one, two = (Line(sock) for sock in socket.socketpair())
+        for number in range(400):
+            kept, given = socket.socketpair()
+            one.say({"number": number, "fill": "x" * 900}, given, give=True)
+            kept.sendall(b"%d" % number)
+            kept.close()
+        for number in range(400):
+            about, (sock,) = await asyncio.wait_for(two.next(), 2)
+            assert about["number"] == number and sock.recv(9) == b"%d" % number
+            sock.close()
+        one.close()
+        two.close()
+    asyncio.run(run())
+
+
+def test_a_world_without_a_second_address_keeps_nothing():
+    async def story(w):
+        assert [p.name for p in w.path.parent.iterdir()] == ["config.json"]
+    play(story)
+    assert World().managed is False
