--- a/firwalk/__main__.py
+++ b/firwalk/__main__.py
@@ -12,12 +12,12 @@
 
 from firwalk.log import say
 from firwalk.net.service import Service
-from firwalk.settings import load, told
+from firwalk.settings import load, read, told
 
 
 def _reload(service: Service, path: str) -> None:
     try:
-        service.reload(load(path))
+        service.reload(read(path))
     except Exception as problem:  # a bad file must not end a node that serves
         say(f"all stays as it was: cannot use {path}: {told(problem)}")
 
--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -18,7 +18,7 @@
 from firwalk.log import must
 from firwalk.logic import Assignment, Executor, Task
 from firwalk.maintenance import Maintenance
-from firwalk.settings import REPORT_WORDS, build_node
+from firwalk.settings import REPORT_WORDS, build_node, retune
 
 WAY_BACK = 0.02        # seconds kept for an answer's way to the client: at its expiry it would be too late
 LAST_WORD = 0.01       # seconds past a task's expiry, after its time-out
@@ -92,8 +92,8 @@
         self.list_at = 0.0              # when a list came last
         self.marks = hearsay.Marks()
         self.version = 0
-        self.offerings = {o.get("name"): n for n, o in enumerate(settings.get("offerings", []))}
-        self.tenants = {t.get("name"): n for n, t in enumerate(settings.get("tenants", []))}
+        self.settings, self.vanished = settings, {}      # offerings that there are no more
+        self._name(settings)
         self.zones = {name: n for n, name in enumerate(settings.get("azs", []))}
         self.kinds = {name: n for n, name in enumerate(settings.get("kinds", []))}
         # A probe may wait in an executor's queue: it gets twice the time that a connection gets.
@@ -102,6 +102,19 @@
         if settings.get("discovery") != "ask":
             self.watch(True)  # on sockets a list that the settings call pushed comes by a watch too
 
+    def _name(self, settings: dict) -> None:
+        self.offerings = {o.get("name"): n for n, o in enumerate(settings.get("offerings", []))}
+        self.tenants = {t.get("name"): n for n, t in enumerate(settings.get("tenants", []))}
+
+    def report_settings(self, settings: dict) -> None:
+        """New settings, checked. What they leave out of the offerings is turned away from now on; tasks under
+        way go on as they came."""
+        retune(self.node, self.settings, settings)
+        before, self.settings = self.offerings, settings
+        self._name(settings)
+        self.vanished = {name: None for name in (*self.vanished, *before) if name not in self.offerings}
+        self._settle(self.clock())
+
     # -- pick, tick ------------------------------------------------------------------------------------
 
     async def pick(self, errand: Errand) -> tuple | None:
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -12,40 +12,32 @@
 
 from firwalk.host import Condition, Effect, Group, Host, Outcome
 
-WEIGHT = 0.2           # of a new sample in a learned speed (the design's start)
-KIND_WEIGHT = 0.05     # of an executor's speed in that of its kind
+WEIGHT, KIND_WEIGHT = 0.2, 0.05  # of a new sample in a speed (the design's start); of that in its kind's
 FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
 REPORT_AGE = 10.0      # seconds in which reports settle, were all traffic this node's
 STALE = 0.3            # of its distance from the mean that others' load fades in a second without a report
-LAG_WEIGHT = 0.5       # of one start's unexplained delay in an executor's lag
-COMMON_WEIGHT = 0.1    # of the same in the lag common to all executors
+LAG_WEIGHT, COMMON_WEIGHT = 0.5, 0.1  # of a start's unexplained delay in an executor's lag, and in its zone's
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
 PARTS = 3.0            # times its mean part of all traffic that a node may have without a report showing it
-SHARE_WINDOW = 3.0     # seconds of its share that a tenant may use at once
-LEAST_SHARE = 5.0      # tasks that it may use at once anyhow: with a task a second chance rules less
+SHARE_WINDOW, LEAST_SHARE = 3.0, 5.0  # seconds of its share that a tenant may use at once; tasks, anyhow
 # Weights in an executor's share of errors. A break may be the connection's, and all executors may have those.
 FAULTS = {Outcome.ERROR: 0.3, Outcome.NO_CONNECTION: 0.3, Outcome.BROKEN: 0.15}
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
 STRIKES = 2            # signs of silence in a row that set an executor aside
 MISSED = 3             # different executors of a zone out of reach in a row, with which all of it is
-AWAY = 3.0             # seconds an executor is set aside, plus up to as long again by chance
-MOST_AWAY = 0.34       # share of the ready executors that may be set aside at once
+AWAY, MOST_AWAY = 3.0, 0.34  # seconds set aside, plus as long by chance; share of the ready ones at once
 PROBE_EVERY = 1.0      # seconds between rounds of probes
 PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
-PROBES_NEAR = 2        # probes for each task and each round, in the own zone
-PROBES_FAR = 1         # and in others
+PROBES_NEAR, PROBES_FAR = 2, 1  # probes for each task and each round, in the own zone and in others
 FEW = 10               # nodes that call for lists, open connections and judge errors each by itself
 CALL_GAP = 0.1         # seconds between the calls of more
-COLD_PART = 0.4        # part of the pressure a cold executor bears that all nodes together may use
-HEAVY_PART = 0.15      # part of the pressure a cold executor bears that one task may be
+COLD_PART, HEAVY_PART = 0.4, 0.15  # parts of what a cold executor bears: for all nodes, and for one task
 GOLDEN = 0.6180339887  # spreads the draws of cold executors evenly, whatever their number
 TIES = 4               # executors without own work that are compared with each other
-TRUST = 4.0            # tasks' weight of the trust that hints begin with
-HINT_WEIGHT = 0.01     # of a new hint in their means, at least
+TRUST, HINT_WEIGHT = 4.0, 0.01  # tasks' weight of the trust in hints at first; least of a hint in their means
 WARNED = 6.0           # seconds after an error in which an executor is the last for what cannot be repeated
 FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
-MOVES = 0.2            # moves that each new task adds to what may be called off and placed anew
-MOST_MOVES = 3.0       # and the most that add up
+MOVES, MOST_MOVES = 0.2, 3.0  # moves that a new task adds to what may be placed anew; the most that add up
 
 
 class Offering:
@@ -117,7 +109,7 @@
         self.slots, self.work = slots, cost * slots      # slots that it takes for as long as it runs
         self.due, self.expiry, self.draw = due, expiry, draw  # its draw: which cold executors it may go to
         self.assignments: list[Assignment] = []
-        self.still_out, self.open, self.bound, self.value = 0, True, False, 0.0
+        self.still_out, self.open, self.bound, self.value, self.most = 0, True, False, 0.0, 1
 
 
 class Zone:
@@ -216,6 +208,13 @@
         self.counter += 1
         return crc32(b"%d:%d" % (self.seed, self.counter)) / 4294967296.0
 
+    def retuned(self, offerings: list[Offering], tenants: list[Tenant], most: int, longest_advice: float,
+                beyond_share: float, by_work: bool, crossing: float, handshake: float) -> None:
+        """Other settings from now on. A task under way keeps its offering and number of assignments."""
+        self.offerings, self.tenants, self.most = offerings, tenants, most
+        self.longest_advice, self.beyond_share, self.by_work = longest_advice, beyond_share, by_work
+        self.crossing, self.handshake = crossing, handshake
+
     # -- the list of executors ---------------------------------------------------------------------
 
     def new_executor(self, ref: object, kind: int, zone: int, cell: int, size: float) -> Executor:
@@ -269,7 +268,7 @@
         self.mean_value += part * (value - self.mean_value)
         beyond = (self.beyond_share < 1.0 and 0 <= tenant < len(self.tenants)
                   and not self.tenants[tenant].within(now, max(self.part, PARTS / self.nodes)))
-        task.value = value * (self.beyond_share if beyond else 1.0)
+        task.value, task.most = value * (self.beyond_share if beyond else 1.0), self.most
         self._place(now, task)
         if self.asks:
             self._probe()  # for the next task; before the choice, those without an answer yet would be first
@@ -383,7 +382,8 @@
     def _may_repeat(self, now: float, task: Task, executor: Executor, instead: bool = False) -> bool:
         """Rule 2 and the limits on copies, for a task that was sent before; `instead`: of what is out."""
         effect, group = task.offering.effect, task.offering.group
-        if len(task.assignments) >= self.most or (task.still_out and not self.copies and not instead):
+        most = min(self.most, task.most)  # which may have fallen since the task came
+        if len(task.assignments) >= most or (task.still_out and not self.copies and not instead):
             return False
         for earlier in task.assignments:
             if earlier.executor is executor:
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -346,6 +346,9 @@
             await client.answer(409, b"", keep)
             return
         errand = self.desk.report_task(waited=monotonic() - came_at, **told)
+        if errand is None and told["offering"] in self.desk.vanished:
+            await client.answer(503, b"", keep, self.desk.node.longest_advice)  # nothing of it has run
+            return
         if errand is None:
             await client.answer(400 if told["offering"] in self.desk.offerings else 404, b"", keep)
             return
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -18,6 +18,7 @@
 from firwalk.net.management import Management, places
 from firwalk.net.peers import Peers
 from firwalk.net.succession import Succession
+from firwalk.settings import check_news, needs_restart
 
 BACKLOG = 1024
 MOST_UNREAD = 1 << 16  # bytes of a client that wait unread with the machine, which may charge them to us
@@ -27,8 +28,6 @@
 LONGEST_END = 3.4      # seconds after the signal in which all is answered, whatever the expiries
 LIST_TIME = 2.0        # seconds that the first yes waits for a fresh list
 LAST = 0.1             # seconds for the last answers to be written
-# What a new configuration may change while the node runs; the last two mean something at a start only.
-LIVE = ("discovery", "known", "seed")
 
 
 class Clock:
@@ -198,17 +197,22 @@
             return False
         return self.desk.list_at > self.opened_at or monotonic() > self.begun_at + LIST_TIME
 
-    def reload(self, config: dict) -> None:
+    def reload(self, config: object) -> None:
         """Takes over what can change live. All is read before anything is changed: half a configuration is
         worse than the old one."""
+        check_news(self.config, config)
         address = parse(config["discovery"])
-        fixed = [name for name in sorted(config.keys() | self.config.keys())
-                 if name not in LIVE and config.get(name) != self.config.get(name)]
+        discovery.entries(config.get("known") or {"generation": 0, "instances": []})
+        fixed = needs_restart(self.config, config)
         if self.ending.is_set():
             say("a new configuration comes too late: the node ends")
             return
+        if config["settings"] != self.desk.settings:
+            self.desk.report_settings(config["settings"])
         self.discovery.move(address)
-        say(f"reloaded; the list's service is {config['discovery']}")
+        self.config = self.config | {"discovery": config["discovery"]}
+        say(f"reloaded; the list's service is {config['discovery']}; offerings:"
+            f" {', '.join(map(str, self.desk.offerings))}")
         if fixed:
             say(f"changes that need a restart: {', '.join(fixed)}")
 
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -14,6 +14,16 @@
 EFFECTS = {"safe": Effect.IDEMPOTENT, "keyed": Effect.FINGERPRINTED, "unsafe": Effect.SIDE_EFFECTING}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 SIZED = ("nominal", "rough")    # kinds of weights in the list that are an executor's size
+# What a running node can take over; of its own keys the last two mean something at a start.
+LIVE = ("discovery", "known", "seed")
+LIVE_SETTINGS = ("offerings", "tenants", "excess-importance", "importance-by",
+                 "limits", "prices", "specifics")    # of these three what is named here
+LIVE_PARTS = {"limits": ("most-assignments", "retry-after", "max-retry-after-us"),
+              "prices": ("cross-zone", "handshake"),
+              "specifics": ("class-kind", "class-stretch", "class-priority")}
+LEARNT = ("most", "met", "log_mean", "log_spread", "finished", "log_hint", "log_work", "hint_spread",
+          "together")                       # by an offering, of its tasks
+ABOVE_ZERO = ("due-time-us", "expiry-us")   # in each offering, in a configuration read at SIGHUP
 # The words of load reports: those of the settings, and those that executors use on sockets.
 REPORT_WORDS = {"rif": "held", "inflight": "held", "busy": "busy", "util": "busy",
                 "x0": "free_slots", "x1": "free_memory"}
@@ -104,14 +114,54 @@
             _check(entry, fields, f"settings.{word}[{number}]")
 
 
+def _lacking(old: dict, new: dict, where: str = "") -> None:
+    """Each key that the old one has must be in the new one; in lists, each that all entries have."""
+    for word, value in old.items():
+        name = f"{where}{word}"
+        if word not in new:
+            raise ValueError(f"{name} is missing")
+        if isinstance(value, dict):
+            if not isinstance(new[word], dict):
+                raise ValueError(f"{name} must be an object")
+            _lacking(value, new[word], f"{name}.")
+        elif word in ("offerings", "tenants") and value:
+            common = {key: None for key in value[0] if all(key in entry for entry in value)}
+            for number, entry in enumerate(new[word]):
+                _lacking(common, entry, f"{name}[{number}].")
+
+
+def check_news(old: dict, new: object) -> None:
+    """Stricter than at a start: a file that is cut short or lost a key must not change a node at work."""
+    check(new)
+    _lacking(old, new)
+    settings = new["settings"]
+    for number, entry in enumerate(settings.get("offerings", [])):
+        for word in ABOVE_ZERO:
+            value = entry.get(word)
+            if value is None and word == ABOVE_ZERO[0] and word not in entry:
+                continue  # due at its expiry
+            if not isinstance(value, int | float) or not 0 < value:
+                raise ValueError(f"settings.offerings[{number}].{word} must be a number above 0")
+    names = [entry.get("name") for entry in settings.get("offerings", [])]
+    if len(set(names)) < len(names) or None in names:
+        raise ValueError("each of settings.offerings must have a name of its own")
+    most = settings.get("limits", {}).get("most-assignments", 1)
+    if most is None:
+        raise ValueError("settings.limits.most-assignments must be a whole number above 0")
+
+
 def load(path: str) -> dict:
     """The configuration in a file, checked."""
-    with open(path, "rb") as file:
-        config = orjson.loads(file.read())
+    config = read(path)
     check(config)
     return config
 
 
+def read(path: str) -> object:
+    with open(path, "rb") as file:
+        return orjson.loads(file.read())
+
+
 def told(problem: Exception) -> str:
     """A problem in one plain line."""
     return f"{type(problem).__name__}: {' '.join(str(problem).split())}"
@@ -133,25 +183,59 @@
         for i, o in enumerate(settings.get("offerings", []))]
 
 
+def _tunable(settings: dict) -> dict:
+    """The figures that a running node can take over, as `Node` calls them."""
+    limits, prices = settings.get("limits", {}), settings.get("prices", {})
+    return {
+        "offerings": _offerings(settings),
+        "tenants": [Tenant(t.get("quota-per-s", 0.0)) for t in settings.get("tenants", [])],
+        "most": limits.get("most-assignments", 1),
+        "longest_advice": limits.get("max-retry-after-us", 0) * MICRO if limits.get("retry-after") else 0.0,
+        "beyond_share": settings.get("excess-importance", 1.0),
+        "by_work": settings.get("importance-by") == "work",
+        "crossing": prices.get("cross-zone", 0.0), "handshake": prices.get("handshake", 0.0)}
+
+
+def retune(node: Node, old: dict, new: dict) -> None:
+    """Gives a running node new settings; offerings that stay by name keep what they learnt."""
+    figures = _tunable(new)
+    before = {o.get("name"): offering
+              for o, offering in zip(old.get("offerings", []), node.offerings, strict=True)}
+    for o, offering in zip(new.get("offerings", []), figures["offerings"], strict=True):
+        learnt = before.get(o.get("name"))
+        for word in LEARNT if learnt is not None else ():
+            setattr(offering, word, getattr(learnt, word))
+        if learnt is not None and learnt.expiry != offering.expiry:
+            offering.most = 0.0  # of the budgets met, which follow the expiry
+    node.retuned(**figures)
+
+
+def needs_restart(old: dict, new: dict) -> list[str]:
+    """What differs and cannot be taken over by a running node, by name."""
+    def differing(a: dict, b: dict, live: tuple, where: str = "") -> list[str]:
+        return [where + word for word in sorted(a.keys() | b.keys())
+                if word not in live and a.get(word) != b.get(word)]
+    a, b = old["settings"], new["settings"]
+    parts = [differing(old, new, (*LIVE, "settings")), differing(a, b, LIVE_SETTINGS, "settings.")]
+    for word, live in LIVE_PARTS.items():
+        parts.append(differing(a.get(word, {}), b.get(word, {}), live, f"settings.{word}."))
+    return [name for part in parts for name in part]
+
+
 def build_node(host: Host, seed: int, settings: dict, now: float) -> Node:
     """What the settings leave out gets the value that promises least."""
     limits, rules = settings.get("limits", {}), settings.get("guarantees", {})
-    prices = settings.get("prices", {})
     return Node(
         host, seed, now, own_number=settings.get("self-index", 0), nodes=max(settings.get("siblings", 1), 1),
-        zone=settings.get("az", 0), offerings=_offerings(settings),
-        tenants=[Tenant(t.get("quota-per-s", 0.0)) for t in settings.get("tenants", [])],
-        tick=settings.get("resolution-us", 0) * MICRO,
-        most=limits.get("most-assignments", 1), copies=limits.get("second-copies", False),
+        zone=settings.get("az", 0), tick=settings.get("resolution-us", 0) * MICRO,
+        copies=limits.get("second-copies", False),
         may_cancel=limits.get("cancel", False), may_probe=limits.get("probing", False),
-        longest_advice=limits.get("max-retry-after-us", 0) * MICRO if limits.get("retry-after") else 0.0,
         reports=settings.get("load-report", {}).get("how", "off"),
         tells_start=bool(settings.get("specifics", {}).get("tells-start", False)),
         must_ask=settings.get("discovery") == "ask",
         marked=settings.get("clients", {}).get("marks-retry", True),
-        sized=settings.get("weights") in SIZED, crossing=prices.get("cross-zone", 0.0),
-        handshake=prices.get("handshake", 0.0), beyond_share=settings.get("excess-importance", 1.0),
-        by_work=settings.get("importance-by") == "work",
+        sized=settings.get("weights") in SIZED,
         cold_from=rules.get("cold-from", 1.0), cold_for=rules.get("cold-us", 0) * MICRO,
         fall_multiple=rules.get("fall-multiple", 1.0), fall_window=rules.get("tip-after-us", 0) * MICRO,
-        ask_within=rules.get("ask-within-us", 0) * MICRO, peers=limits.get("peers", False))
+        ask_within=rules.get("ask-within-us", 0) * MICRO, peers=limits.get("peers", False),
+        **_tunable(settings))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -458,7 +458,7 @@
             w.reload(text)
             await w.logs("all stays as it was")
         silent = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-        w.reload(discovery=address_of(silent), limits={"memory_mb": 1})
+        w.reload(discovery=address_of(silent), limits={"memory_mb": 1, "sockets": 256})
         await w.logs("need a restart: limits")
         await w.tell(w.entry(0, lifecycle="leaving"))  # the one before still tells
         await asyncio.sleep(0.05)
