Blanks round header values are no part of them; who expects the word gets 100 Continue

The heads that were turned away, printed: values with a blank behind them (`Transfer-Encoding: chunked `, ids, tenants, fingerprints), which HTTP allows and the parser hands on, and Expect: 100-continue, unanswered.

http.py _Reader.on_header takes blanks off; Incoming.expects and clients.py say the word.

--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -54,6 +54,9 @@
                     self.heard_at = monotonic()
                 self.parser.feed(view[:count])
                 self._next()
+                if self.parser.expects and not self.busy:  # else the word would stand before another answer
+                    self.parser.expects = False
+                    self.sock.send(http.GO_ON)
                 while self.waiting:  # what it sends beyond that stays with the machine, not in our memory
                     self.room = loop.create_future()
                     await self.room
--- a/firwalk/net/http.py
+++ b/firwalk/net/http.py
@@ -11,6 +11,7 @@
     HttpResponseParser,
 )
 
+GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
 MOST_BODY = 65536
 MOST_HEAD = 16384
 LENGTHS = (b"content-length", b"transfer-encoding")
@@ -50,7 +51,7 @@
         self.size += len(name) + len(value)
         if self.size > MOST_HEAD:
             self._too_much(431, "a head over the limit")
-        self.headers[name.lower()] = value
+        self.headers[name.lower()] = value.strip(b" \t")  # blanks round a value are no part of it
 
     def feed(self, data: memoryview) -> None:
         try:
@@ -71,6 +72,7 @@
         super().__init__()
         self.came, self.hold, self.let_go = came, hold, let_go
         self.target, self.parts, self.partial, self.in_head = b"", [], False, False
+        self.expects = False                 # its client waits for the word before it sends the body
         self.parser = HttpRequestParser(self)
 
     def on_message_begin(self) -> None:
@@ -96,6 +98,8 @@
             self._too_much(400, "a coding that is not known")
         if int(self.headers.get(LENGTHS[0], 0)) > MOST_BODY:
             self._too_much(413, "a body over the limit")
+        self.expects = self.headers.get(b"expect", b"").lower() == b"100-continue" and (
+            self.parser.get_http_version() != "1.0")
 
     def drop(self) -> None:
         self.let_go(sum(map(len, self.parts)))
@@ -107,6 +111,7 @@
             self._too_much(431, "a target over the limit")
 
     def on_body(self, part: bytes) -> None:
+        self.expects = False
         self.body_size += len(part)
         if self.body_size > MOST_BODY:
             self._too_much(413, "a body over the limit")
@@ -115,7 +120,7 @@
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
-        self.partial, body = False, b"".join(self.parts)
+        self.partial, self.expects, body = False, False, b"".join(self.parts)
         self.parts = []
         self.came(self.parser.get_method(), self.target, self.headers, body, self.parser.should_keep_alive())
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -566,6 +566,37 @@
     play(story, silent)
 
 
+def test_blanks_behind_values_are_no_part_of_them():
+    async def story(w):
+        data = post("/put/k", name="t1 ", Idempotency_Key="f1\t", X_Deadline="2000m ", X_Cost_Hint="9000 ")
+        assert await w.ask(data) == (200, b"made of t1")
+        data = post("/put/k", name="t2\t ", Idempotency_Key="f2 ", Transfer_Encoding="chunked ",
+                    X_Tenant="t ", Content_Length=None, body=b"4\r\nbody\r\n0\r\n\r\n")
+        assert await w.ask(data) == (200, b"made of t2")
+        assert [got[1]["idempotency-key"] for got in w.executors[0].got] == ["f1", "f2"]
+        assert [got[2] for got in w.executors[0].got] == [b"body", b"body"]
+    play(story)
+
+
+def test_who_waits_for_the_word_before_the_body_gets_it():
+    async def story(w):
+        reader, writer = await w.connect()
+        head, _, body = post(Expect="100-continue").rpartition(b"\r\n\r\n")
+        writer.write(head + b"\r\n\r\n")
+        assert await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        assert not w.executors[0].got
+        assert await w.ask(body, (reader, writer)) == (200, b"made of t1")
+        at_once = post(name="t2", Expect="100-continue")   # who does not wait is told nothing
+        assert await w.ask(at_once, (reader, writer)) == (200, b"made of t2")
+        old = post(name="t3", Expect="100-continue").replace(b"HTTP/1.1", b"HTTP/1.0")
+        pair = await w.connect()
+        pair[1].write(old[:-4])
+        await asyncio.sleep(0.05)
+        assert await w.ask(old[-4:], pair) == (200, b"made of t3")
+        writer.close()
+    play(story)
+
+
 def test_an_id_in_work_is_turned_away_and_free_again_after():
     async def story(w):
         first = asyncio.create_task(w.ask(post("/act/k")))
