--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -7,7 +7,6 @@
 from time import monotonic
 from typing import TYPE_CHECKING
 
-from firwalk import learnt
 from firwalk.host import Condition
 from firwalk.log import say, trouble
 from firwalk.net.handover import VERSION, Broken, Line, Meeting, hello
@@ -75,10 +74,6 @@
                 self.desk.forget_version()
         except (KeyError, TypeError, ValueError, IndexError) as problem:
             say(f"begun without the list of the process before: {problem!r}")
-        try:
-            learnt.take(self.desk, state["learnt"])
-        except (KeyError, TypeError, ValueError, AttributeError) as problem:
-            say(f"begun without what the process before has learnt: {problem!r}")
 
     async def take(self) -> None:
         """Tells the one before to stop accepting; what it has accepted already it finishes or hands over."""
@@ -148,8 +143,7 @@
     def _state(self) -> dict:
         desk = self.desk
         return {"version": desk.version, "discovery": self.service.config["discovery"],
-                "entries": list(desk.entries.values()), "out": desk.maintenance.state(),
-                "learnt": learnt.told(desk)}
+                "entries": list(desk.entries.values()), "out": desk.maintenance.state()}
 
     def _hand(self, line: Line) -> None:
         self.meeting.close()    # the path belongs to the new process from here on
