Idle connections to executors are handed over with the node

Need: calls, probes and connections must not double when a process is replaced.

executors.py hand_over and adopt; the time since a connection is idle and the shortest way go along, so that old ones still end before the executor closes them, and the last byte is not held back for the longest time.

--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -51,6 +51,7 @@
         self.idle_since, self.open, self.wrote_at = monotonic(), True, 0.0
         self.idled = 0.0                             # how long it stood idle before its exchange
         self.at_last, self.broken = True, False      # the last byte is under way; it broke before that
+        self.heir: Callable[[socket.socket], None] | None = None    # who gets it when its reader has let go
         self.parser = http.Answers(self._began, self._line, self._ended)
         self.reading = asyncio.get_running_loop().create_task(self._read())
         self.reading.add_done_callback(self._closed)
@@ -120,7 +121,10 @@
         """Also where the reader was cancelled before it began: its own `finally` would not run then."""
         by_itself, self.open = self.open, False
         exchange, self.exchange = self.exchange, None
-        self.sock.close()
+        if self.heir is None:
+            self.sock.close()
+        else:
+            self.heir(self.sock)
         self.pool.closed(self, by_itself and exchange is None)
         # Once the last byte is under way, nobody can tell whether it went out.
         self.broken = not self.at_last and bool(self.writer and exchange) and not exchange.done()
@@ -286,6 +290,29 @@
             if by_itself and monotonic() - link.idle_since < SHORT_LIFE:
                 self.short_at[link.place] = monotonic()
 
+    def hand_over(self, heir: Callable[[dict, socket.socket], None]) -> None:
+        """Another process of this node goes on with what is idle; should an executor close one meanwhile, it
+        sees that end as this one would."""
+        for place, links in self.idle.items():
+            for link in links:
+                about = {"link": place.name, "idle_since": link.idle_since, "trip": self.trips.get(place)}
+                link.heir = lambda sock, about=about: heir(about, sock)
+                link.close()
+            self.desk.report_idle(place, 0)
+        self.idle.clear()
+
+    def adopt(self, place: Place, sock: socket.socket, idle_since: float, trip: float | None) -> None:
+        """A connection that another process of this node had: counted there until now, it fits."""
+        sock.setblocking(False)
+        self.budget.links += 1
+        link = Link(self, place, sock)
+        self.links[link] = None
+        link.address = sock.getpeername()[:2]  # it may be of an executor that has moved
+        if trip is not None:
+            self.came(place, trip)
+        self.give(link)
+        link.idle_since = min(idle_since, link.idle_since)
+
     def came(self, place: Place, took: float) -> None:
         self.trips[place] = min(took, self.trips.get(place, HOLD_MOST))
 
--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -85,7 +85,9 @@
         try:
             while True:
                 about, files = await line.next()
-                if "client" in about:
+                if "link" in about:
+                    self._adopt(about, files[0])
+                elif "client" in about:
                     self.service.clients.adopt(files[0], bool(about["client"]))
                 elif "yours" in about:
                     self._free()
@@ -103,6 +105,15 @@
             self._free()
             self._shares()
 
+    def _adopt(self, about: dict, sock: socket.socket) -> None:
+        executor = self.desk.places.get(about["link"])
+        try:
+            if executor is None:
+                raise OSError("nobody knows its executor")
+            self.service.executors.adopt(executor.ref, sock, float(about["idle_since"]), about["trip"])
+        except OSError:  # it has ended on the way
+            sock.close()
+
     def _free(self) -> None:
         if not self.yours.done():
             self.yours.set_result(None)
@@ -156,13 +167,14 @@
         self._keep(self._hand_over(line))
 
     async def _hand_over(self, line: Line) -> None:
-        """Connections on which nothing is in work go over; what is unread on them goes along."""
+        """Connections on which nothing is in work go over, clients' and executors', with what is unread."""
         holds, budget = -1, self.service.budget
         while line.open:
             for client in list(self.service.clients.open):
                 if client.still():
                     known = client.known
                     client.hand_over(lambda sock, known=known: line.say({"client": known}, sock, give=True))
+            self.service.executors.hand_over(lambda about, sock: line.say(about, sock, give=True))
             if holds != budget.held():
                 holds = budget.held()
                 self.service.limit(holds + MARGIN, 0.5)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -240,6 +240,22 @@
     play(story, managed=True, limits={"sockets": 96})
 
 
+def test_connections_to_executors_are_handed_over_too():
+    async def story(w):
+        for n in range(4):
+            assert (await w.ask(post(name=f"t{n}")))[0] == 200
+        opened = [e.connections for e in w.executors]
+        other = await (await Another(w).start()).ready()
+        for n in range(4):
+            assert (await w.ask(post(name=f"u{n}")))[0] == 200
+        assert [e.connections for e in w.executors] == opened and not any(e.ended for e in w.executors)
+        await over(w)
+        assert (await w.ask(post(name="v")))[0] == 200
+        assert [e.connections for e in w.executors] == opened
+        await other.end()
+    play(story, managed=True, settings={"load-report": {"how": "off"}})
+
+
 def test_a_task_that_never_ends_does_not_keep_the_old_process():
     async def story(w):
         pair = await w.connect()
