--- a/firwalk/__main__.py
+++ b/firwalk/__main__.py
@@ -1,7 +1,6 @@
 """Starts one node: reads its configuration, sets up signals, and runs it until it is told to end."""
 from __future__ import annotations
 
-import argparse
 import asyncio
 import gc
 import os
@@ -39,12 +38,18 @@
     return 0
 
 
-def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # unhandled it ends a program, also one that still starts
+def _told_path() -> str | None:
+    """Imported only where there is something to take apart: two processes of one node share its memory."""
+    import argparse
     parser = argparse.ArgumentParser(prog="firwalk", description="One node of the dispatcher.")
     parser.add_argument("--config", default=os.environ.get("BALANCER_CONFIG"),
                         help="the configuration, a JSON file (default: $BALANCER_CONFIG)")
-    path = parser.parse_args().config
+    return parser.parse_args().config
+
+
+def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # unhandled it ends a program, also one that still starts
+    path = _told_path() if len(sys.argv) > 1 else os.environ.get("BALANCER_CONFIG")
     if not path:
         print("firwalk: no configuration: set BALANCER_CONFIG or give --config FILE", file=sys.stderr)
         return 2
--- a/firwalk/net/address.py
+++ b/firwalk/net/address.py
@@ -2,14 +2,18 @@
 from __future__ import annotations
 
 import socket
-from ipaddress import ip_address
 
 
 def parse(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     if not port.isdecimal() or not 0 < int(port) < 65536:
         raise ValueError(f"not an address: {text!r}")
-    return str(ip_address(host.strip("[]"))), int(port)
+    host = host.removeprefix("[").removesuffix("]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        return socket.inet_ntop(family, socket.inet_pton(family, host)), int(port)
+    except OSError:
+        raise ValueError(f"not an address: {text!r}") from None
 
 
 def new_socket(address: tuple[str, int], kind: int = socket.SOCK_STREAM) -> socket.socket:
--- a/firwalk/net/budget.py
+++ b/firwalk/net/budget.py
@@ -39,10 +39,6 @@
         self.most_clients = min(int(self.most * CLIENT_PART), int(room * CLIENT_MEMORY / CLIENT_HOLDS))
         self.most_bodies = int(room * BODY_PART / BODY_COPIES)
 
-    def held(self) -> int:
-        """Descriptors that are in use, or kept in reserve."""
-        return BASE + self.reserved + self.clients + self.links + self.spare
-
     def open_client(self) -> bool:
         if self.clients >= self.most_clients and not self.shed_client(False):
             return False
@@ -73,6 +69,14 @@
         self.links += 1
         return True
 
+    def adopt_client(self) -> None:
+        """One that the other process of this node had, whose place comes with it: until the shares are told
+        anew, it must not make others give way."""
+        self.clients, self.most, self.most_clients = self.clients + 1, self.most + 1, self.most_clients + 1
+
+    def adopt_link(self) -> None:
+        self.links, self.most = self.links + 1, self.most + 1
+
     def close_client(self, spare: bool) -> None:
         self.clients -= not spare
         self.spare -= spare
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -258,7 +258,7 @@
 
     def adopt(self, sock: socket.socket, known: bool) -> None:
         """A connection that another process of this node had: counted there until now, it fits."""
-        self.budget.clients += 1
+        self.budget.adopt_client()
         sock.setblocking(False)
         client = Client(self, sock, False)
         client.known = client.used = known
--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -304,7 +304,7 @@
     def adopt(self, place: Place, sock: socket.socket, idle_since: float, trip: float | None) -> None:
         """A connection that another process of this node had: counted there until now, it fits."""
         sock.setblocking(False)
-        self.budget.links += 1
+        self.budget.adopt_link()
         link = Link(self, place, sock)
         self.links[link] = None
         link.address = sock.getpeername()[:2]  # it may be of an executor that has moved
--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -17,7 +17,7 @@
 HAND_OVER_EVERY = 0.01 # seconds between looks for connections that can be handed over
 NEW_PART = 4           # of the descriptors, one in so many is the new process's until it takes over
 NEW_LEAST = 36         # or so many, where that is less
-MARGIN = 8             # descriptors that the old process may still open for what it finishes
+MARGIN = 4             # descriptors that the old process may still open for what it finishes
 
 
 class Succession:
@@ -168,15 +168,16 @@
 
     async def _hand_over(self, line: Line) -> None:
         """Connections on which nothing is in work go over, clients' and executors', with what is unread."""
-        holds, budget = -1, self.service.budget
+        holds = -1
         while line.open:
             for client in list(self.service.clients.open):
                 if client.still():
                     known = client.known
                     client.hand_over(lambda sock, known=known: line.say({"client": known}, sock, give=True))
             self.service.executors.hand_over(lambda about, sock: line.say(about, sock, give=True))
-            if holds != budget.held():
-                holds = budget.held()
+            now = len(os.listdir("/proc/self/fd"))  # what it really has: no more clients come here
+            if holds != now:
+                holds = now
                 self.service.limit(holds + MARGIN, 0.5)
                 line.say({"holds": holds + MARGIN})
             await asyncio.sleep(HAND_OVER_EVERY)
@@ -184,6 +185,7 @@
     def _alone(self) -> None:
         """The new process is gone, and this one still there: it goes on as before."""
         self.after = None
+        self.service.clients.ending = self.service.ending.is_set()
         self._shares()
         if self.handed:
             say("the process that was to replace this one has ended; this one serves again")
