A retune reaches both processes of a node; what has not begun at one taken out is sent elsewhere

Need: an operator who retunes during an upgrade signals one of two processes, and the other would go on with the old settings; tasks that wait at an executor that is taken out need not wait for its restart.

SIGHUP at either is passed on over the line between them, and each reads its own file. Desk.report_out calls Node.overdue (until now _overdue, the same timer) for assignments that have not begun there: the decisions choose as for any that shows no start in time, under the same rules; the module has no line more. Tests: a second upgrade straight after the first waits for the oldest process; retune during an upgrade; idempotent moved, begun and side-effecting not.

--- a/firwalk/__main__.py
+++ b/firwalk/__main__.py
@@ -11,14 +11,18 @@
 
 from firwalk.log import say
 from firwalk.net.service import Service
-from firwalk.settings import load, read, told
+from firwalk.settings import in_short, load, read
 
 
-def _reload(service: Service, path: str) -> None:
+def _reload(service: Service, path: str, told: bool = False) -> None:
+    """At SIGHUP, or because the other process of this node was `told` so: whichever of two gets the signal,
+    both read their file."""
+    if not told:
+        service.succession.pass_on_reload()
     try:
         service.reload(read(path))
     except Exception as problem:  # a bad file must not end a node that serves
-        say(f"all stays as it was: cannot use {path}: {told(problem)}")
+        say(f"all stays as it was: cannot use {path}: {in_short(problem)}")
 
 
 async def _run(path: str) -> int:
@@ -27,10 +31,11 @@
         service = Service(load(path))
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, service.ending.set)
+        service.reread = lambda: _reload(service, path, True)
         loop.add_signal_handler(signal.SIGHUP, _reload, service, path)
         await service.open()
     except Exception as problem:  # whatever is wrong with it, operators want one plain line
-        print(f"firwalk: cannot start with {path}: {told(problem)}", file=sys.stderr)
+        print(f"firwalk: cannot start with {path}: {in_short(problem)}", file=sys.stderr)
         return 2
     gc.collect()
     gc.freeze()
--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -253,6 +253,10 @@
         if executor is not None:
             self._as_listed(now, executor)
             self.close_idle(executor)  # the restart that it is taken out for would end them under a task
+            for assignment in [a for errand in self.open for a in errand.task.assignments]:
+                if assignment.executor is executor and assignment.out and self.node.tells_start:
+                    self.node.overdue(now, assignment)  # what has not begun there need not wait for its end
+            self._settle(now)
         return True
 
     def report_kept_out(self, state: dict) -> None:
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -417,12 +417,12 @@
         patience = max(task.due - now - task.cost / executor.speed, 0.0)
         if self.tells_start:  # a move by cancel may come sooner than one by a copy, which adds to the load
             patience /= 2 if self.copies else 3
-        self.host.set_timer(now + max(patience, 2 * self.tick), self._overdue, assignment)
+        self.host.set_timer(now + max(patience, 2 * self.tick), self.overdue, assignment)
         return True
 
     # -- what becomes of an assignment -----------------------------------------------------------------
 
-    def _overdue(self, now: float, assignment: Assignment) -> None:
+    def overdue(self, now: float, assignment: Assignment) -> None:
         """An assignment shows no start (or, where starts are not told, no end) in the time it had."""
         task, executor = assignment.task, assignment.executor
         if not assignment.out or assignment.started_at or task.bound:
@@ -445,7 +445,7 @@
             # Waiting work that can only end late and for nothing makes all behind it late as well.
             left = task.due - now - task.cost / executor.speed
             if left > self.tick:
-                self.host.set_timer(now + left, self._overdue, assignment)
+                self.host.set_timer(now + left, self.overdue, assignment)
             else:
                 self._give_up(now, task)
 
--- a/firwalk/migrate.py
+++ b/firwalk/migrate.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from firwalk.settings import ZONES, check, load, told
+from firwalk.settings import ZONES, check, in_short, load
 
 # Setting, its value in the new shape, and why.
 NEW_SHAPE = (
@@ -100,7 +100,7 @@
         if not given.dry_run:
             _write(given.new, orjson.dumps(new, option=orjson.OPT_INDENT_2) + b"\n")
     except Exception as problem:  # whatever is wrong with it, operators want one plain line
-        print(f"firwalk.migrate: cannot convert {given.old}: {told(problem)}", file=sys.stderr)
+        print(f"firwalk.migrate: cannot convert {given.old}: {in_short(problem)}", file=sys.stderr)
         return 2
     print("\n".join(lines))
     print(f"{given.new} {'would be' if given.dry_run else 'is'} written")
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -4,6 +4,7 @@
 import asyncio
 import resource
 import socket
+from collections.abc import Callable
 from time import monotonic, time
 
 from firwalk.facade import Chore, Desk
@@ -72,6 +73,7 @@
             self.desk.report_list(version, True, entries)
         self.opened_at = self.clock()
         self.ending = asyncio.Event()
+        self.reread: Callable[[], None] = lambda: None   # reads the file of the configuration again
         self.begun_at = monotonic()
         self.accepting: asyncio.Task | None = None
         self.listener: socket.socket | None = None
--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -212,13 +212,20 @@
 
     def _called(self, line: Line, about: dict) -> None:
         """What operators told the other process."""
-        if "out" in about:
+        if "reload" in about:
+            self.service.reread()
+        elif "out" in about:
             report = self.desk.report_out if about["on"] else self.desk.report_back
             known = report(about["out"], bool(about["sure"]))
             line.say({"done": about["number"], "known": known})
         elif about.get("done") in line.asked:
             line.asked[about["done"]].set_result(bool(about.get("known")))
 
+    def pass_on_reload(self) -> None:
+        line = self.before or self.after
+        if line is not None:
+            line.say({"reload": True})
+
     async def tell(self, name: str, on: bool, known: bool) -> bool:
         """An operator's call, kept for a process to come and told to the other one, if there is one. Whether
         either knows the executor: a list may have reached one of them only."""
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -162,7 +162,7 @@
         return orjson.loads(file.read())
 
 
-def told(problem: Exception) -> str:
+def in_short(problem: Exception) -> str:
     """A problem in one plain line."""
     return f"{type(problem).__name__}: {' '.join(str(problem).split())}"
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -45,6 +45,20 @@
     assert Chore.CLOSE_IDLE in [chore[0] for chore in p.until(p.now)]
 
 
+@pytest.mark.parametrize("offering, started, sends", [
+    ("read", False, 2), ("read", True, 1), ("act", False, 1)])
+def test_what_has_not_begun_there_is_sent_elsewhere_where_the_rules_allow(offering, started, sends):
+    p = Play(2)
+    errand = p.take(offering)
+    place = errand.steps[0][2].name
+    p.desk.report_last_byte(errand, 0)
+    if started:
+        p.desk.report_start(errand, 0)
+    p.desk.report_out(place)
+    sent = [step[2].name for step in errand.steps if step[0] is Step.SEND]
+    assert len(sent) == sends and len(set(sent)) == sends
+
+
 def test_taken_out_twice_one_call_back_undoes_both():
     p = Play(1)
     assert p.desk.report_out("e0") and p.desk.report_out("e0")
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -101,6 +101,10 @@
         await asyncio.gather(*self.works)
 
 
+async def mute_to_old(executor, writer, name):
+    await executor.lines(writer, name, "started", *(() if name == "old" else ("done",)), whole=name != "old")
+
+
 def test_under_load_three_processes_follow_one_another_and_no_client_notices():
     async def story(w):
         idle = await w.connect()
@@ -212,6 +216,42 @@
     play(story, None, None, managed=True)
 
 
+def test_a_second_upgrade_straight_after_the_first_waits_for_the_oldest():
+    async def story(w):
+        pair = await w.connect()
+        pair[1].write(post("/act/k", name="old", X_Deadline="2000m"))   # keeps the first process for a while
+        await w.until(lambda: w.executors[0].got)
+        second = await (await Another(w).start()).ready()
+        w.program.send_signal(signal.SIGTERM)
+        third = await Another(w).start()
+        assert (await w.ask(post("/read/k", name="t1")))[0] == 200
+        await third.ready()
+        assert w.program.returncode is not None or await asyncio.wait_for(w.program.wait(), 1) == 0
+        assert (await read_message(pair[0]))[0].startswith("HTTP/1.1 500")
+        assert "serves from now on" in await second.end()
+        assert (await w.ask(post("/read/k", name="t2")))[0] == 200
+        await third.end()
+    play(story, mute_to_old, managed=True)
+
+
+def test_a_retune_during_an_upgrade_reaches_both_processes():
+    async def story(w):
+        pair = await w.connect()
+        busy = asyncio.create_task(w.ask(post("/act/k", name="old"), pair))
+        await w.until(lambda: w.executors[0].got)
+        other = await (await Another(w).start()).ready()
+        look = w.settings["offerings"][0] | {"name": "look"}
+        w.path.write_bytes(orjson.dumps(
+            w.config | {"settings": w.settings | {"offerings": [*w.settings["offerings"], look]}}))
+        w.program.send_signal(signal.SIGHUP)    # to the old one alone
+        await w.logs("offerings: read, put, act, look")
+        assert (await w.ask(post("/look/k", name="t1")))[0] == 200
+        assert (await busy)[0] == 200
+        await over(w)
+        assert "offerings: read, put, act, look" in await other.end()
+    play(story, slowly, managed=True)
+
+
 def test_a_stranger_at_the_same_address_is_refused_at_the_start():
     async def story(w):
         for changes in ({"name": "other"}, {"name": "other", "management": None}):
