A speed without own samples goes towards that of its kind, where load is reported

Seen in a trace of all give-ups: their learned speed was 0.12 and 0.23 after a task far heavier than its hint; nothing was in time there, so nothing came back to correct it. Ruled out: coldness (two, as they should be), executors set aside (none), the calls (24 of 24 right), stale reports (at most 0.8 s old).

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -14,8 +14,7 @@
 
 WEIGHT, KIND_WEIGHT = 0.2, 0.05  # of a new sample in a speed (the design's start); of that in its kind's
 FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
-REPORT_AGE = 10.0      # seconds in which reports settle, were all traffic this node's
-STALE = 0.3            # of its distance from the mean that others' load fades in a second without a report
+REPORT_AGE, STALE = 10.0, 0.3  # seconds in which reports settle, alone; others' load's fade in one without
 LAG_WEIGHT, COMMON_WEIGHT = 0.5, 0.1  # of a start's unexplained delay in an executor's lag, and in its zone's
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
 PARTS = 3.0            # times its mean part of all traffic that a node may have without a report showing it
@@ -23,8 +22,7 @@
 # Weights in an executor's share of errors. A break may be the connection's, and all executors may have those.
 FAULTS = {Outcome.ERROR: 0.3, Outcome.NO_CONNECTION: 0.3, Outcome.BROKEN: 0.15}
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
-STRIKES = 2            # signs of silence in a row that set an executor aside
-MISSED = 3             # different executors of a zone out of reach in a row, with which all of it is
+STRIKES, MISSED = 2, 3  # signs of silence that set one aside; executors out of reach with which a zone is
 AWAY, MOST_AWAY = 3.0, 0.34  # seconds set aside, plus as long by chance; share of the ready ones at once
 PROBE_EVERY = 1.0      # seconds between rounds of probes
 PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
@@ -35,8 +33,7 @@
 GOLDEN = 0.6180339887  # spreads the draws of cold executors evenly, whatever their number
 TIES = 4               # executors without own work that are compared with each other
 TRUST, HINT_WEIGHT = 4.0, 0.01  # tasks' weight of the trust in hints at first; least of a hint in their means
-WARNED = 6.0           # seconds after an error in which an executor is the last for what cannot be repeated
-FULL_PAUSE = 0.3       # seconds without sends after an answer 'full'
+WARNED, FULL_PAUSE = 6.0, 0.3  # seconds last for what cannot repeat, after an error; unsent, after a full one
 MOVES, MOST_MOVES = 0.2, 3.0  # moves that a new task adds to what may be placed anew; the most that add up
 
 
@@ -199,7 +196,7 @@
         self.cold_from, self.cold_for, self.beyond_share = cold_from, cold_for, beyond_share
         self.executors, self.near, self.far = [], [], []  # all; those ready in the own zone; and in others
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
-        self.mean_cost, self.mean_value, self.misses, self.ask_within = 0.0, 0.0, 0, ask_within
+        self.mean_cost, self.mean_value, self.misses, self.met, self.ask_within = 0.0, 0.0, 0, 0, ask_within
         if must_ask:
             host.set_timer(now + (tick + self.pace / nodes) * own_number, lambda *_: host.watch(True), None)
         host.set_timer(now + (own_number + 1) / self.nodes * PROBE_EVERY, self._round, None)
@@ -574,10 +571,14 @@
     def _round(self, now: float, _: None) -> None:
         """Without news others' load fades to the mean of its zone: an old report of free slots still believed
         draws the tasks of hundreds of nodes, an old queue keeps them away for ever."""
-        held = used = 0.0
+        held, used, met = 0.0, 0.0, sum(pace.met for pace in self.kinds.values())
+        samples, self.met = min((met - self.met) / (len(self.near + self.far) or 1), 1.0), met
         sums = {zone: [0.0, 0.0] for zone in self.zones.values()}
         for executor in self.near + self.far:
             held, used, zone = held + executor.held_mean, used + executor.used_mean, sums[executor.zone]
+            if self.asks and executor.cost_mean and not executor.held:  # one heavy task barred it for ever
+                took = executor.cost_mean / self.kinds[executor.kind].speed
+                executor.learn(executor.cost_mean, took, WEIGHT * samples)
             if self.asks and not executor.met:  # at a task a second, most of dozens for a long time
                 pace = self.kinds[executor.kind]
                 executor.speed, executor.slots = pace.speed, max(executor.slots, pace.slots)
@@ -595,6 +596,5 @@
         self.host.set_timer(now + PROBE_EVERY, self._round, None)
 
     def peer_warned(self, now: float, executor: Executor) -> None:
-        """An executor that erred at a peer is the last for what cannot be repeated. Other tasks may still
-        try it: an error at once costs little, and half of its answers may be good."""
+        """It is the last for what cannot be repeated. Others may try it: an error at once costs little."""
         executor.warned_at = now
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -539,3 +539,31 @@
     assert not f.task("during").assignments
     f.until(6.5)
     assert f.task("after").assignments[0].executor.ref in ("far", "away", "off")
+
+
+@pytest.mark.parametrize("reports, forgets", [("on_probe", True), ("off", False)])
+def test_one_task_far_heavier_than_its_hint_does_not_bar_an_executor_for_ever(reports, forgets):
+    """Nothing was in time there any more, so nothing came back that could have shown its true speed."""
+    f = Fake(reports=reports, offerings=[offering(due=0.2, expiry=50.0)])
+    f.hear("a")
+    for _ in range(3):
+        task = f.task("t", 0.1)
+        f.start(task)
+        f.until(f.now + 0.1)
+        f.end(task, Outcome.FINISHED)
+    task = f.task("heavy", 0.1)
+    f.start(task)
+    f.until(f.now + 8.0)
+    f.end(task, Outcome.FINISHED)
+    barred = f.executors["a"]
+    assert barred.speed < 0.1
+    f.hear("b", "c")
+    for number in range(60):
+        task = f.task(f"u{number}", 0.1)
+        f.start(task)
+        f.until(f.now + 0.1)
+        f.end(task, Outcome.FINISHED)
+        f.until(f.now + 0.4)
+    assert (barred.speed > 0.5) is forgets
+    f.hear("b", "c", condition=Condition.DRAINING)
+    assert bool(f.task("last", 0.1).assignments) is forgets
