The old process keeps room for the tasks that its clients bring while they go over

Cause, by the logs of both processes ('no descriptor is left for an executor') and the times of each client: once the node is handed over the old process told itself a limit of what it holds and 4 more, and Budget.limit takes 20 and the callers' places off that, whatever they really hold: 6 connections were left for 6 clients, whose executors' connections had gone over. New ones could not be opened, so tasks were turned away, or idle clients closed for them in the moment before they went over (succession.py _hand_over, budget.py limit, clients.py shed).

Now the budget keeps to what is open and one more for each client that is still here; no client is closed for room while all go over. One seldom 503 is left, looked for next.

--- a/firwalk/net/budget.py
+++ b/firwalk/net/budget.py
@@ -39,6 +39,10 @@
         self.most_clients = min(int(self.most * CLIENT_PART), int(room * CLIENT_MEMORY / CLIENT_HOLDS))
         self.most_bodies = int(room * BODY_PART / BODY_COPIES)
 
+    def keep_to(self, more: int) -> None:
+        """What is open may stay, and so many more may be opened, whatever they are for."""
+        self.most = self.clients + self.links + more
+
     def open_client(self) -> bool:
         if self.clients >= self.most_clients and not self.shed_client(False):
             return False
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -220,6 +220,7 @@
         self.works: dict[asyncio.Task, None] = {}
         self.names: dict[bytes, None] = {}       # ids of the tasks in work
         self.ending, self.stopping, self.malformed = False, False, 0
+        self.moving = False                      # each goes to another process of this node when it is free
         self.accepted_at = monotonic()
         self.held: socket.socket | None = None   # accepted, while no descriptor is free for it
         budget.shed_client = self.shed
@@ -270,7 +271,10 @@
 
     def shed(self, spare: bool) -> bool:
         """Closes the most dispensable connection, of several the one that has been still longest. What has
-        just come is about to send: a task written to it would be lost."""
+        just come is about to send: a task written to it would be lost. One that is about to go over to
+        another process would meet an end there that nothing makes necessary."""
+        if self.moving:
+            return False
         now, best = monotonic(), None
         for client in self.open:
             if client.spare == spare and not client.busy and not client.closing:
--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -17,7 +17,7 @@
 HAND_OVER_EVERY = 0.01 # seconds between looks for connections that can be handed over
 NEW_PART = 4           # of the descriptors, one in so many is the new process's until it takes over
 NEW_LEAST = 36         # or so many, where that is less
-MARGIN = 4             # descriptors that the old process may still open for what it finishes
+MARGIN = 4             # descriptors that the old process may still open beside what its clients' tasks need
 
 
 class Succession:
@@ -159,6 +159,7 @@
     def _hand(self, line: Line) -> None:
         self.meeting.close()    # the path belongs to the new process from here on
         self.handed = True
+        self.service.clients.moving = True
         held = self.service.stop_accepting()
         line.say({"yours": True})
         for sock in held:
@@ -175,16 +176,23 @@
                     known = client.known
                     client.hand_over(lambda sock, known=known: line.say({"client": known}, sock, give=True))
             self.service.executors.hand_over(lambda about, sock: line.say(about, sock, give=True))
-            now = len(os.listdir("/proc/self/fd"))  # what it really has: no more clients come here
-            if holds != now:
-                holds = now
-                self.service.limit(holds + MARGIN, 0.5)
-                line.say({"holds": holds + MARGIN})
+            now, more = self._holds()
+            if holds != now + more:
+                holds = now + more
+                self.service.budget.keep_to(more)
+                line.say({"holds": holds})
             await asyncio.sleep(HAND_OVER_EVERY)
 
+    def _holds(self) -> tuple[int, int]:
+        """Descriptors that this process has, and that it may still open: no more clients come here, but each
+        that is not over yet may be about to bring a task, and its executors' connections are gone."""
+        now = len(os.listdir("/proc/self/fd"))
+        room = self.service.files - self._new() - now
+        return now, max(min(MARGIN + len(self.service.clients.open), room), 0)
+
     def _alone(self) -> None:
         """The new process is gone, and this one still there: it goes on as before."""
-        self.after = None
+        self.after, self.service.clients.moving = None, False
         self.service.clients.ending = self.service.ending.is_set()
         self._shares()
         if self.handed:
@@ -199,10 +207,13 @@
         if self.meeting is not None:
             self.meeting.listen()
 
+    def _new(self) -> int:
+        """The descriptors that are the new process's from the first."""
+        return min(max(self.service.files // NEW_PART, NEW_LEAST), self.service.files // 2)
+
     def _shares(self, holds: int | None = None) -> None:
         """Limits are the node's, whichever process uses them."""
-        files = self.service.files
-        new = min(max(files // NEW_PART, NEW_LEAST), files // 2)
+        files, new = self.service.files, self._new()
         if self.before is not None:
             self.service.limit(new if holds is None else max(files - holds, new), 0.5)
         elif self.after is not None:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -132,6 +132,29 @@
     play(story, None, None, managed=True)
 
 
+def test_tasks_half_read_when_the_node_changes_hands_are_all_finished():
+    """They stay with the old process, whose connections to executors have gone over: counted too low, its
+    descriptors did not allow new ones. It closed clients for them, and turned tasks away."""
+    async def story(w):
+        pairs = [await w.connect() for _ in range(12)]
+        for n, pair in enumerate(pairs):
+            assert (await w.ask(post(name=f"t{n}"), pair))[0] == 200
+        other = await Another(w).start()
+        await w.logs("has come")
+        texts = [post("/act/k", name=f"u{n}") for n in range(len(pairs))]
+        for pair, text in zip(pairs[::2], texts[::2], strict=True):
+            pair[1].write(text[:40])
+        await other.ready()
+        await w.logs("finishes what it has taken")
+        await asyncio.sleep(0.1)        # what can go over has gone
+        rests = [text if n % 2 else text[40:] for n, text in enumerate(texts)]
+        answers = await asyncio.gather(*[w.ask(*both) for both in zip(rests, pairs, strict=True)])
+        assert [answer[0] for answer in answers] == [200] * len(pairs)
+        await over(w)
+        await other.end()
+    play(story, None, None, managed=True)
+
+
 def test_what_the_old_process_took_it_finishes_after_the_new_one_serves():
     async def story(w):
         pair = await w.connect()
