A client's connection goes over to the new process as soon as it is answered

Need: one task in some 2,700 was still turned away at a change of hands, always when the old process had lasted the whole 3.4 s. A client that sends its next task within a millisecond of each answer is found still by a look every 10 ms only by chance; it stayed with the old process to its end, and its last task was given up there (Retry-After 0.006).

Clients.move is called where an answer has been written (clients.py answer) besides the looks. Test on a pair of sockets without any look; it fails without the line.

--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -5,6 +5,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from time import monotonic
 
 from firwalk.facade import Desk, Errand, Step
@@ -166,6 +167,8 @@
             self._next()
         elif not keep and not self.leaving:  # one that is sent away is told so by its reader
             self.close()
+        else:  # at once: a client that goes on without a pause is never found still by a look now and then
+            self.clients.move(self)
 
     def _send_away(self, status: int) -> None:
         """Hundreds of bad messages at once: the first is answered, and the connection ends with it."""
@@ -220,7 +223,8 @@
         self.works: dict[asyncio.Task, None] = {}
         self.names: dict[bytes, None] = {}       # ids of the tasks in work
         self.ending, self.stopping, self.malformed = False, False, 0
-        self.moving = False                      # each goes to another process of this node when it is free
+        # Another process of this node gets each as soon as it is still: whom to give it to.
+        self.moving: Callable[[bool, socket.socket], None] | None = None
         self.accepted_at = monotonic()
         self.held: socket.socket | None = None   # accepted, while no descriptor is free for it
         budget.shed_client = self.shed
@@ -269,11 +273,16 @@
         self.open.pop(client, None)
         self.budget.close_client(client.spare)
 
+    def move(self, client: Client) -> None:
+        """The other process goes on with it, if there is one that does and nothing is in work."""
+        if self.moving is not None and client.still():
+            client.hand_over(partial(self.moving, client.known))
+
     def shed(self, spare: bool) -> bool:
         """Closes the most dispensable connection, of several the one that has been still longest. What has
         just come is about to send: a task written to it would be lost. One that is about to go over to
         another process would meet an end there that nothing makes necessary."""
-        if self.moving:
+        if self.moving is not None:
             return False
         now, best = monotonic(), None
         for client in self.open:
--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -159,7 +159,7 @@
     def _hand(self, line: Line) -> None:
         self.meeting.close()    # the path belongs to the new process from here on
         self.handed = True
-        self.service.clients.moving = True
+        self.service.clients.moving = lambda known, sock: line.say({"client": known}, sock, give=True)
         held = self.service.stop_accepting()
         line.say({"yours": True})
         for sock in held:
@@ -172,9 +172,7 @@
         holds = -1
         while line.open:
             for client in list(self.service.clients.open):
-                if client.still():
-                    known = client.known
-                    client.hand_over(lambda sock, known=known: line.say({"client": known}, sock, give=True))
+                self.service.clients.move(client)
             self.service.executors.hand_over(lambda about, sock: line.say(about, sock, give=True))
             now, more = self._holds()
             if holds != now + more:
@@ -192,7 +190,7 @@
 
     def _alone(self) -> None:
         """The new process is gone, and this one still there: it goes on as before."""
-        self.after, self.service.clients.moving = None, False
+        self.after, self.service.clients.moving = None, None
         self.service.clients.ending = self.service.ending.is_set()
         self._shares()
         if self.handed:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,7 @@
 """A fake host whose lines are compared with a kept trace; the program with stand-ins round it."""
 import asyncio
 import heapq
+import itertools
 import os
 import signal
 import socket
@@ -152,6 +153,21 @@
     return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
 
+PORTS = itertools.count(os.getpid() * 37)
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    """Below those that the machine gives to outgoing connections: one of these could take it meanwhile."""
+    while True:
+        port = 10000 + next(PORTS) % 20000
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
+
+
 class Executor:
     """A stand-in executor: `behave(self, writer, name)` answers; by default it starts and is done."""
 
@@ -222,12 +238,8 @@
     async def __aenter__(self):
         self.executors = [await Executor(behave).open() for behave in self.behaviours]
         self.lists = await asyncio.start_server(self._list, "127.0.0.1", 0)
-        with (socket.socket() as one, socket.socket(type=socket.SOCK_DGRAM) as two,
-              socket.socket() as three):
-            for sock in (one, two, three):
-                sock.bind(("127.0.0.1", 0))
-            self.management_port = three.getsockname()[1]
-            self.port, self.peer_port = one.getsockname()[1], self.peer_port or two.getsockname()[1]
+        self.management_port, self.port = free_port(), free_port()
+        self.peer_port = self.peer_port or free_port(socket.SOCK_DGRAM)
         all_of_them = [self.entry(n) for n in range(len(self.executors))]
         known = self.news(*all_of_them, whole=True) if self.known is None else self.known
         self.config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "0a", "limits": self.limits,
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -8,10 +8,13 @@
 
 import orjson
 import pytest
-from helpers import World, post, read_message
+from helpers import World, free_port, post, read_message
 from test_service import play, silent, slowly
 
 from firwalk.maintenance import Maintenance
+from firwalk.net.budget import Budget
+from firwalk.net.buffers import Buffers
+from firwalk.net.clients import Clients
 from firwalk.net.handover import Line, Meeting
 
 
@@ -22,9 +25,7 @@
         self.w, self.changes = w, changes
 
     async def start(self):
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            self.port = sock.getsockname()[1]
+        self.port = free_port()
         self.w.path.write_bytes(orjson.dumps(
             self.w.config | {"management": f"127.0.0.1:{self.port}"} | self.changes))
         self.program = await asyncio.create_subprocess_exec(
@@ -155,6 +156,26 @@
     play(story, None, None, managed=True)
 
 
+def test_a_client_goes_over_as_soon_as_it_is_answered():
+    """Found still by a look now and then only, one that sends on at once stayed until the old process ended,
+    and its last task was given up."""
+    async def run():
+        budget, moved = Budget(64, 10**8), asyncio.get_running_loop().create_future()
+        clients = Clients(None, None, budget, Buffers())
+        ours, theirs = socket.socketpair()
+        theirs.setblocking(False)
+        assert clients.admit(ours)
+        theirs.send(b"GET /_health HTTP/1.1\r\n")
+        await asyncio.sleep(0.05)
+        clients.moving = lambda known, sock: moved.set_result(sock)     # nobody looks for who is still
+        theirs.send(b"\r\n")
+        assert await asyncio.wait_for(moved, 2) is ours and not clients.open and budget.clients == 0
+        assert theirs.recv(99).startswith(b"HTTP/1.1 200")
+        theirs.send(b"more")
+        assert ours.recv(99) == b"more"
+    asyncio.run(run())
+
+
 def test_what_the_old_process_took_it_finishes_after_the_new_one_serves():
     async def story(w):
         pair = await w.connect()
