Tasks in work go over to the process that replaces this one

firwalk/moving.py tells the task with its history; Succession sends it with copies of both descriptors once all of its assignment is written; the executor's answer goes on from the bytes seen so far. Readers of executors wait for readiness, as those of clients do: cancelled, they lose no byte. A hello that does not say it takes tasks gets none. Found by its test: a new process has no mean cost and value yet, and placing the task anew divided by zero.

--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -62,6 +62,7 @@
         self.steps: deque[tuple] = deque()
         self.waiter: Future | None = None
         self.begun: set[int] = set()    # assignments whose last byte may have been written
+        self.expiry = 0.0               # its own, also when the node must be gone before
 
     def stir(self) -> None:
         if self.waiter is not None and not self.waiter.done():
@@ -156,6 +157,7 @@
             return None
         now, errand, most = self.clock(), Errand(), self.node.offerings[number].expiry
         budget = (most if budget is None else min(budget, most or budget)) - waited
+        errand.expiry = now + max(budget - WAY_BACK, 0.0)
         budget = max(min(budget, self.closing_at - now) - WAY_BACK, 0.0)
         errand.task = self.node.task_arrived(
             now, errand, number, self.tenants.get(tenant, -1), budget, cost, slots, memory, again)
@@ -211,6 +213,25 @@
         errand.stir()
         self._settle(now)
 
+    def report_moved(self, errand: Errand) -> None:
+        """Another process of this node goes on with it: here nothing is owed any more."""
+        self.report_gone(errand)
+        for assignment in errand.task.assignments:
+            if assignment.out:  # where a cancel means nothing
+                self.report_outcome(errand, assignment.number, Outcome.CANCELLED)
+
+    def report_resumed(self, errand: Errand) -> None:
+        """A task that another process of this node had goes on here."""
+        now, task = self.clock(), errand.task
+        errand.expiry, task.expiry = task.expiry, min(task.expiry, self.closing_at - WAY_BACK)
+        self.open[errand] = None
+        self.set_timer(task.expiry + LAST_WORD, self._last_word, errand)
+        for assignment in task.assignments:
+            if assignment.out:
+                self.set_timer(task.expiry, self._time_out, assignment)
+                self.node.resumed(now, assignment)
+        self._settle(now)
+
     def report_list(self, version: int, whole: bool, entries: list[tuple]) -> None:
         """Entries are (name, address, zone, machine type, cell, condition, when it came up, size); `whole`:
         what is not named is gone."""
@@ -286,10 +307,10 @@
         """Whether connections to it are worth keeping: to one that is out they end with its restart."""
         return place.name not in self.maintenance.out
 
-    def report_kept_list(self, version: int, entries: list[tuple]) -> None:
+    def report_kept_list(self, version: int, entries: list[tuple], whole: bool = True) -> None:
         """The list as another process of this node had it: no news, so that a fresh one is still awaited."""
         at = self.list_at
-        self.report_list(version, True, entries)
+        self.report_list(version, whole, entries)
         self.list_at = at
 
     def forget_version(self) -> None:
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -90,9 +90,8 @@
 class Assignment:
     """One sending of a task to one executor."""
 
-    def __init__(self, task: Task, executor: Executor, number: int, sent: float, estimate: float,
-                 wait: float):
-        self.task, self.executor, self.number = task, executor, number
+    def __init__(self, task: Task, executor: Executor, sent: float, estimate: float, wait: float):
+        self.task, self.executor, self.number = task, executor, len(task.assignments)
         self.sent, self.estimate, self.wait = sent, estimate, wait
         self.out, self.started_at, self.may_have_run = True, 0.0, True
 
@@ -110,11 +109,10 @@
 
 
 class Zone:
-    """The executors of one zone together, as this node sees them."""
+    """One zone: the lag of those met lately, others' load of a slot, those out of reach since one was not."""
 
     def __init__(self) -> None:
-        self.lag, self.lag_at, self.mean = 0.0, 0.0, 0.0  # of those met lately; others' load of a slot
-        self.missed, self.away_until = [], 0.0           # those out of reach since one was not
+        self.lag, self.lag_at, self.mean, self.missed, self.away_until = 0.0, 0.0, 0.0, [], 0.0
 
     def lag_now(self, now: float) -> float:
         return self.lag * max(1.0 - (now - self.lag_at) / LAG_FADE, 0.0)
@@ -377,9 +375,8 @@
     # -- the gate that every send passes ---------------------------------------------------------------
 
     def _may_repeat(self, now: float, task: Task, executor: Executor, instead: bool = False) -> bool:
-        """Rule 2 and the limits on copies, for a task that was sent before; `instead`: of what is out."""
-        effect, group = task.offering.effect, task.offering.group
-        most = min(self.most, task.most)  # which may have fallen since the task came
+        """Rule 2 and the limits on copies, the stricter ones, of a task sent before; `instead`: of one."""
+        effect, group, most = task.offering.effect, task.offering.group, min(self.most, task.most)
         if len(task.assignments) >= most or (task.still_out and not self.copies and not instead):
             return False
         for earlier in task.assignments:
@@ -405,18 +402,23 @@
         if executor.cold_until > now and not self._cold_room(now, executor, task):
             return False  # rule 4: a cold one is not pushed over
         estimate, wait = task.work / executor.rate(), self._wait(now, executor, task.slots)
-        assignment = Assignment(task, executor, len(task.assignments), now, estimate, wait)
+        assignment = Assignment(task, executor, now, estimate, wait)
         task.assignments.append(assignment)
-        task.still_out += 1
-        executor.work, executor.held = executor.work + estimate, executor.held + task.slots
         executor.idle = max(executor.idle - 1, 0)
         self.host.send(task, executor, 0.0)
-        patience = max(task.due - now - task.cost / executor.speed, 0.0)
-        if self.tells_start:  # a move by cancel may come sooner than one by a copy, which adds to the load
-            patience /= 2 if self.copies else 3
-        self.host.set_timer(now + max(patience, 2 * self.tick), self.overdue, assignment)
+        self.resumed(now, assignment)
         return True
 
+    def resumed(self, now: float, assignment: Assignment) -> None:
+        """It is out, and counts: sent just now, or before, by another process (of which no mean is known)."""
+        task, executor = assignment.task, assignment.executor
+        task.still_out, executor.held = task.still_out + 1, executor.held + task.slots
+        executor.work += assignment.estimate
+        self.mean_cost, self.mean_value = self.mean_cost or task.work, self.mean_value or task.value
+        part = (2 if self.copies else 3) if self.tells_start else 1  # copies add to the load: they come later
+        patience = max(task.due - now - task.cost / executor.speed, 0.0) / part
+        self.host.set_timer(now + max(patience, 2 * self.tick), self.overdue, assignment)
+
     # -- what becomes of an assignment -----------------------------------------------------------------
 
     def overdue(self, now: float, assignment: Assignment) -> None:
@@ -456,8 +458,7 @@
     def _lagged(self, now: float, assignment: Assignment) -> None:
         """Where starts are told, their delay shows the others' queue fresher than any report does."""
         by, executor = now - assignment.sent - assignment.wait, assignment.executor
-        zone = executor.zone  # each has its own: one short of executors must not make the others look so too
-        common = zone.lag_now(now)
+        zone, common = executor.zone, executor.zone.lag_now(now)  # else one short of executors spoils all
         executor.lag = max(executor.lag_now(now, common) + LAG_WEIGHT * by, 0.0)
         zone.lag, zone.lag_at, executor.lag_at = max(common + COMMON_WEIGHT * by, 0.0), now, now
 
@@ -537,11 +538,10 @@
 
     def withdrawn(self, now: float, task: Task) -> None:
         """The client left, or has its answer: nothing is owed, and what waits for a slot need not run."""
-        if task.open:
-            task.open = False
-            for assignment in task.assignments if self.may_cancel else ():
-                if assignment.out:
-                    self.host.cancel(assignment)
+        out = [a for a in task.assignments if a.out and task.open and self.may_cancel]
+        task.open = False
+        for assignment in out:
+            self.host.cancel(assignment)
 
     def _give_up(self, now: float, task: Task) -> None:
         """The one place of final answers: a bounce where a retry is sure to be harmless, else abandoned."""
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -14,7 +14,7 @@
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
 from firwalk.net.executors import Executors
-from firwalk.net.waiting import readable
+from firwalk.net.waiting import readable, received
 
 HEALTH = b"/_health"
 READ_TIME = 2.0        # seconds in which a message must be whole, the first one counted from the connect
@@ -39,6 +39,7 @@
         self.waiting: deque[tuple] = deque()
         self.room = asyncio.get_running_loop().create_future()
         self.busy, self.used, self.known, self.errand, self.writing = False, False, False, None, None
+        self.message: tuple = ()                         # of its task: id, target, headers, body, keep
         self.heard_at, self.closing, self.gone = monotonic(), False, False
         self.leaving = 0                                 # what it is told for a message that ends it all
         self.turned_away_at, self.pushes = 0.0, 0
@@ -50,7 +51,7 @@
         buffer, loop = self.clients.buffers.take(), asyncio.get_running_loop()
         view = memoryview(buffer)
         try:
-            while count := await self._received(buffer):
+            while count := await received(self.sock, buffer):
                 if not self.parser.partial and self.used:
                     self.heard_at = monotonic()
                 self.parser.feed(view[:count])
@@ -73,14 +74,6 @@
             view.release()
             self.clients.buffers.give(buffer)
 
-    async def _received(self, buffer: bytearray) -> int:
-        while True:
-            await readable(self.sock)
-            try:
-                return self.sock.recv_into(buffer)
-            except BlockingIOError:
-                pass
-
     async def _spoilt(self, problem: http.Malformed, buffer: bytearray) -> None:
         """Where one message ends and the next begins is not sure any more: with a wrong length, also the task
         in hand is not what its client meant. It is called off, and told so."""
@@ -261,18 +254,42 @@
         self.open[Client(self, sock, spare)] = None
         return True
 
-    def adopt(self, sock: socket.socket, known: bool) -> None:
+    def adopt(self, sock: socket.socket, known: bool) -> Client:
         """A connection that another process of this node had: counted there until now, it fits."""
         self.budget.adopt_client()
         sock.setblocking(False)
         client = Client(self, sock, False)
         client.known = client.used = known
         self.open[client] = None
+        return client
+
+    def resume(self, sock: socket.socket, errand: Errand, message: tuple) -> None:
+        """A client whose task another process of this node had; no answer to it has been begun there."""
+        client = self.adopt(sock, True)
+        client.busy, client.errand, client.message = True, errand, message
+        self.keep(asyncio.get_running_loop().create_task(self._resumed(client, errand, message)))
+
+    async def _resumed(self, client: Client, errand: Errand, message: tuple) -> None:
+        name, size = message[0], len(message[3])
+        self.names[name], held = None, self.budget.hold(size)
+        try:
+            await self._attend(client, errand, *message)
+        except Exception as problem:
+            trouble("attending to a client of the process before", problem)
+            client.close()
+        finally:
+            del self.names[name]
+            self.budget.let_go(size if held else 0)
 
     def closed(self, client: Client) -> None:
         self.open.pop(client, None)
         self.budget.close_client(client.spare)
 
+    def movable(self, client: Client) -> bool:
+        """Its task may go over: nothing else is read from it, and no answer begun."""
+        return client.errand is not None and not (
+            client.gone or client.closing or client.leaving or client.parser.partial or client.waiting)
+
     def move(self, client: Client) -> None:
         """The other process goes on with it, if there is one that does and nothing is in work."""
         if self.moving is not None and client.still():
@@ -369,6 +386,7 @@
             await client.answer(400 if told["offering"] in self.desk.offerings else 404, b"", keep)
             return
         client.errand, client.known, self.names[name] = errand, True, None
+        client.message = name, target, headers, body, keep
         if client.gone:
             self.desk.report_gone(errand)
         try:
--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -22,6 +22,7 @@
 from firwalk.net.address import host_header, new_socket
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
+from firwalk.net.waiting import received
 
 WAIT = 0.01            # seconds between looks for a free descriptor
 HOLD_TRIPS = 2.0       # times the shortest way to an executor and back that a last byte is held back
@@ -34,6 +35,7 @@
 SHORT_MEMORY = 10.0    # those that are there only, for so long: each one opened for that would be wasted
 END_TIME = 2.0         # seconds from an answer's last line to its end
 MAY_PASS = (408, 425, 429)    # answers that blame the task, or the moment: another try may fare better
+MOST_SEEN = 8192       # bytes of an answer that has come, beyond which its task stays in this process
 IDLE_PART = 0.8        # of the time after which an executor closes an idle connection: ours ends before
 
 
@@ -51,6 +53,7 @@
         self.idle_since, self.open, self.wrote_at = monotonic(), True, 0.0
         self.idled = 0.0                             # how long it stood idle before its exchange
         self.at_last, self.broken = True, False      # the last byte is under way; it broke before that
+        self.seen = b""                              # of the answer in hand
         self.heir: Callable[[socket.socket], None] | None = None    # who gets it when its reader has let go
         self.parser = http.Answers(self._began, self._line, self._ended)
         self.reading = asyncio.get_running_loop().create_task(self._read())
@@ -92,7 +95,7 @@
         return True
 
     def _ended(self, keep: bool) -> None:
-        exchange, self.exchange = self.exchange, None
+        exchange, self.exchange, self.seen = self.exchange, None, b""
         # Answered before its last byte was written, the rest would run into the next message.
         if keep and self.open and self.writer is None:
             self.pool.give(self)
@@ -103,10 +106,10 @@
 
     async def _read(self) -> None:
         buffer = self.pool.buffers.take()
-        view, loop = memoryview(buffer), asyncio.get_running_loop()
+        view = memoryview(buffer)
         try:
-            while count := await loop.sock_recv_into(self.sock, buffer):
-                self.parser.feed(view[:count])
+            while count := await received(self.sock, buffer):
+                self.came(view[:count])
         except OSError:
             pass
         except http.Malformed as problem:
@@ -117,6 +120,12 @@
             view.release()
             self.pool.buffers.give(buffer)
 
+    def came(self, data: bytes | memoryview) -> None:
+        """What has come is kept: another process that goes on with it has to stand where this one stands."""
+        if len(self.seen) <= MOST_SEEN:
+            self.seen += data
+        self.parser.feed(data)
+
     def _closed(self, _: asyncio.Task) -> None:
         """Also where the reader was cancelled before it began: its own `finally` would not run then."""
         by_itself, self.open = self.open, False
@@ -450,6 +459,37 @@
             if exchange.link is not None and exchange.link.exchange is exchange:
                 exchange.link.close()
 
+    # -- assignments that go over to another process of this node ----------------------------------------
+
+    def carrying(self, errand: Errand, number: int) -> Link | None:
+        """The connection of an assignment that can go over: all of it is written."""
+        exchange, _ = self.carried.get((errand, number), (None, None))
+        link = exchange.link if exchange is not None else None
+        if link is None or link.exchange is not exchange or not link.open:
+            return None
+        return link if link.writer is None and len(link.seen) <= MOST_SEEN else None
+
+    def let_go(self, errand: Errand, number: int) -> None:
+        """Another process has it, with a descriptor of its own: ours is closed, and nothing is reported."""
+        exchange, _ = self.carried.pop((errand, number))
+        exchange.over, exchange.link.exchange = True, None
+        exchange.link.close()
+
+    def resume(self, errand: Errand, number: int, sock: socket.socket, name: bytes, seen: bytes) -> None:
+        """An assignment that another process sent goes on here, behind what has come of its answer."""
+        place, exchange = errand.task.assignments[number].executor.ref, Exchange(self, errand, number, name)
+        sock.setblocking(False)
+        self.budget.adopt_link()
+        link = Link(self, place, sock)
+        link.exchange, exchange.link, self.links[link] = exchange, link, None
+        self.carried[errand, number] = exchange, asyncio.get_running_loop().create_future()
+        try:
+            link.address = sock.getpeername()[:2]
+        except OSError:
+            pass  # it has broken on the way: its reader sees that
+        if seen:
+            link.came(seen)
+
     # -- probes ------------------------------------------------------------------------------------------
 
     def probe(self, place: Place, limit: float) -> None:
--- a/firwalk/net/handover.py
+++ b/firwalk/net/handover.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import socket
 import struct
@@ -69,8 +70,11 @@
             except BlockingIOError:
                 self.out.appendleft((data, files))
                 break
-            except OSError:
+            except OSError as problem:
                 self.out.appendleft((data, files))
+                if problem.errno == errno.ETOOMANYREFS:  # the other has yet to take those on their way
+                    loop.call_later(AGAIN, self._write)
+                    return
                 self.open = False
                 break
             for file in files:
@@ -245,7 +249,7 @@
     loop = asyncio.get_running_loop()
     end = loop.time() + BUSY_TIME
     while (line := meeting.call()) is not None:
-        line.say({"hello": VERSION})
+        line.say({"hello": VERSION, "takes": ["task"]})
         try:
             async with asyncio.timeout(ANSWER_TIME):
                 about, files = await line.next()
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -245,7 +245,8 @@
             self.accepting.cancel()
             await asyncio.sleep(0)
             self._last_clients()
-        while (self.clients.open or self.clients.works) and monotonic() < began + LONGEST_END + LAST:
+        while monotonic() < began + LONGEST_END + LAST and (
+                self.clients.open or self.clients.works or self.succession.sending()):
             if self.clients.stopping:
                 self.clients.close_idle()
             await asyncio.sleep(0.02)
--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -9,9 +9,11 @@
 
 from firwalk.host import Condition
 from firwalk.log import say, trouble
+from firwalk.moving import packed, unpacked
 from firwalk.net.handover import VERSION, Broken, Line, Meeting, hello
 
 if TYPE_CHECKING:
+    from firwalk.net.clients import Client
     from firwalk.net.service import Service
 
 HAND_OVER_EVERY = 0.01 # seconds between looks for connections that can be handed over
@@ -30,6 +32,7 @@
         self.before: Line | None = None      # to the process that this one replaces
         self.after: Line | None = None       # to the one that replaces this one
         self.handed = False                  # the one after accepts now
+        self.gives_tasks = False             # and goes on with tasks in work
         self.hung = False                    # the one before does not answer
         self.yours: asyncio.Future | None = None
         self.closed = False
@@ -89,6 +92,8 @@
                     self._adopt(about, files[0])
                 elif "client" in about:
                     self.service.clients.adopt(files[0], bool(about["client"]))
+                elif "task" in about:
+                    self._resume(about, *files)
                 elif "yours" in about:
                     self._free()
                 elif "holds" in about:
@@ -114,6 +119,20 @@
         except OSError:  # it has ended on the way
             sock.close()
 
+    def _resume(self, about: dict, client: socket.socket, link: socket.socket) -> None:
+        """A task in work, with its client's connection and its executor's."""
+        try:
+            name, target, body, seen, *rest = (text.encode("latin-1") for text in about["bytes"])
+            headers = dict(zip(rest[::2], rest[1::2], strict=True))
+            errand = unpacked(self.desk, about["task"], monotonic() - about["at"])
+        except (KeyError, TypeError, ValueError, AttributeError) as problem:
+            trouble("going on with a task", problem)
+            client.close()
+            link.close()
+            return
+        self.service.clients.resume(client, errand, (name, target, headers, body, bool(about["keep"])))
+        self.service.executors.resume(errand, about["task"]["out"], link, name, seen)
+
     def _free(self) -> None:
         if not self.yours.done():
             self.yours.set_result(None)
@@ -132,7 +151,7 @@
             elif self.after is not None or self.before is not None:
                 line.say({"busy": True})
             else:
-                self.after = line
+                self.after, self.gives_tasks = line, "task" in about.get("takes", ())
                 say("another process of this node has come")
                 line.say({"state": self._state()}, *self.service.shared())
                 self._shares()
@@ -173,6 +192,8 @@
         while line.open:
             for client in list(self.service.clients.open):
                 self.service.clients.move(client)
+                if self.gives_tasks and self.service.clients.movable(client):
+                    self._give_task(line, client)
             self.service.executors.hand_over(lambda about, sock: line.say(about, sock, give=True))
             now, more = self._holds()
             if holds != now + more:
@@ -181,6 +202,26 @@
                 line.say({"holds": holds})
             await asyncio.sleep(HAND_OVER_EVERY)
 
+    def _give_task(self, line: Line, client: Client) -> None:
+        """Sent with copies of both descriptors, so that closing ours ends neither connection."""
+        errand, executors = client.errand, self.service.executors
+        about = packed(self.desk, errand)
+        link = executors.carrying(errand, about["out"]) if about and line.open else None
+        if link is None:
+            return
+        name, target, headers, body, keep = client.message
+        data = [name, target, body, link.seen, *(part for pair in headers.items() for part in pair)]
+        line.say({"task": about, "at": monotonic(), "keep": keep,
+                  "bytes": [part.decode("latin-1") for part in data]}, client.sock, link.sock)
+        executors.let_go(errand, about["out"])
+        client.errand = None
+        client.close()
+        self.desk.report_moved(errand)
+
+    def sending(self) -> bool:
+        """Something is still on its way to the other process."""
+        return self.after is not None and self.after.open and bool(self.after.out)
+
     def _holds(self) -> tuple[int, int]:
         """Descriptors that this process has, and that it may still open: no more clients come here, but each
         that is not over yet may be about to bring a task, and its executors' connections are gone."""
--- a/firwalk/net/waiting.py
+++ b/firwalk/net/waiting.py
@@ -17,6 +17,16 @@
         loop.remove_reader(sock)
 
 
+async def received(sock: socket.socket, buffer: bytearray) -> int:
+    """Waits for bytes and takes them in one step."""
+    while True:
+        await readable(sock)
+        try:
+            return sock.recv_into(buffer)
+        except BlockingIOError:
+            pass
+
+
 def _now(ready: asyncio.Future) -> None:
     if not ready.done():
         ready.set_result(None)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -8,7 +8,7 @@
 
 import orjson
 import pytest
-from helpers import World, free_port, post, read_message
+from helpers import OFFERINGS, World, free_port, post, read_message
 from test_service import play, silent, slowly
 
 from firwalk.maintenance import Maintenance
@@ -176,6 +176,92 @@
     asyncio.run(run())
 
 
+async def long(executor, writer, name):
+    """Starts, says half a line, and is done after all that an old process has."""
+    await executor.lines(writer, name, "started", whole=False)
+    line = b'{"id":"%s","state":"done","result":"made of %s"}' % (name.encode(), name.encode())
+    writer.write(b"%x\r\n%s" % (len(line), line[:9]))
+    await asyncio.sleep(4.5)
+    writer.write(b"%s\r\n0\r\n\r\n" % line[9:])
+
+
+LONG = {"offerings": [o | {"due-time-us": 9000000, "expiry-us": 9000000} for o in OFFERINGS]}
+
+
+def test_tasks_in_work_go_over_and_the_old_process_ends_at_once():
+    """They may last longer than a process that was told to end."""
+    async def story(w):
+        pairs = [await w.connect() for _ in range(3)]
+        texts = [post(f"/{path}/k", name=path, X_Deadline="9000m", Idempotency_Key="i")
+                 for path in ("read", "put", "act")]
+        works = [asyncio.create_task(w.ask(*both)) for both in zip(texts, pairs, strict=True)]
+        await w.until(lambda: sum(len(e.got) for e in w.executors) == 3)
+        await asyncio.sleep(0.05)
+        other = await (await Another(w).start()).ready()
+        began = time.monotonic()
+        await over(w)
+        assert time.monotonic() - began < 2.0
+        answers = await asyncio.gather(*works)
+        assert answers == [(200, b"made of read"), (200, b"made of put"), (200, b"made of act")]
+        assert sum(len(e.got) for e in w.executors) == 3
+        for pair in pairs:      # the connections live on, on both sides
+            assert (await w.ask(b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n", pair))[0] == 200
+        assert sum(e.ended for e in w.executors) == 0
+        await other.end()
+    play(story, long, long, managed=True, settings=LONG | {"load-report": {"how": "off"}})
+
+
+@pytest.mark.parametrize("path, status, sends", [("read", 200, 2), ("act", 500, 1)])
+def test_a_task_that_went_over_keeps_the_rules_on_repeats(path, status, sends):
+    """Its executor dies under it: what may have run is known to the new process too."""
+    async def first_dies(executor, writer, name):
+        if dead.is_set():
+            await executor.lines(writer, name, "started", "done")
+            return
+        await executor.lines(writer, name, "started", whole=False)
+        await dead.wait()
+        writer.transport.abort()
+    dead = asyncio.Event()
+
+    async def story(w):
+        pair = await w.connect()
+        work = asyncio.create_task(w.ask(post(f"/{path}/k", name="t", X_Deadline="9000m"), pair))
+        await w.until(lambda: any(e.got for e in w.executors))
+        await asyncio.sleep(0.05)
+        other = await (await Another(w).start()).ready()
+        await over(w)
+        dead.set()
+        assert (await work)[0] == status and sum(len(e.got) for e in w.executors) == sends
+        await other.end()
+    play(story, first_dies, first_dies, managed=True, settings=LONG)
+
+
+def test_a_process_that_takes_no_tasks_gets_none():
+    async def story(w):
+        pair = await w.connect()
+        work = asyncio.create_task(w.ask(post("/act/k", name="t", X_Deadline="9000m"), pair))
+        await w.until(lambda: w.executors[0].got)
+        meeting = Meeting(w.folder.name, "n0", w.config["listen"], lambda line: None)
+        line = meeting.call()
+        line.say({"hello": 1})
+        about, files = await line.next()
+        assert "state" in about
+        line.say({"take": True})
+        came = []
+        while not work.done():
+            try:
+                about, more = await asyncio.wait_for(line.next(), 0.1)
+            except TimeoutError:
+                continue
+            came.append(about)
+            files += more
+        assert work.result() == (200, b"made of t") and not any("task" in about for about in came)
+        line.close()
+        for sock in files:
+            sock.close()
+    play(story, slowly, managed=True)
+
+
 def test_what_the_old_process_took_it_finishes_after_the_new_one_serves():
     async def story(w):
         pair = await w.connect()
