A node's first task to an executor that came up waits for no draw

Traced: 4 of 16 pairs of node and executor without a task in 6 s, others after 0.8 to 4.3 s; all free, ready and not set aside. 2 to 7 tasks in a hundred are drawn for a cold executor, and a part of these is light.

logic.py _cold_room: the first one needs no draw while all nodes' first ones come to twice what one task may be; _place meets one of another zone in the same way. heard marks it, resumed unmarks it.

--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -29,7 +29,7 @@
 PROBES_NEAR, PROBES_FAR = 2, 1  # probes for each task and each round, in the own zone and in others
 FEW = 10               # nodes that call for lists, open connections and judge errors each by itself
 CALL_GAP = 0.1         # seconds between the calls of more
-COLD_PART, HEAVY_PART = 0.4, 0.15  # parts of what a cold executor bears: for all nodes, and for one task
+COLD_PART, HEAVY_PART, FIRSTS = 0.4, 0.15, 2.0  # of what a cold one bears: all's; a task's; of it, all firsts
 GOLDEN = 0.6180339887  # spreads the draws of cold executors evenly, whatever their number
 TIES = 4               # executors without own work that are compared with each other
 TRUST, HINT_WEIGHT = 4.0, 0.01  # tasks' weight of the trust in hints at first; least of a hint in their means
@@ -63,8 +63,7 @@
 
     def learn(self, hint: float, work: float) -> None:
         """The slope of the finished work over its hint, both in logarithms."""
-        x, y = log(hint), log(work)
-        self.finished += 1
+        x, y, self.finished = log(hint), log(work), self.finished + 1
         off = x - self.log_hint
         self.log_hint += off / self.finished
         self.log_work += (y - self.log_work) / self.finished
@@ -91,9 +90,8 @@
     """One sending of a task to one executor."""
 
     def __init__(self, task: Task, executor: Executor, sent: float, estimate: float, wait: float):
-        self.task, self.executor, self.number = task, executor, len(task.assignments)
-        self.sent, self.estimate, self.wait = sent, estimate, wait
-        self.out, self.started_at, self.may_have_run = True, 0.0, True
+        self.task, self.executor, self.number, self.started_at = task, executor, len(task.assignments), 0.0
+        self.sent, self.estimate, self.wait, self.out, self.may_have_run = sent, estimate, wait, True, True
 
 
 class Task:
@@ -138,9 +136,8 @@
 
     def __init__(self, ref: object, kind: int, zone: Zone, cell: int, speed: float, draw: float):
         super().__init__(speed)
-        self.ref, self.kind, self.zone, self.cell = ref, kind, zone, cell
-        self.draw = draw                                 # by which tasks it is while cold
-        self.condition, self.came_up, self.cold_until = Condition.GONE, 0.0, 0.0
+        self.ref, self.kind, self.zone, self.cell, self.draw = ref, kind, zone, cell, draw  # draw: while cold
+        self.condition, self.came_up, self.cold_until, self.unused = Condition.GONE, 0.0, 0.0, False
         self.work, self.held = 0.0, 0.0                  # own outstanding estimates, and the slots they take
         self.others, self.idle = 0.0, 0                  # idle: connections that should be open and free
         self.used_mean, self.held_mean, self.reported_at, self.warned_at = 0.0, 0.0, 0.0, -WARNED
@@ -225,7 +222,7 @@
     def heard(self, now: float, executor: Executor, condition: Condition, came_up: float) -> None:
         executor.condition = condition
         if condition is Condition.READY and came_up > executor.came_up:
-            executor.came_up, executor.cold_until = came_up, came_up + self.cold_for
+            executor.came_up, executor.cold_until, executor.unused = came_up, came_up + self.cold_for, True
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
 
     def _measure(self, now: float) -> None:
@@ -271,7 +268,8 @@
 
     def _place(self, now: float, task: Task) -> None:
         # Left to chance among all without own work, hardly a task that may go to a cold one would.
-        turns = [e for e in self.near if e.cold_until > now and not e.held and self._cold_room(now, e, task)]
+        turns = [e for e in self.near + self.far if e.cold_until > now and not e.held
+                 and (e.unused or e.zone is self.zone) and self._cold_room(now, e, task)]
         executor = turns and self._choose(now, task, turns) or self._choose(now, task, self._order())
         if (executor is None or not self._send(now, task, executor)) and not task.still_out:
             self._give_up(now, task)  # in a queue it would only make those behind it late too
@@ -363,14 +361,16 @@
 
     def _cold_room(self, now: float, executor: Executor, task: Task) -> bool:
         """A cold executor pushed over stays down, and no node sees what the others send it. Each task has one
-        draw: of all tasks of all nodes only its part by present capacity may go there, however tempting it
-        looks. Grants by time lapsed at nodes with a task a second; saved up at hundreds, all came at once."""
+        draw: of all tasks only its part by present capacity may go there (grants saved up at hundreds all
+        came at once). A node's first there needs none, or few tasks would leave it idle for long."""
         bears = executor.slots * executor.speed * self._warmth(now, executor)
         part = min(COLD_PART * self.fall_multiple, 1.0) * bears / self.capacity
+        most = HEAVY_PART * bears * self.fall_multiple * self.fall_window
         # No queue at it: what it has not finished may be heavier, or it slower, than it looks.
-        free = executor.held + executor.others < executor.slots
-        return (free and (task.draw + executor.draw) % 1.0 < part
-                and task.work <= HEAVY_PART * bears * self.fall_multiple * self.fall_window)
+        if task.work > most or executor.held + executor.others >= executor.slots:
+            return False
+        first = executor.unused and task.work * self.nodes <= FIRSTS * most
+        return first or (task.draw + executor.draw) % 1.0 < part
 
     # -- the gate that every send passes ---------------------------------------------------------------
 
@@ -413,7 +413,7 @@
         """It is out, and counts: sent just now, or before, by another process (of which no mean is known)."""
         task, executor = assignment.task, assignment.executor
         task.still_out, executor.held = task.still_out + 1, executor.held + task.slots
-        executor.work += assignment.estimate
+        executor.work, executor.unused = executor.work + assignment.estimate, False
         self.mean_cost, self.mean_value = self.mean_cost or task.work, self.mean_value or task.value
         part = (2 if self.copies else 3) if self.tells_start else 1  # copies add to the load: they come later
         patience = max(task.due - now - task.cost / executor.speed, 0.0) / part
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -479,6 +479,39 @@
     assert 0.5 * 0.062 < sent[0.5] / 1200 < 2 * 0.062      # 0.6 of 9.6
 
 
+def test_a_nodes_first_task_to_an_executor_that_came_up_waits_for_no_draw():
+    """Left to draws, one that operators had called back stayed idle for seconds at nodes of few tasks."""
+    needed = []
+    for number in range(30):
+        f = Fake(own_number=number % 2, nodes=2, reports="off", tells_start=False)
+        f.node.seed = number * 0x9E3779B97F4A7C15 % 2**64
+        f.until(100.0)
+        f.hear(*(f"warm{n}" for n in range(11)))
+        f.hear("back", came_up=100.0, zone=number % 3 == 0)
+        for n in range(60):
+            f.until(f.now + 0.5)
+            task = f.task(f"t{n}", 0.05)
+            if task.assignments[0].executor.ref == "back":
+                needed.append(n)
+                break
+            f.end(task, Outcome.FINISHED)
+    assert len(needed) == 30 and max(needed) == 0
+    assert not f.executors["back"].unused    # and the next one is drawn for again
+
+
+def test_rule_4_at_many_nodes_first_tasks_wait_for_their_draw():
+    """All nodes' first ones at the same time would push it over."""
+    sent = 0
+    for number in range(60):
+        f = Fake(own_number=number, nodes=60, reports="off", tells_start=False)
+        f.node.seed = number * 0x9E3779B97F4A7C15 % 2**64
+        f.until(100.0)
+        f.hear(*(f"warm{n}" for n in range(9)), slots=4)
+        f.hear("cold", came_up=100.0, slots=4)
+        sent += f.task("t", 0.1).assignments[0].executor.ref == "cold"
+    assert sent <= 4     # 0.022 of the tasks by the draw, and no more
+
+
 def test_rule_4_no_heavy_task_and_no_queue_at_a_cold_executor():
     f = Fake(reports="off", tells_start=False)
     f.until(100.0)
