--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -123,8 +123,12 @@
         self.speed, self.cost_mean, self.time_mean, self.slots, self.met = speed, 0.0, 0.0, 1.0, 0
 
     def learn(self, cost: float, took: float, weight: float) -> None:
+        if not self.met:
+            self.cost_mean, self.time_mean = cost, cost / self.speed
         self.met += 1
-        self.speed *= (cost / took / self.speed) ** weight
+        self.cost_mean += weight * (cost - self.cost_mean)
+        self.time_mean += weight * (took - self.time_mean)
+        self.speed = self.cost_mean / self.time_mean
 
 
 class Executor(Pace):
@@ -572,8 +576,9 @@
         sums = {zone: [0.0, 0.0] for zone in self.zones.values()}
         for executor in self.near + self.far:
             held, used, zone = held + executor.held_mean, used + executor.used_mean, sums[executor.zone]
-            if self.asks and executor.met:  # one heavy task barred it for ever
-                executor.speed *= (self.kinds[executor.kind].speed / executor.speed) ** (WEIGHT * samples)
+            if self.asks and executor.cost_mean and not executor.held:  # one heavy task barred it for ever
+                took = executor.cost_mean / self.kinds[executor.kind].speed
+                executor.learn(executor.cost_mean, took, WEIGHT * samples)
             if self.asks and not executor.met:  # at a task a second, most of dozens for a long time
                 pace = self.kinds[executor.kind]
                 executor.speed, executor.slots = pace.speed, max(executor.slots, pace.slots)
