--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -33,6 +33,7 @@
         self.after: Line | None = None       # to the one that replaces this one
         self.handed = False                  # the one after accepts now
         self.gives_tasks = False             # and goes on with tasks in work
+        self.given = 0                       # of these so far
         self.hung = False                    # the one before does not answer
         self.yours: asyncio.Future | None = None
         self.closed = False
@@ -213,6 +214,7 @@
         data = [name, target, body, link.seen, *(part for pair in headers.items() for part in pair)]
         line.say({"task": about, "at": monotonic(), "keep": keep,
                   "bytes": [part.decode("latin-1") for part in data]}, client.sock, link.sock)
+        self.given += 1
         executors.let_go(errand, about["out"])
         client.errand = None
         client.close()
@@ -295,6 +297,8 @@
 
     def close(self) -> None:
         self.closed = True
+        if self.handed:
+            say(f"tasks in work that the process after goes on with: {self.given}")
         if self.meeting is not None:
             self.meeting.close(unlink=not self.handed)
         for work in list(self.works):
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -201,13 +201,16 @@
         began = time.monotonic()
         await over(w)
         assert time.monotonic() - began < 2.0
+        third = await (await Another(w).start()).ready()    # and once more
+        assert "goes on with: 3" in await other.end()
+        assert not any(work.done() for work in works)
         answers = await asyncio.gather(*works)
         assert answers == [(200, b"made of read"), (200, b"made of put"), (200, b"made of act")]
         assert sum(len(e.got) for e in w.executors) == 3
         for pair in pairs:      # the connections live on, on both sides
             assert (await w.ask(b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n", pair))[0] == 200
         assert sum(e.ended for e in w.executors) == 0
-        await other.end()
+        await third.end()
     play(story, long, long, managed=True, settings=LONG | {"load-report": {"how": "off"}})
 
 
@@ -225,13 +228,17 @@
 
     async def story(w):
         pair = await w.connect()
-        work = asyncio.create_task(w.ask(post(f"/{path}/k", name="t", X_Deadline="9000m"), pair))
+        body = bytes(range(256)) * 200      # more than one line takes at once
+        text = post(f"/{path}/k?a=%20", name="t", body=body, X_Deadline="9000m")
+        work = asyncio.create_task(w.ask(text, pair))
         await w.until(lambda: any(e.got for e in w.executors))
         await asyncio.sleep(0.05)
         other = await (await Another(w).start()).ready()
         await over(w)
         dead.set()
-        assert (await work)[0] == status and sum(len(e.got) for e in w.executors) == sends
+        assert (await work)[0] == status
+        got = [(first, headers["x-request-id"], sent) for e in w.executors for first, headers, sent in e.got]
+        assert got == [(f"POST /{path}/k?a=%20 HTTP/1.1", "t", body)] * sends
         await other.end()
     play(story, first_dies, first_dies, managed=True, settings=LONG)
 
