Short of descriptors, a process goes on handing over, and what does not fit on the way waits

Found by reading: a copy of a descriptor that cannot be made (EMFILE), or more descriptors on the way than a machine lets a user have (ETOOMANYREFS), ended the hand-over or the line, and with it all connections that were left. Copies are made whole or not at all, the loop tries again with what has become free, and a line waits. A test of each; both fail without.

--- a/firwalk/net/handover.py
+++ b/firwalk/net/handover.py
@@ -55,9 +55,10 @@
     # -- out ---------------------------------------------------------------------------------------------
 
     def say(self, about: dict, *files: socket.socket, give: bool = False) -> None:
-        """Sends a line, with descriptors beside it; `give`: ours are closed once they are sent."""
+        """Sends a line, with descriptors beside it; `give`: ours are closed once they are sent. OSError, and
+        nothing is sent: there is none left for a copy."""
         about["files"] = len(files)
-        self.out.append((orjson.dumps(about) + b"\n", list(files) if give else [f.dup() for f in files]))
+        self.out.append((orjson.dumps(about) + b"\n", list(files) if give else _copies(files)))
         self._write()
 
     def _write(self) -> None:
@@ -147,6 +148,18 @@
         self.sock.close()
 
 
+def _copies(files: tuple[socket.socket, ...]) -> list[socket.socket]:
+    copies: list[socket.socket] = []
+    try:
+        for file in files:
+            copies.append(file.dup())
+    except OSError:
+        for copy in copies:
+            copy.close()
+        raise
+    return copies
+
+
 class Meeting:
     """The place in `$TMPDIR` where the next process of this node finds the one before."""
 
--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -34,6 +34,7 @@
         self.handed = False                  # the one after accepts now
         self.gives_tasks = False             # and goes on with tasks in work
         self.given = 0                       # of these so far
+        self.holds = -1                      # descriptors of this process that the one after was told of last
         self.hung = False                    # the one before does not answer
         self.yours: asyncio.Future | None = None
         self.closed = False
@@ -188,21 +189,28 @@
         self._keep(self._hand_over(line))
 
     async def _hand_over(self, line: Line) -> None:
-        """Connections on which nothing is in work go over, clients' and executors', with what is unread."""
-        holds = -1
+        """Connections go over, clients' and executors', with what is unread and with tasks in work."""
+        self.holds = -1
         while line.open:
-            for client in list(self.service.clients.open):
-                self.service.clients.move(client)
-                if self.gives_tasks and self.service.clients.movable(client):
-                    self._give_task(line, client)
-            self.service.executors.hand_over(lambda about, sock: line.say(about, sock, give=True))
-            now, more = self._holds()
-            if holds != now + more:
-                holds = now + more
-                self.service.budget.keep_to(more)
-                line.say({"holds": holds})
+            try:
+                self._hand_over_now(line)
+            except OSError as problem:  # short of descriptors, also for copies: those that go make room
+                say(f"not all goes over yet: {problem}")
             await asyncio.sleep(HAND_OVER_EVERY)
 
+    def _hand_over_now(self, line: Line) -> None:
+        for client in list(self.service.clients.open):
+            self.service.clients.move(client)
+        self.service.executors.hand_over(lambda about, sock: line.say(about, sock, give=True))
+        for client in list(self.service.clients.open) if self.gives_tasks else ():
+            if self.service.clients.movable(client):
+                self._give_task(line, client)
+        now, more = self._holds()
+        if self.holds != now + more:
+            self.holds = now + more
+            self.service.budget.keep_to(more)
+            line.say({"holds": self.holds})
+
     def _give_task(self, line: Line, client: Client) -> None:
         """Sent with copies of both descriptors, so that closing ours ends neither connection."""
         errand, executors = client.errand, self.service.executors
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -1,10 +1,12 @@
 """Two real processes as one node: nobody is refused, reset or left unread while one replaces the other."""
 import asyncio
+import errno
 import os
 import signal
 import socket
 import sys
 import time
+from types import SimpleNamespace
 
 import orjson
 import pytest
@@ -16,6 +18,7 @@
 from firwalk.net.buffers import Buffers
 from firwalk.net.clients import Clients
 from firwalk.net.handover import Line, Meeting
+from firwalk.net.succession import Succession
 
 
 class Another:
@@ -483,6 +486,58 @@
     asyncio.run(run())
 
 
+def test_what_does_not_fit_on_the_way_waits_and_what_cannot_be_copied_is_not_sent():
+    """A machine lets a user have so many descriptors on the way and no more; a process at its limit has none
+    for copies. Taken for the end of the other process, either would have ended all connections."""
+    class Full:
+        tries = 0
+
+        def sendmsg(self, data, beside):
+            self.tries += 1
+            if self.tries < 3:
+                raise OSError(errno.ETOOMANYREFS, "too many references")
+            return sock.sendmsg(data, beside)
+
+    class NoCopy:
+        def dup(self):
+            raise OSError(errno.EMFILE, "too many open files")
+
+    async def run():
+        nonlocal sock
+        ours, theirs = socket.socketpair()
+        one, two = Line(ours), Line(theirs)
+        sock, one.sock = one.sock, Full()
+        kept, given = socket.socketpair()
+        with pytest.raises(OSError):
+            one.say({"number": 1}, given, NoCopy())
+        before = len(os.listdir("/proc/self/fd"))
+        with pytest.raises(OSError):
+            one.say({"number": 2}, given, NoCopy())
+        assert len(os.listdir("/proc/self/fd")) == before and not one.out
+        one.say({"number": 3}, given)
+        about, (got,) = await asyncio.wait_for(two.next(), 2)
+        assert about["number"] == 3 and one.open and one.sock.tries == 3
+        for thing in (got, kept, given, sock, two):
+            thing.close()
+    sock = None
+    asyncio.run(run())
+
+
+def test_a_process_short_of_descriptors_goes_on_handing_over():
+    async def run():
+        succession, tries = Succession.__new__(Succession), []
+        line = SimpleNamespace(open=True)
+
+        def now(_):
+            tries.append(1)
+            line.open = len(tries) < 3
+            raise OSError(errno.EMFILE, "too many open files")
+        succession._hand_over_now = now
+        await asyncio.wait_for(succession._hand_over(line), 2)
+        assert len(tries) == 3
+    asyncio.run(run())
+
+
 def test_a_world_without_a_second_address_keeps_nothing():
     async def story(w):
         assert [p.name for p in w.path.parent.iterdir()] == ["config.json"]
