Connecting looks no numbers up on threads; a handed-on socket stays one that does not block

Cause: the loop's sock_connect looked even numeric addresses up on its pool of threads; a look-up that ended after the loop was closed logged an error at a node's end.

Change: connect_ex and a writer on the node's own thread; sockets that are taken over are set not to block.

--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -22,7 +22,7 @@
 from firwalk.net.address import host_header, new_socket
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
-from firwalk.net.waiting import received
+from firwalk.net.waiting import connected, received
 
 WAIT = 0.01            # seconds between looks for a free descriptor
 HOLD_TRIPS = 2.0       # times the shortest way to an executor and back that a last byte is held back
@@ -383,7 +383,7 @@
         try:
             sock = new_socket(place.address)
             async with asyncio.timeout(self.connect_time):
-                await asyncio.get_running_loop().sock_connect(sock, place.address)
+                await connected(sock, place.address)
         except BaseException:
             if sock is not None:
                 sock.close()
--- a/firwalk/net/handover.py
+++ b/firwalk/net/handover.py
@@ -119,7 +119,7 @@
             for _, kind, data in beside:
                 if kind == socket.SCM_RIGHTS:
                     numbers = array("i", data[:len(data) // 4 * 4])
-                    self.files.extend(socket.socket(fileno=number) for number in numbers)
+                    self.files.extend(_taken(number) for number in numbers)
             if not part or len(self.text) > MOST_TEXT:
                 raise Broken("it has ended")
             self.text += part
@@ -148,6 +148,14 @@
         self.sock.close()
 
 
+def _taken(number: int) -> socket.socket:
+    """That it does not block is known to the machine, for all who hold it, and not to the new object: a copy
+    of that one, made at the next replacement, would make it block, and the loop of each process with it."""
+    sock = socket.socket(fileno=number)
+    sock.setblocking(False)
+    return sock
+
+
 def _copies(files: tuple[socket.socket, ...]) -> list[socket.socket]:
     copies: list[socket.socket] = []
     try:
--- a/firwalk/net/waiting.py
+++ b/firwalk/net/waiting.py
@@ -1,7 +1,10 @@
-"""Waiting until a socket can be read, taking nothing from it: a wait that is cancelled loses nothing."""
+"""Waiting until a socket can be read, taking nothing from it: a wait that is cancelled loses nothing. Waiting
+until it is connected, on this thread alone."""
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import socket
 
 
@@ -27,6 +30,23 @@
             pass
 
 
+async def connected(sock: socket.socket, address: tuple[str, int]) -> None:
+    """Connects to an address in numbers. OSError. The loop's `sock_connect` looks even numbers up, on threads
+    of its own: one that is not done when the loop is closed ends in an error there, whoever waited."""
+    problem = sock.connect_ex(address)
+    if problem == errno.EINPROGRESS:
+        loop = asyncio.get_running_loop()
+        ready = loop.create_future()
+        loop.add_writer(sock, _now, ready)
+        try:
+            await ready
+        finally:
+            loop.remove_writer(sock)
+        problem = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if problem:
+        raise OSError(problem, os.strerror(problem))
+
+
 def _now(ready: asyncio.Future) -> None:
     if not ready.done():
         ready.set_result(None)
