--- a/firwalk/broker/ledger.py
+++ b/firwalk/broker/ledger.py
@@ -62,6 +62,17 @@
         self.floor = 0
         self.fill(now)
 
+    def carry(self, now: float, left: float) -> None:
+        """What the account before had free, as far as this one's bucket holds it, or what it owed. Without
+        the one every change of contracts turned a node's tasks away until the bucket had filled; without the
+        other it forgave debts."""
+        if left >= 0.0:
+            self.granted, self.free = self.granted + left, self.free + left
+            self.sure += left * self.team.sure()
+        else:
+            self.settled, self.free = self.settled - left, self.free + left
+        self.fill(now)
+
     # -- spending ----------------------------------------------------------------------------------------
 
     def reserve(self, now: float, work: float) -> bool:
@@ -150,16 +161,21 @@
 
     def change(self, now: float, contracts: Contracts | None) -> None:
         """Other contracts are in force, or none that this node has. Accounts begin anew, with the parts that
-        teams of the same name have; tasks under way are settled on those on which they were reserved."""
+        teams of the same name have and what they have free or owe; tasks under way are settled on those on
+        which they were reserved."""
         before = self.accounts
         self.contracts, self.accounts, self.since = contracts, {}, now
         self.teams = {team.name: (number, team) for number, team in enumerate(contracts.teams)
                       } if contracts else {}
         for name, account in before.items():
             part, until = account.part, account.until
+            account.fill(now)
+            left = account.free
             account.drop(now)
             if name in self.teams:
-                self.account(now, name).leased(now, part, until)
+                fresh = self.account(now, name)
+                fresh.leased(now, part, until)
+                fresh.carry(now, left)
 
     def end(self, now: float) -> None:
         """Nothing more comes in, for any team; what is reserved is settled as ever."""
--- a/firwalk/changes.py
+++ b/firwalk/changes.py
@@ -6,7 +6,7 @@
 
 import os
 import re
-from typing import Annotated
+from typing import Annotated, Any
 from zlib import crc32
 
 from msgspec import Meta, Struct, field
@@ -15,6 +15,7 @@
 from firwalk.cluster.comparing import Worse
 
 NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,39}$")
+VERSION = r"^[1-9][0-9]{0,8}$"
 Part = Annotated[float, Meta(gt=0, le=1)]
 Word = Annotated[str, Meta(pattern=NAME.pattern)]
 Stage = str | int | float | list[int]
@@ -47,18 +48,22 @@
 
 
 class Change(Struct, frozen=True):
-    """`release` or `settings`: what all nodes come to have; `before`: what all have now."""
+    """`release`, `settings` or `contracts` (a version; the file `contracts-VERSION.toml` beside this one):
+    what all nodes come to have; `before`: what all have now."""
 
     before: Word
     release: Word = ""
     settings: Word = ""
+    contracts: Annotated[str, Meta(pattern=VERSION)] = ""
     stages: list[Stage] = field(default_factory=lambda: ["one", 0.1, "zone", 0.5, "all"])
     compare: Compare = Compare()
 
     def __post_init__(self) -> None:
         wrong = []
-        if bool(self.release) == bool(self.settings):
-            wrong.append("release, settings: one of the two is wanted")
+        if len([name for name in (self.release, self.settings, self.contracts) if name]) != 1:
+            wrong.append("release, settings, contracts: one of the three is wanted")
+        if self.contracts and not re.fullmatch(VERSION, self.before):
+            wrong.append("before: the version of the contracts in force is wanted, a number")
         if self.what() == self.before:
             wrong.append(f"before: {self.before} is what the change brings, not what all nodes have now")
         if not self.stages or self.stages[-1] != "all":
@@ -69,10 +74,10 @@
             raise ValueError("\n".join(wrong))
 
     def what(self) -> str:
-        return self.release or self.settings
+        return self.release or self.settings or self.contracts
 
     def kind(self) -> str:
-        return "release" if self.release else "settings"
+        return "release" if self.release else "settings" if self.settings else "contracts"
 
 
 def _misfit(stage: Stage) -> str:
@@ -94,9 +99,25 @@
     except OSError as problem:
         return None, 0, [f"{path}: {problem.strerror or problem}"]
     change, faults = checking.from_text(Change, text, path)
+    if change is not None and change.contracts:
+        beside = contracts_file(os.path.dirname(path), int(change.contracts))
+        told, faults = brought(beside)
+        if told is not None and told.version != int(change.contracts):
+            faults = [f"{beside}: version: {told.version} is not {change.contracts}, as the file's name says"]
+        change = None if faults else change
     return change, crc32(text), faults
 
 
+def contracts_file(folder: str, version: int) -> str:
+    return os.path.join(folder, f"contracts-{version}.toml")
+
+
+def brought(path: str) -> tuple[Any, list[str]]:
+    """The contracts that a change brings, and what is wrong with them."""
+    from firwalk.broker import contracts
+    return contracts.load(path)
+
+
 def named(folder: str, name: str) -> tuple[Change | None, int, list[str]]:
     """The change of that name in the folder."""
     if not NAME.fullmatch(name):
--- a/firwalk/cli/main.py
+++ b/firwalk/cli/main.py
@@ -295,6 +295,30 @@
     raise typer.Exit(0 if all(report.kept(made) for made in [*reports, *others]) else 1)
 
 
+@lab.command()
+def hard(kind: Annotated[str, typer.Argument(help="zones or rolls")],
+         nodes: Annotated[int, typer.Option(min=6, max=24, help="how many processes")] = 12,
+         count: Annotated[int, typer.Option(min=1, help="how many seeds")] = 5,
+         start: Annotated[int, typer.Option(min=0, help="the first seed")] = 1,
+         at_once: Annotated[int, typer.Option(min=1, help="runs beside each other")] = 2,
+         case: Annotated[list[str] | None, typer.Option(help="only this one; may be said again")] = None
+         ) -> None:
+    """The hard cases of zones, each beside the same day without the part, or a change to each version."""
+    from firwalk.lab import hard as days
+    from firwalk.lab.rig import PortsInUse
+    if kind not in days.KINDS:
+        _bad([f"{kind}: {' or '.join(days.KINDS)} is wanted"])
+    known = days.KINDS[kind][0](nodes)
+    strange = [name for name in case or [] if name not in known]
+    if strange:
+        _bad([f"case: there is no {strange[0]}; known are {', '.join(known)}"])
+    try:
+        sound = days.played(kind, nodes, range(start, start + count), at_once, case or [], print)
+    except (PortsInUse, OSError, RuntimeError) as problem:
+        _bad([str(problem)])
+    raise typer.Exit(0 if sound else 1)
+
+
 @lab.command()
 def rolls(nodes: Annotated[int, typer.Option(min=2, max=2000, help="how many")] = 200,
           count: Annotated[int, typer.Option(min=1, help="how many seeds")] = 10,
--- a/firwalk/cli/picture.py
+++ b/firwalk/cli/picture.py
@@ -10,6 +10,7 @@
 from rich.table import Table
 from rich.text import Text
 
+from firwalk.cluster.comparing import Verdict
 from firwalk.cluster.spans import read as seats
 from firwalk.cluster.stages import BACK, DONE, GOING, HELD, STOPPED
 
@@ -55,15 +56,22 @@
     new = seats(section["new"])
     rest = Text(f" {len(new)} of {len(section['zones'])} nodes are named for {section['what']}: "
                 f"{section['new'] or 'none'}")
-    return Group(head, boxes, rest, _table(told)) if told.figures else Group(head, boxes, rest)
-
-
-def _table(told: Told) -> Table:
-    table = Table(title="this stage, in the same time and zones")
-    for name in ("figure", "offering", told.section["what"], told.section["before"], "rests on", "verdict"):
+    tables = [_table(told, "this stage, in the same time and zones", told.figures)] if told.figures else []
+    if over(told) and section.get("report"):
+        rows = [[*map(str, row[:-1]), Verdict(row[-1]).name.lower()] for row in section["report"]]
+        tables = [_table(told, "the worst of each stage, in the same time and zones", rows)]
+    return Group(head, boxes, rest, *tables)
+
+
+def _table(told: Told, title: str, figures: list[list[str]]) -> Table:
+    """Rows of one more column have the stage before all, from 0 on."""
+    table = Table(title=title)
+    named = ("figure", "offering", told.section["what"], told.section["before"], "rests on", "verdict")
+    for name in (("stage", *named) if len(figures[0]) > 7 else named):
         table.add_column(name, justify="left" if name in ("figure", "offering") else "right")
-    for name, offering, new, old, many, few, verdict in told.figures:
-        table.add_row(name, "all" if offering == "0" else f"{int(offering):08x}", _shown(name, new),
+    for *stage, name, offering, new, old, many, few, verdict in figures:
+        table.add_row(*(str(int(one) + 1) for one in stage), name,
+                      "all" if offering == "0" else f"{int(offering):08x}", _shown(name, new),
                       _shown(name, old), f"{many} and {few}", Text(verdict, MARKS.get(verdict, "")))
     return table
 
--- a/firwalk/cluster/budgets.py
+++ b/firwalk/cluster/budgets.py
@@ -188,33 +188,49 @@
 
 
 class Dealer:
-    """The coordinator's side, for one office. `seats`: all that may have anything."""
-
-    def __init__(self, now: float, terms: Terms, offer: Offer, seats: Callable[[], list[int]]):
-        self.terms, self.offer, self.seats = terms, offer, seats
+    """The coordinator's side, for one office. `seats`: all that may have anything; `beside`: contracts that
+    go through the fleet by stages, so that some nodes go by these and others by `offer`. Then each node gets
+    its part of the whole of its own contracts, and all together never more than the larger whole: a budget
+    that is far too small shows at the nodes on it alone, and is compared there."""
+
+    def __init__(self, now: float, terms: Terms, offer: Offer, seats: Callable[[], list[int]],
+                 beside: Offer | None = None):
+        self.terms, self.seats = terms, seats
+        self._take(offer, beside)
         self.books: dict[int, Book] = {}
         self.renews_until = 0.0
-        self.renews: dict[int, None] | None = None       # the teams that are only renewed; None: all
+        self.renews: dict[str, None] | None = None       # the teams that are only renewed; None: all
         self.turns: dict[int, tuple[int, int, dict[int, None]]] = {}     # by seat: life, first mark, marks
         self.told: dict[int, None] = {}          # seats that told all that they have
         self._begin(now)
 
+    def _take(self, offer: Offer, beside: Offer | None) -> None:
+        self.offer, self.beside = offer, beside
+        self.sides = {one.check: one for one in (offer, beside) if one is not None}
+        names = dict.fromkeys(name for one in self.sides.values() for name in one.names)
+        self.numbers = {name: number for number, name in enumerate(names)}     # of the books
+        self.wholes = dict.fromkeys(names, 0)
+        for one in self.sides.values():
+            for name, whole in zip(one.names, one.wholes, strict=True):
+                self.wholes[name] = max(self.wholes[name], whole)
+
     def _begin(self, now: float) -> None:
         """Whatever was granted before is over by then, by any clock."""
         self.renews_until = now + self.terms.length * (1 + self.terms.drift) / (1 - self.terms.drift)
         self.turns, self.told = {}, {}
 
-    def changed(self, now: float, offer: Offer) -> None:
+    def changed(self, now: float, offer: Offer, beside: Offer | None = None) -> None:
         """Other contracts. What is out of a team goes on counting under its number in the new ones, and
         waits out a whole that got smaller; what is out of teams that are gone ends by itself. A team that is
         gone and comes again may have parts out that no book knows: nothing new until those are over."""
-        numbers = {name: number for number, name in enumerate(offer.names)}
-        before = {name: number for number, name in enumerate(self.offer.names)}
-        self.books = {numbers[name]: self.books[number] for name, number in before.items()
-                      if name in numbers and number in self.books}
-        self.offer = offer
-        if now >= self.renews_until:
-            self.renews = {number: None for name, number in numbers.items() if name not in before}
+        before, books = self.numbers, self.books
+        self._take(offer, beside)
+        self.books = {self.numbers[name]: books[number] for name, number in before.items()
+                      if name in self.numbers and number in books}
+        if now >= self.renews_until or self.renews is not None:
+            # By name: those that still wait from a change just before have other numbers by now.
+            waiting = self.renews if now < self.renews_until else {}
+            self.renews = waiting | {name: None for name in self.numbers if name not in before}
         self._begin(now)
 
     def _heard(self, seat: int, life: int, got: Want) -> None:
@@ -231,31 +247,34 @@
                 self.renews_until = 0.0
 
     def want_came(self, now: float, seat: int, life: int, got: Want) -> Grant | None:
-        if got.check != self.offer.check:
+        side = self.sides.get(got.check)
+        if side is None:
             return None
         rows = []
         for team, want, ago, has in got.rows:
-            if team < len(self.offer.wholes):
-                part = self._deal(now, (seat, life), got.mark, team, want, got.mark - ago, has)
+            if team < len(side.wholes):
+                part = self._deal(now, (seat, life), got.mark, side.names[team], side.wholes[team], want,
+                                  got.mark - ago, has)
                 if part is not None:
                     rows.append((team, part))
         if now < self.renews_until:
             self._heard(seat, life, got)
-        return Grant(got.mark, self.offer.check, int(self.terms.length * 1e3), rows) if rows else None
+        return Grant(got.mark, got.check, int(self.terms.length * 1e3), rows) if rows else None
 
-    def _deal(self, now: float, key: Key, mark: int, team: int, want: int, acts_on: int, has: int
+    def _deal(self, now: float, key: Key, mark: int, name: str, whole: int, want: int, acts_on: int, has: int
               ) -> int | None:
+        """`whole`: by the contracts that this node goes by."""
+        team = self.numbers[name]
         book = self.books.setdefault(team, Book())
         held = book.of(now, key)
         if mark <= held.mark:
             return None  # a question that was doubled, or overtaken: its answer would be an older one
         held.mark, held.want = mark, want
         held.grants = {at: one for at, one in held.grants.items() if at >= acts_on}
-        renews = now < self.renews_until and (self.renews is None or team in self.renews)
+        renews = now < self.renews_until and (self.renews is None or name in self.renews)
         if renews and has and acts_on not in held.grants:
             held.grants[acts_on] = now + self.terms.length, has  # granted by one before; over by then
             heappush(book.ends, (now + self.terms.length, key))
-        whole = self.offer.wholes[team]
         least = max(int(whole * LEAST), 1)
         book.counted(now, key, least)
         if not want and not has:
@@ -265,7 +284,7 @@
                 del self.books[team]
             return None
         # What others still have is theirs until it is over, whatever the division says by now.
-        room = whole - (book.live - held.counted)
+        room = self.wholes[name] - (book.live - held.counted)
         # Of what was granted before nobody here knows the rest: no more is given than each has, and no less,
         # or with every swing of its want a node would lose what it cannot get back.
         due = (has if want else 0) if renews else self._due(book, held, whole, least)
@@ -282,9 +301,10 @@
         return min(int(my * SPARE), whole * my // (book.wants - mine.wanted + my))
 
 
-def section(offer: Offer) -> dict[str, Any]:
-    """Of the plan: which contracts are in force."""
-    return {"version": offer.version, "check": offer.check}
+def section(offer: Offer, beside: Offer | None = None) -> dict[str, Any]:
+    """Of the plan: which contracts are in force, and which go through the fleet beside them."""
+    told: dict[str, Any] = {"version": offer.version, "check": offer.check}
+    return told | {"beside": [beside.version, beside.check]} if beside is not None else told
 
 
 def in_force(told: Any) -> tuple[int, int]:
@@ -293,3 +313,12 @@
         return int(told["version"]), int(told["check"])
     except (KeyError, TypeError, ValueError):
         return 0, 0
+
+
+def beside(told: Any) -> tuple[int, int]:
+    """The same of those that nodes go over to which a change names; 0: none."""
+    try:
+        version, check = told["beside"]
+        return int(version), int(check)
+    except (KeyError, TypeError, ValueError):
+        return 0, 0
--- a/firwalk/cluster/changing.py
+++ b/firwalk/cluster/changing.py
@@ -13,7 +13,7 @@
 from firwalk.cluster import messages as m
 from firwalk.cluster.comparing import Row
 from firwalk.cluster.spans import read
-from firwalk.cluster.stages import BACK, GOING, HELD, Roll, Terms
+from firwalk.cluster.stages import BACK, CONTRACTS, DONE, GOING, HELD, STOPPED, Roll, Terms
 
 SELDOM = 10            # reports between two tellings while nothing is changed
 MILLI = 1e3
@@ -66,17 +66,21 @@
                  memory: Callable[[], float], terms: Terms,
                  named: Callable[[str], tuple[Any, int, list[str]]]):
         self.seat, self.tally, self.release, self.tag, self.zone = seat, tally, release, tag, zone
-        self.memory, self.turn, self.was_tag, self.told_to = memory, 0, "", m.NOBODY
+        self.memory, self.turn, self.was, self.told_to = memory, 0, ("", 0), m.NOBODY
+        self.contracts_version: Callable[[], int] = lambda: 0    # of those that this node goes by
         self.roll: Roll | None = None
         if seat.writer is not None:
             self.roll = Roll(terms, seat.candidate.voters, seat.seats, named, seat.host.event)
         seat.changing = self
 
     def start(self, now: float) -> None:
-        self.was_tag = self.tag()
-        self.seat.host.event("runs", release=self.release, tag=self.was_tag)
+        self._runs()
         self.seat.host.set_timer(now, self._tell, None)
 
+    def _runs(self) -> None:
+        self.was = self.tag(), self.contracts_version()
+        self.seat.host.event("runs", release=self.release, tag=self.was[0], contracts=self.was[1])
+
     # -- what the plan wants -------------------------------------------------------------------------------
 
     def section(self, now: float) -> dict[str, Any] | None:
@@ -93,6 +97,8 @@
         try:
             new = self.seat.seat in read(section["new"])
             what = section["what"] if new else section["before"]
+            if section["kind"] == CONTRACTS:
+                return "nothing"     # the node itself goes over; its agent has no part in that
             return f"{section['number']} {section['kind']} {what} {section['state']}"
         except (KeyError, TypeError, ValueError):
             return "nothing"
@@ -101,10 +107,8 @@
 
     def _tell(self, now: float, _: None) -> None:
         report, office = self.seat.follower.report, self.seat.follower.office
-        tag = self.tag()
-        if tag != self.was_tag:
-            self.was_tag = tag
-            self.seat.host.event("runs", release=self.release, tag=tag)
+        if (self.tag(), self.contracts_version()) != self.was:
+            self._runs()
         self.turn += 1
         if office != m.NOBODY and (self._busy(now) or self.turn >= SELDOM or office != self.told_to):
             self.turn, self.told_to = 0, office      # a new coordinator is told at once
@@ -121,8 +125,8 @@
         parts = [rows[at:at + m.MOST_COUNTED] for at in range(0, len(rows), m.MOST_COUNTED)] or [[]]
         number = (self.section(now) or {}).get("number", 0)
         memory = min(int(self.memory() / 1e5), 65535)
-        runs = crc32(self.release.encode()), crc32(self.was_tag.encode())
-        return [m.Figures(number, *runs, self.zone, memory, part) for part in parts]
+        runs = crc32(self.release.encode()), crc32(self.was[0].encode())
+        return [m.Figures(number, *runs, self.zone, memory, part, self.was[1]) for part in parts]
 
     # -- the coordinator's ---------------------------------------------------------------------------------
 
@@ -134,6 +138,14 @@
         if self.roll is not None:
             self.roll.resumed(now, section)
 
+    def contracts(self) -> tuple[int, int, str] | None:
+        """Versions of contracts that a change goes from and to, and `done` or `stopped` once it is over."""
+        told = self.roll.section if self.roll is not None else {}
+        if told.get("kind") != CONTRACTS:
+            return None
+        over = told["state"] if told["state"] in (DONE, STOPPED) else ""
+        return int(told["before"]), int(told["what"]), over
+
     def look(self, now: float, up: list[int]) -> dict[str, Any]:
         """What the plan is to say of changes."""
         zones = self.seat.zones
--- a/firwalk/cluster/messages.py
+++ b/firwalk/cluster/messages.py
@@ -194,7 +194,7 @@
     """What the sender counted since its life began: (checksum of the offering's name, tasks, late, abandoned,
     bounced, errors, assignments, finished, sum of the logarithms of milliseconds in thousandths, that of
     their squares). `change`: the number of the change that it follows; `release`, `tag`: checksums of what it
-    runs; `memory` in tenths of a megabyte."""
+    runs; `memory` in tenths of a megabyte; `contracts`: the version of those that it goes by, 0: none."""
 
     change: Count
     release: Life
@@ -203,6 +203,7 @@
     memory: Small
     rows: Annotated[list[tuple[Life, Count, Count, Count, Count, Count, Count, Count, Count, Count]],
                     Meta(max_length=MOST_COUNTED)]
+    contracts: Life = 0
 
 
 class Word(Struct, array_like=True, tag=21):
--- a/firwalk/cluster/seat.py
+++ b/firwalk/cluster/seat.py
@@ -56,6 +56,7 @@
         self.dealer: budgets.Dealer | None = None
         self.offer: budgets.Offer | None = None          # the newest contracts that this node has
         self.offers: dict[int, budgets.Offer] = {}       # all that it has, by their checksums
+        self.find_offer: Callable[[int], budgets.Offer | None] = lambda version: None    # by a version's file
         self.ready: dict[int, int] = {}      # by seat: the newest contracts that it has, as it told
         self.waits_for = ""
         self._acts: dict[type, Callable[[float, int, int, Any], None]] = self._by_kind()
@@ -85,10 +86,10 @@
                 self.zones.look(now, up, self.zone_of)
                 self._moved(before)
                 changes |= self._divided(now)
-            if self.holder is not None and self.writer.version:
-                changes |= self._contracts(now, up)
             if self.changing is not None and self.writer.version:
                 changes |= self.changing.look(now, up)
+            if self.holder is not None and self.writer.version:
+                changes |= self._contracts(now, up)
             self.writer.put(now, changes)
         self.host.set_timer(now + self.follower.report, self._keep, None)
 
@@ -115,9 +116,7 @@
             self.zones.resume(now, self.writer.sections.get("zones"))
         if self.holder is not None:
             self.ready, self.dealer = {}, None
-            offer = self.offers.get(budgets.in_force(self.writer.sections.get("budgets"))[1])
-            if offer is not None:
-                self._deal_by(now, offer)
+            self._resume_dealing(now)
 
     # -- budgets -------------------------------------------------------------------------------------------
 
@@ -132,18 +131,39 @@
         """All but those that left: they handed back what they had."""
         return [member.seat for member in self.members.all if member.state is not State.LEFT]
 
-    def _deal_by(self, now: float, offer: budgets.Offer) -> None:
+    def _resume_dealing(self, now: float) -> None:
+        """By what the plan says is in force, as soon as this node has all of it."""
+        told = self.writer.sections.get("budgets")
+        both = [budgets.in_force(told), budgets.beside(told)]
+        offers = [self._offered(*one) for one in both if one[1]]
+        if offers and all(offer is not None for offer in offers):
+            self._deal_by(now, *offers)
+
+    def _offered(self, version: int, check: int) -> budgets.Offer | None:
+        """Those contracts, if this node has them, or finds them among the files of changes."""
+        found = self.offers.get(check) or self.find_offer(version)
+        if found is not None and found.check == check:
+            self.offers[check] = found
+            return found
+        return None
+
+    def _deal_by(self, now: float, offer: budgets.Offer, beside: budgets.Offer | None = None) -> None:
         """These are in force: what was dealt by others in this office goes on counting."""
         if self.dealer is None:
-            self.dealer = budgets.Dealer(now, self.holder.terms, offer, self._may_hold)
+            self.dealer = budgets.Dealer(now, self.holder.terms, offer, self._may_hold, beside)
         else:
-            self.dealer.changed(now, offer)
-        self.host.event("contracts", version=offer.version, check=offer.check, wholes=list(offer.wholes),
-                        names=list(offer.names), length=self.holder.terms.length)
+            self.dealer.changed(now, offer, beside)
+        for one in self.dealer.sides.values():
+            self.host.event("contracts", version=one.version, check=one.check, names=list(one.names),
+                            wholes=list(one.wholes), length=self.holder.terms.length,
+                            together=list(self.dealer.sides))
 
     def _contracts(self, now: float, up: list[int]) -> dict[str, Any]:
         """Newer ones are named when their day has begun and all that are up have them; a dealer for those
         in force, as soon as this node has them itself."""
+        staged = self._staged(now)
+        if staged is not None:
+            return staged
         version, check = budgets.in_force(self.writer.sections.get("budgets"))
         offer = self.offer
         if offer is not None and offer.check != check and offer.version > version and offer.begun():
@@ -153,14 +173,40 @@
             if (waits := spelled(without)) != self.waits_for:
                 self.waits_for = waits
                 self.host.event("contracts_wait", version=offer.version, seats=waits)
-        if self.dealer is None and check in self.offers:
-            self._deal_by(now, self.offers[check])
+        if self.dealer is None:
+            self._resume_dealing(now)
         return {}
 
-    def _change(self, now: float, offer: budgets.Offer) -> dict[str, Any]:
+    def _staged(self, now: float) -> dict[str, Any] | None:
+        """Contracts that a change brings: beside those in force while it goes, or comes back; in their place
+        once it is done. None: no change has to do with them, and newer ones come as ever."""
+        change = self.changing.contracts() if self.changing is not None else None
+        if change is None:
+            return None
+        told = self.writer.sections.get("budgets")
+        (before, brings, over), now_in = change, budgets.in_force(told)[0]
+        if over and not budgets.beside(told)[1]:
+            return None
+        wanted = [brings] if over == "done" else [before] if over else [before, brings]
+        if [now_in, *([budgets.beside(told)[0]] if budgets.beside(told)[1] else [])] == wanted:
+            if self.dealer is None:
+                self._resume_dealing(now)
+            return {}
+        offers = [self._of_version(version) for version in wanted]
+        return self._change(now, *offers) if all(offers) else {}
+
+    def _of_version(self, version: int) -> budgets.Offer | None:
+        known = [offer for offer in self.offers.values() if offer.version == version]
+        return known[-1] if known else self.find_offer(version)
+
+    def _change(self, now: float, offer: budgets.Offer, beside: budgets.Offer | None = None
+                ) -> dict[str, Any]:
         self.waits_for = ""
-        self._deal_by(now, offer)
-        return {"budgets": budgets.section(offer)}
+        for one in (offer, beside):
+            if one is not None:
+                self.offers[one.check] = one
+        self._deal_by(now, offer, beside)
+        return {"budgets": budgets.section(offer, beside)}
 
     def _want_came(self, now: float, seat: int, life: int, got: m.Want) -> None:
         if self.holder is None or not self.writer.in_office(now):
--- a/firwalk/cluster/spending.py
+++ b/firwalk/cluster/spending.py
@@ -9,8 +9,9 @@
 
 from firwalk.broker.contracts import Contracts
 from firwalk.broker.ledger import Ledger, Reservation
-from firwalk.cluster.budgets import Offer, in_force
+from firwalk.cluster.budgets import Offer, beside, in_force
 from firwalk.cluster.seat import Seat
+from firwalk.cluster.spans import read
 
 KEPT = 4               # contracts that a node keeps: those in force, and what may come after
 DAY = 86400.0
@@ -37,10 +38,12 @@
 
 class Spending:
     """`clock`: the seat's; `unix`: the wall clock, by which alone a coordinator tells whether contracts have
-    begun."""
+    begun; `find`: contracts of a version that a change brings, by their file, if it is there."""
 
-    def __init__(self, seat: Seat, clock: Callable[[], float], unix: Callable[[], float]):
-        self.seat, self.clock, self.unix = seat, clock, unix
+    def __init__(self, seat: Seat, clock: Callable[[], float], unix: Callable[[], float],
+                 find: Callable[[int], Contracts | None] = lambda version: None):
+        self.seat, self.clock, self.unix, self.find = seat, clock, unix, find
+        seat.find_offer = self._found
         self.floor = seat.holder.terms.floor
         self.ledger = Ledger(seat.seats, self.floor)
         self.known: dict[int, Contracts] = {}
@@ -58,6 +61,34 @@
             self.ledger.change(self.clock(), contracts)
         self.seat.has_contracts(offered(contracts, self.seat.seats, self.floor, self.unix))
 
+    def _found(self, version: int) -> Offer | None:
+        """Those of a change: kept, and never put in force for being newer."""
+        contracts = self.find(version)
+        if contracts is None or contracts.version != version:
+            return None
+        self.known[contracts.check()] = contracts
+        return offered(contracts, self.seat.seats, self.floor, self.unix)
+
+    def version(self) -> int:
+        """Of the contracts that this node goes by; 0: none."""
+        return self.ledger.contracts.version if self.ledger.contracts is not None and self.check else 0
+
+    def _wanted(self, sections: dict[str, Any]) -> int:
+        """The checksum of those that this node is to go by: it goes over to a change's when the plan names
+        its seat, and when it has them."""
+        told, change = sections.get("budgets"), sections.get("stages") or {}
+        version, check = in_force(told)
+        other, named = beside(told)
+        try:
+            goes = named and change["kind"] == "contracts" and self.seat.seat in read(change["new"])
+        except (KeyError, TypeError, ValueError):
+            goes = False
+        if goes and (named in self.known or self._found(other) is not None and named in self.known):
+            return named
+        if check and check not in self.known:
+            self._found(version)
+        return check
+
     def end(self) -> None:
         """The seat has ended: its parts and its floors are another life's."""
         self.ledger.end(self.clock())
@@ -66,8 +97,8 @@
         """All at once what the plan says; without a plan in force what it said last, and parts end by
         themselves."""
         sections = self.seat.follower.now_in_force(now)
-        check = in_force((sections or {}).get("budgets"))[1]
-        if sections is None or check == self.check:
+        check = self._wanted(sections) if sections is not None else self.check
+        if check == self.check:
             return
         before = {name: number for name, (number, _) in self.ledger.teams.items()}
         contracts = self.known.get(check)
--- a/firwalk/cluster/stages.py
+++ b/firwalk/cluster/stages.py
@@ -20,10 +20,12 @@
 KEYS = ("number", "name", "check", "kind", "what", "before", "state", "stage", "of", "new", "why", "by",
         "zones")       # of the plan's section
 GOING, HELD, BACK, STOPPED, DONE = "going", "held", "back", "stopped", "done"
+RELEASE, SETTINGS, CONTRACTS = "release", "settings", "contracts"      # kinds of changes
 OPERATOR, ITSELF, LITTLE = "operator", "itself", "little"    # by whom, or for what, a change is held
 OLD = 4.0              # reports after which what a node told counts no more
 PATIENCE = 20.0        # seconds in which a node goes over, before the stage is held for it
 BACK_PATIENCE = 10.0   # in which it goes back, before the next batch is not held up by it
+TOLD, MOST_TOLD = 2, 24        # figures of a stage that the plan keeps, the worst ones; of all stages
 LEAK_LOOKS = 12        # in a row in which the new nodes' memory is too large
 LEAK_LEAST = 80        # tenths of a megabyte that it must be more
 LONE = 0.5             # part of a zone's nodes that are down: nothing is changed anywhere then
@@ -62,6 +64,7 @@
     life: int
     release: int
     tag: int
+    contracts: int
     zone: int
     memory: int
     rows: dict[int, Row] = field(default_factory=dict)
@@ -141,9 +144,10 @@
 
     def figures_came(self, now: float, seat: int, life: int, got: Figures) -> None:
         before = self.told.get(seat)
-        same = before is not None and (before.life, before.release, before.tag) == (
-            life, got.release, got.tag)
-        told = before if same else Told(now, life, got.release, got.tag, got.zone, got.memory, since=now)
+        same = before is not None and (before.life, before.release, before.tag, before.contracts) == (
+            life, got.release, got.tag, got.contracts)
+        told = before if same else Told(now, life, got.release, got.tag, got.contracts, got.zone, got.memory,
+                                        since=now)
         told.at, told.zone, told.memory = now, got.zone, got.memory
         for offering, *counts, times, squares in got.rows:
             told.rows[offering] = Row(offering, *counts, times / MILLI, squares / MILLI)
@@ -184,7 +188,8 @@
     def _begin(self, now: float, change: Wanted, name: str, check: int) -> None:
         self.section = {"number": self.section.get("number", 0) + 1, "name": name, "check": check,
                         "kind": change.kind(), "what": change.what(), "before": change.before, "state": GOING,
-                        "stage": 0, "of": 0, "new": "", "why": "", "by": "", "zones": self._map()}
+                        "stage": 0, "of": 0, "new": "", "why": "", "by": "", "zones": self._map(),
+                        "report": []}
         self.ordered_at, self.passed = {}, -1
         self._with(now, change)
         self._changed()
@@ -346,7 +351,9 @@
         if told is None:
             return False
         kind = change.kind() if change is not None else self.section["kind"]
-        return (told.release if kind == "release" else told.tag) == crc32(name.encode())
+        if kind == CONTRACTS:
+            return str(told.contracts) == name
+        return (told.release if kind == RELEASE else told.tag) == crc32(name.encode())
 
     def _new(self, seat: int) -> bool:
         return self._runs(seat, None, self.section["what"])
@@ -498,12 +505,20 @@
         return True, lines[page] if page < len(lines) else "end"
 
     def _report(self) -> None:
-        """The end of a stage, in the log: each figure with the new version and with the old one."""
+        """The end of a stage: each figure with the new version and with the old one, in the log; the worst of
+        them in the plan, where they outlive this coordinator."""
+        found, stage = [], self.section["stage"]
         for key in sorted(self.comparison.zones):
             new, old, many, few = self.comparison.shown(key)
-            self.event("figure", number=self.section["number"], stage=self.section["stage"], figure=key[0],
+            verdict = self.comparison.verdict(key)
+            self.event("figure", number=self.section["number"], stage=stage, figure=key[0],
                        offering=key[1], new=round(new, 4), old=round(old, 4), of=[int(many), int(few)],
-                       verdict=self.comparison.verdict(key).name.lower())
+                       verdict=verdict.name.lower())
+            rank = verdict is not Verdict.WORSE, -self.comparison.evidence(key)[0]
+            found.append((rank, [stage, *key, round(new, 4), round(old, 4), int(many), int(few),
+                                 int(verdict)]))
+        worst = [row for _, row in sorted(found)[:TOLD]]
+        self.section = {**self.section, "report": [*self.section.get("report", []), *worst][-MOST_TOLD:]}
 
     def page(self, number: int) -> str:
         """The comparison for an operator, a figure a page: its name, offering, both means, on how many nodes'
--- a/firwalk/lab/invariants.py
+++ b/firwalk/lab/invariants.py
@@ -54,7 +54,7 @@
         self.accounts: dict[tuple, list[float]] = {}         # the last word of each, by seat, life and team
         self.stage: dict = {}                                # what the last coordinator told of a change
         self.ordered: list[tuple[float, dict[int, None]]] = []     # who was named for it, since when
-        self.runs: dict[int, tuple[str, str]] = {}           # release and tag of each seat
+        self.runs: dict[int, dict[str, str]] = {}            # what each seat runs, by the kind of a change
 
     def _break(self, name: str, at: float, text: str) -> None:
         self.breaks.append(Break(name, at, text, self.lines[-40:]))
@@ -127,8 +127,15 @@
                 self._break("I4", at, f"seat {seat} divides {whole:.4f} of zone {b}'s tasks")
 
     def _contracts(self, at: float, seat: int, life: int, about: dict, rate: float) -> None:
+        """In force, by themselves or `together` with those that a change brings: then the whole of a team is
+        the larger one, whichever contracts each node goes by."""
         self.contracts[about["check"]] = about
-        for name, whole in zip(about["names"], about["wholes"], strict=True):
+        largest: dict[str, int] = {}
+        for check in about.get("together", [about["check"]]):
+            told = self.contracts.get(check, about)
+            for name, whole in zip(told["names"], told["wholes"], strict=True):
+                largest[name] = max(largest.get(name, whole), whole)
+        for name, whole in largest.items():
             wholes = self.wholes.setdefault(name, [])
             if not wholes or wholes[-1][1] != whole:
                 wholes.append((at, whole))
@@ -168,7 +175,8 @@
                                   f"{about['most']}")
 
     def _runs(self, at: float, seat: int, life: int, about: dict, rate: float) -> None:
-        self.runs[seat] = about["release"], about["tag"]
+        self.runs[seat] = {"release": about["release"], "settings": about["tag"],
+                           "contracts": str(about.get("contracts", 0))}
         if not self.stage or not self._new(seat):
             return
         lately = [named for when, named in self.ordered if when + PLAN_OLD + self.slack > at]
@@ -180,14 +188,13 @@
                                   f"{self.stage['most']}")
 
     def _new(self, seat: int) -> bool:
-        return self.runs[seat][self.stage["kind"] == "settings"] == self.stage["brings"]
+        return self.runs[seat][self.stage["kind"]] == self.stage["brings"]
 
     def over(self, at: float) -> None:
         """The run has ended: a change that is over left all on one version."""
         if self.stage.get("state") in ("done", "stopped"):
             wanted = self.stage["brings" if self.stage["state"] == "done" else "before"]
-            place = self.stage["kind"] == "settings"
-            others = [seat for seat in self.runs if self.runs[seat][place] != wanted]
+            others = [seat for seat in self.runs if self.runs[seat][self.stage["kind"]] != wanted]
             if others:
                 self._break("I5", at, f"the change is {self.stage['state']}, and seats {others} are not on "
                                       f"{wanted}")
--- a/firwalk/lab/purses.py
+++ b/firwalk/lab/purses.py
@@ -14,7 +14,9 @@
 from firwalk.broker.ledger import Reservation
 from firwalk.cluster.budgets import Terms
 from firwalk.cluster.seat import Seat
+from firwalk.cluster.spans import spelled
 from firwalk.cluster.spending import Spending
+from firwalk.cluster.stages import BACK, CONTRACTS, DONE, GOING, STOPPED
 from firwalk.lab.invariants import Judge
 from firwalk.lab.schedules import Watch, drawn
 from firwalk.lab.virtual import Process, Schedule, World
@@ -35,12 +37,16 @@
 
 
 class Fleet:
-    """`contracts`: in the order of their coming; the first is there from the start."""
+    """`contracts`: in the order of their coming; the first is there from the start. `staged`: the second one
+    goes through the fleet by stages in place of that."""
 
     def __init__(self, schedule: Schedule, contracts: list[Contracts], drift: float = 0.01,
                  make: Callable[..., Seat] = Seat,
-                 prepare: Callable[[Spending], None] = lambda spending: None, terms: Terms | None = None):
+                 prepare: Callable[[Spending], None] = lambda spending: None, terms: Terms | None = None,
+                 staged: bool = False):
         self.schedule, self.contracts, self.make, self.prepare = schedule, contracts, make, prepare
+        self.staged, self.without = staged, schedule.seed % 3 and -1     # one seat may lack the change's file
+        self.names = list(dict.fromkeys(team.name for one in contracts for team in one.teams))
         self.terms = terms or Terms(LENGTH, drift)
         self.chance = random.Random(schedule.seed ^ 0xb0d9e7)
         self.judge, self.newest = Judge(), 0
@@ -51,7 +57,10 @@
 
     def _begin(self, host: Process, number: int, seats: int, life: int, now: float, **named: Any) -> Seat:
         seat = self.make(host, number, seats, life, now, budgets_by=self.terms, **named)
-        made = self.spending[number] = Spending(seat, host.clock, lambda: host.world.now)
+        made = self.spending[number] = Spending(seat, host.clock, lambda: host.world.now, lambda version: (
+            self.contracts[1] if self.staged and (version, number) != (2, self.without) else None))
+        if self.staged:
+            seat.changing = Staging(self)
         seat.follower.changed = made.follow
         self.prepare(made)
         made.has(self.contracts[getattr(self, "newest", 0)])
@@ -66,7 +75,7 @@
     def run(self) -> Played:
         world = self.world
         world.later(0.0, self._task)
-        for number in range(1, len(self.contracts)):
+        for number in range(1, 1 if self.staged else len(self.contracts)):
             world.later(number * self.schedule.until / len(self.contracts), self._news, number)
         world.run()
         accounts = [one for made in self.spending.values() for one in made.ledger.accounts.values()]
@@ -91,7 +100,7 @@
         number = busy if chance.random() < 0.7 else chance.randrange(seats)
         process, spending = self.world.processes[number], self.spending[number]
         if process.alive and self.world.now >= process.paused_until:
-            now, name = process.clock(), chance.choice(self.contracts[0].teams).name
+            now, name = process.clock(), chance.choice(self.names)
             account, work = spending.ledger.account(now, name), chance.choice((0.02, 0.1, 0.5))
             if account is not None and account.reserve(now, work):
                 self.world.later(self.world.now + chance.uniform(0.0, LONGEST), self._over, process,
@@ -105,6 +114,37 @@
                 reservation.settle(process.clock(), spent)
 
 
+class Staging:
+    """A change of contracts as the plan would tell of it, by the schedule alone: seat by seat, held for a
+    while, and then done or taken back; the same for all coordinators."""
+
+    def __init__(self, fleet: Fleet):
+        self.fleet, self.ends_well = fleet, fleet.schedule.seed % 2 == 0
+
+    def _state(self) -> tuple[str, int]:
+        """And how many seats are named."""
+        seats, part = self.fleet.schedule.seats, self.fleet.world.now / self.fleet.schedule.until
+        if part < 0.25:
+            return "", 0
+        if part < 0.6:
+            return GOING, min(int((part - 0.25) / 0.25 * seats) + 1, seats)
+        if self.ends_well:
+            return DONE, seats
+        return (BACK, max(int((0.75 - part) / 0.15 * seats), 0)) if part < 0.8 else (STOPPED, 0)
+
+    def contracts(self) -> tuple[int, int, str] | None:
+        state, _ = self._state()
+        return (1, 2, state if state in (DONE, STOPPED) else "") if state else None
+
+    def look(self, now: float, up: list[int]) -> dict[str, Any]:
+        state, named = self._state()
+        return {"stages": {"kind": CONTRACTS, "state": state, "new": spelled(list(range(named)))}
+                } if state else {}
+
+    def opened(self, now: float, section: Any) -> None:
+        pass
+
+
 def contracts(seed: int) -> list[Contracts]:
     """Three of them: wholes that grow and shrink, a team that goes and comes."""
     chance = random.Random(seed ^ 0xc047)
@@ -116,17 +156,27 @@
     return found
 
 
+def brought(seed: int) -> list[Contracts]:
+    """Those in force, and what a change brings: one team grows, one shrinks, one goes and one comes."""
+    chance = random.Random(seed ^ 0x57a6ed)
+    return [Contracts(version, [Team(name, chance.uniform(0.3, 3.0), period=1.0, burst=2.0)
+                                for name in names])
+            for version, names in ((1, ("north", "south", "west")), (2, ("west", "east", "north")))]
+
+
 def played(seed: int, drift: float = 0.01, make: Callable[..., Seat] = Seat,
-           prepare: Callable[[Spending], None] = lambda spending: None) -> Played:
+           prepare: Callable[[Spending], None] = lambda spending: None, staged: bool = False) -> Played:
     schedule = drawn(seed, drift)
     schedule.changes = 0.0
     length = random.Random(seed ^ 0x1e45e).choice((LENGTH, LONG))
-    return Fleet(schedule, contracts(seed), make=make, prepare=prepare, terms=Terms(length)).run()
+    told = brought(seed) if staged else contracts(seed)
+    return Fleet(schedule, told, make=make, prepare=prepare, terms=Terms(length), staged=staged).run()
 
 
 def _one(about: tuple[int, float]) -> tuple[int, Played]:
-    """`drift`: how far clocks really run off; a hundredth is what the leases assume."""
-    return about[0], played(*about)
+    """`drift`: how far clocks really run off; a hundredth is what the leases assume. A third of the schedules
+    have contracts that go by stages."""
+    return about[0], played(*about, staged=about[0] % 3 == 2)
 
 
 def many(count: int, start: int, drift: float, workers: int) -> Iterator[tuple[int, Played]]:
--- a/firwalk/lab/report.py
+++ b/firwalk/lab/report.py
@@ -107,6 +107,7 @@
         "counts": counts, "memory_mb": round(max(rig.memory, default=0.0), 1),
         "rig": {"own_delay_ms": round(rig.lag * 1e3, 2), "late_sends_ms": round(rig.load.late * 1e3, 2),
                 "datagrams lost by the rig itself": rig.own_loss},
+        "moves": sum(event["event"] == "zone" for event in events),
         "said": rig.said, "change": _change(rig),
         "budgets": _budgets(rig, judge, seconds), "leaderless": gaps(rig), "seed": rig.seed,
         "version": _version()}
@@ -121,15 +122,16 @@
     if not stages:
         return {}
     told, on, most, spans = stages[-1], {}, 0, []
-    place = "tag" if told["kind"] == "settings" else "release"
+    place = {"release": "release", "settings": "tag", "contracts": "contracts"}[told["kind"]]
     for event in (event for event in events if event["event"] == "runs"):
         on[event["seat"]] = event
-        spans.append((event["at"], event["seat"], event[place] == told["brings"]))
-        most = max(most, sum(one[place] == told["brings"] for one in on.values()))
+        spans.append((event["at"], event["seat"], str(event.get(place)) == told["brings"]))
+        most = max(most, sum(str(one.get(place)) == told["brings"] for one in on.values()))
     met = sum(_on_new(spans, one.node, one.sent) for job in rig.load.jobs for one in job.tries)
     return {"state": told["state"], "why": told["why"], "most on it": most,
             "tasks met it": round(met / max(sum(len(job.tries) for job in rig.load.jobs), 1), 4),
-            "runs": {seat: [on[seat]["release"], on[seat]["tag"]] for seat in sorted(on)},
+            "runs": {seat: [on[seat]["release"], on[seat]["tag"], on[seat].get("contracts", 0)]
+                     for seat in sorted(on)},
             "states": [[round(e["at"] - rig.began, 2), e["state"], e["stage"], e["new"], e["why"]]
                        for e in stages]}
 
--- a/firwalk/lab/rig.py
+++ b/firwalk/lab/rig.py
@@ -160,6 +160,9 @@
         (releases / "s2" / "settings.json").write_bytes(orjson.dumps(roll.settings))
         (self.folder / "changes").mkdir(exist_ok=True)
         what = 'settings = "s2"\nbefore = "s1"' if roll.settings else 'release = "v2"\nbefore = "v1"'
+        if roll.contracts:
+            what = 'contracts = "2"\nbefore = "1"'
+            (self.folder / "changes" / "contracts-2.toml").write_text(self._contracts_text(2, roll.contracts))
         compare = "".join(f"{word} = {value}\n" for word, value in roll.compare.items())
         (self.folder / "changes" / f"{CHANGE}.toml").write_text(
             f"{what}\nstages = {orjson.dumps(roll.stages).decode()}\n[compare]\n{compare}")
@@ -190,12 +193,15 @@
     def _contracts_file(self, version: int, times: float) -> None:
         """The contracts of all nodes, with budgets so many times those of the scenario."""
         self.version = version
+        (self.folder / "contracts.toml").write_text(self._contracts_text(version, times))
+
+    def _contracts_text(self, version: int, times: float) -> str:
         lines = [f"version = {version}"]
         for team in self.scenario.teams:
             lines += ["", "[[teams]]", f'name = "{team.name}"', f"budget = {team.budget * times}",
                       f"period = {team.period}", f"burst = {team.burst}", f'beyond = "{team.beyond}"']
             lines += [f"guaranteed = {team.guaranteed * times}"] if team.guaranteed else []
-        (self.folder / "contracts.toml").write_text("\n".join([*lines, ""]))
+        return "\n".join([*lines, ""])
 
     def _zones(self) -> str:
         told = self.scenario.cluster
--- a/firwalk/lab/scenario.py
+++ b/firwalk/lab/scenario.py
@@ -84,13 +84,15 @@
 
 class Roll(Struct, frozen=True):
     """Agents start the nodes, and a change lies ready. `new`: what the new version is, a kind of
-    `firwalk.lab.versions`, or `settings` that replace the nodes' own; `old`: the folder of an older program,
+    `firwalk.lab.versions`, or `settings` that replace the nodes' own, or `contracts`: budgets so many times
+    those of the scenario's teams; `old`: the folder of an older program,
     which the odd nodes run from the start; `compare`: of the change's file; `settle`, `at_once`: of the
     operators' file; `ready`, `confirm`, `hang`: the agents'; `check`: they check results."""
 
     new: Literal["good", "errors", "slow", "wrong", "spoilt", "crash", "no-start", "dies", "hangs", "leak",
                  "mute", "drops-what-is-handed-over"] = "good"
     settings: dict[str, Any] = {}
+    contracts: Annotated[float, Meta(ge=0)] = 0.0
     old: str = ""
     stages: list[str | int | float | list[int]] = field(default_factory=lambda: ["one", "zone", "all"])
     compare: dict[str, float] = {}
--- a/firwalk/lab/several.py
+++ b/firwalk/lab/several.py
@@ -75,11 +75,12 @@
 def with_and_without(scenario: Scenario, seeds: Iterable[int], at_once: int) -> tuple[list[dict], list[dict]]:
     """The same day with the cluster and without its file, seed by seed beside each other: each node by its
     own judgement alone."""
-    return _both(scenario, replace(scenario, cluster=None), seeds, at_once)
+    return both(scenario, replace(scenario, cluster=None), seeds, at_once)
 
 
-def _both(one: Scenario, other: Scenario, seeds: Iterable[int], at_once: int
+def both(one: Scenario, other: Scenario, seeds: Iterable[int], at_once: int
           ) -> tuple[list[dict], list[dict]]:
+    """Two days, seed by seed beside each other: the reports of each."""
     found = beside([(told, seed, None) for seed in seeds for told in (one, other)], at_once)
     return [report for report, _ in found[::2]], [report for report, _ in found[1::2]]
 
@@ -89,7 +90,7 @@
     """The same day with an offering's clients and without them, seed by seed beside each other. The other
     arrivals are the same where that offering is the scenario's last."""
     rest = replace(scenario, offerings=[o for o in scenario.offerings if o.name != name])
-    return _both(scenario, rest, seeds, at_once)
+    return both(scenario, rest, seeds, at_once)
 
 
 def served(reports: list[dict], name: str, since: float) -> float:
--- a/firwalk/net/cluster.py
+++ b/firwalk/net/cluster.py
@@ -65,6 +65,8 @@
             self.steering = Steering(self.seat, self.desk, self.zone, zones, now, self.spending)
         if told.stages:
             self.changing = _changing(self, told)
+        if self.changing is not None and self.spending is not None:
+            self.changing.contracts_version = self.spending.version
         self.event("began", life=life)
         self.seat.start(now)
         if self.changing is not None:
@@ -103,6 +105,8 @@
                               zones=told.zones.terms(self.zones) if told.zones else None)
         if self.spending is not None:
             _read_contracts(self.operations, self.spending)
+            if self.seat is not None:    # a file that a change wants may have come meanwhile
+                self.spending.follow(time.monotonic())
         return fixed
 
     def _same_zones(self, operations: Operations) -> bool:
@@ -297,11 +301,25 @@
     if told.budgets is None:
         return None
     from firwalk.cluster.spending import Spending
-    made = Spending(seat, time.monotonic, time.time)
+    made = Spending(seat, time.monotonic, time.time, partial(_brought, told) if told.stages else _none)
     _read_contracts(told, made)
     return made
 
 
+def _none(version: int) -> None:
+    """No changes by stages: nothing is looked for."""
+
+
+def _brought(told: Operations, version: int) -> Any:
+    """Contracts of a change, by their file in the folder of changes."""
+    from firwalk import changes
+    path = changes.contracts_file(told.stages.changes, version)
+    found, faults = changes.brought(path)
+    for fault in faults if os.path.exists(path) else ():
+        say(f"contracts of a change: {fault}")
+    return found
+
+
 def _read_contracts(told: Operations, spending: Any) -> None:
     """Checked with the operators' file just before; one that was changed since and is bad changes nothing."""
     from firwalk.broker import contracts
@@ -320,7 +338,7 @@
     "zone_wish": "operators: {word} of zone {number}",
     "follows_contracts": "follows contracts {version} (0: it does not have those in force)",
     "contracts_wait": "contracts {version} wait for seats {seats}, which do not have them",
-    "runs": "runs release {release!r}, tag {tag!r}",
+    "runs": "runs release {release!r}, tag {tag!r}, contracts {contracts}",
     "stage": "change {number} {name}: {state}, stage {stage} of {of}, seats on {brings}: {new} {why}",
     "figure": "change {number}, stage {stage}: {figure} of offering {offering:08x}: {new} with the new one,"
               " {old} with the old one, of {of}: {verdict}",
--- a/tests/cluster/test_budgets.py
+++ b/tests/cluster/test_budgets.py
@@ -104,6 +104,75 @@
     assert any(purses.played(seed).breaks for seed in range(400)), mutant.__name__
 
 
+# -- contracts that go by stages -------------------------------------------------------------------------
+
+
+def test_while_two_contracts_are_in_force_no_more_is_out_than_the_larger_whole():
+    found = [purses.played(seed, staged=True) for seed in range(40)]
+    assert [one.breaks for one in found if one.breaks] == []
+    assert sum(one.parts for one in found) > 1500 and max(one.most_out for one in found) > 0.95
+
+
+def both_wholes_are_let_out(patch):
+    take = Dealer._take
+
+    def summed(self, offer, beside):
+        take(self, offer, beside)
+        sides = [dict(zip(one.names, one.wholes, strict=True)) for one in self.sides.values()]
+        self.wholes = {name: sum(side.get(name, 0) for side in sides) for name in self.wholes}
+    patch.setattr(Dealer, "_take", summed)
+
+
+def a_change_forgets_what_is_out(patch):
+    changed = Dealer.changed
+
+    def forgets(self, now, *about):
+        self.books = {}
+        changed(self, now, *about)
+        self.renews_until = 0.0
+    patch.setattr(Dealer, "changed", forgets)
+
+
+@pytest.mark.parametrize("mutant", [both_wholes_are_let_out, a_change_forgets_what_is_out])
+def test_schedules_with_stages_catch(mutant, monkeypatch):
+    mutant(monkeypatch)
+    assert any(purses.played(seed, staged=True).breaks for seed in range(100)), mutant.__name__
+
+
+def offer(version, **wholes):
+    return Offer(version, version, tuple(wholes), tuple(int(whole * MILLION) for whole in wholes.values()))
+
+
+def dealt(dealer, now, node, check, team, mark=1, has=0.0, want=50.0):
+    row = (team, int(want * MILLION), 0, int(has * MILLION))
+    return dealer.want_came(now, node, 1, Want(mark, check, 0, [row])).rows[0][1] / MILLION
+
+
+def test_each_node_has_its_part_of_the_whole_of_its_own_contracts():
+    """A budget that is ten times too small shows at the node on it alone."""
+    dealer = Dealer(0.0, Terms(LENGTH), offer(1, south=1.0, north=10.0), lambda: [0, 1, 2],
+                    offer(2, north=1.0, east=3.0))
+    at = LENGTH * 2
+    for mark in (1, 2, 3):
+        parts = [dealt(dealer, at, node, 1, 1, mark) for node in (0, 1)] + [dealt(dealer, at, 2, 2, 0, mark)]
+    assert parts == pytest.approx([10 / 3, 10 / 3, 1 / 3], rel=1e-3)
+    assert dealt(dealer, at, 2, 2, 1, 4) == pytest.approx(3.0, rel=1e-3)
+    assert dealt(dealer, at, 0, 1, 0, 4) == pytest.approx(1.0, rel=1e-3)
+    assert dealer.want_came(at, 0, 1, Want(9, 3, 0, [(0, 5, 0, 0)])) is None
+
+
+def test_a_team_that_went_and_came_again_waits_though_contracts_changed_twice_within_a_lease():
+    """Teams that wait were kept by their numbers, which the second change gave to others: a node that had
+    missed both still had the team's part, and all of it was dealt once more."""
+    at = LENGTH * 2
+    dealer = Dealer(0.0, Terms(LENGTH), offer(1, north=1.0, south=1.0), lambda: [0, 1])
+    assert dealt(dealer, at, 0, 1, 1) == 1.0
+    dealer.changed(at + 0.1, offer(2, west=1.0, north=1.0))
+    dealer.changed(at + 0.2, offer(3, north=1.0, west=1.0, south=1.0))
+    assert dealt(dealer, at + 0.3, 1, 3, 2) == 0.0 and dealt(dealer, at + 0.3, 1, 3, 1) == 0.0
+    assert dealt(dealer, at + 0.2 + LENGTH * 1.1, 1, 3, 2, mark=2) == 1.0
+
+
 class KilledBehind(purses.Fleet):
     """The coordinator dies behind its message of some number, and is back from nothing after a while."""
 
--- a/tests/cluster/test_stages.py
+++ b/tests/cluster/test_stages.py
@@ -1,4 +1,6 @@
 """Changes by stages over whole fleets in virtual time: order, stops, what survives, what never is (I5)."""
+import json
+from io import StringIO
 from types import SimpleNamespace
 from typing import get_args
 from zlib import crc32
@@ -6,14 +8,16 @@
 import pytest
 from msgspec import msgpack
 from msgspec.structs import replace
+from rich.console import Console
 
 from firwalk import changes
+from firwalk.cli import picture
 from firwalk.cluster import messages as m
 from firwalk.cluster import stages as stages_module
 from firwalk.cluster.comparing import ABANDONED, ALL, BAD, LATE, TIME, Comparison, Row, Verdict, Worse
 from firwalk.cluster.spans import read, spelled
 from firwalk.cluster.stages import Roll, Terms, in_turn, sets
-from firwalk.lab.rolls import CHANGE, CHECK, REPLACE, Fleet, Version
+from firwalk.lab.rolls import CHANGE, CHECK, KINDS, REPLACE, Fleet, Version
 from firwalk.lab.virtual import Fault
 
 
@@ -122,7 +126,7 @@
     assert not done and "was stopped" in said
     fleet.versions["v2"] = Version()
     assert fleet.say("resume") == (True, "") and fleet.section()["number"] == number + 1
-    assert fleet.until("done", "stopped") == "done"
+    assert fleet.until("done", "stopped", most=400.0) == "done"
 
 
 def test_a_second_change_is_refused_and_an_operators_back_takes_a_going_one_and_a_done_one_back():
@@ -220,6 +224,32 @@
     assert fleet.until("done", most=300.0) == "done" and not allowed_and_ordered(fleet)
 
 
+def test_the_figures_that_stopped_a_change_outlive_the_coordinator_that_saw_them():
+    fleet = Fleet(new=KINDS["errors"]).started()
+    assert fleet.until("stopped") == "stopped"
+    told = fleet.section()["report"]
+    assert told[0][0] == 0 and told[0][-1] == Verdict.WORSE and told[0][3] > 0.2 > told[0][4]
+    first = fleet.world.coordinator()
+    fleet.world._strike(Fault(fleet.world.now, 30.0, "kill", (first,)))
+    fleet.world.run(fleet.world.now + 12.0)
+    assert fleet.world.coordinator() not in (None, first) and fleet.section()["report"] == told
+    shown = Console(file=StringIO(), width=120)
+    shown.print(picture.drawn(picture.read(lambda line: {"ROLL STATUS": json.dumps(fleet.section())}.get(
+        line, "end"))))
+    assert "the worst of each stage" in shown.file.getvalue() and "abandoned" in shown.file.getvalue()
+
+
+def test_what_the_plan_tells_of_stages_stays_bounded():
+    roll = Roll(Terms(), [0], 3, lambda name: (CHANGE, CHECK, []))
+    for seat in range(3):
+        roll.figures_came(1.0, seat, 5, m.Figures(0, crc32(b"v1"), 0, 0, 200, []))
+    assert roll.start(1.0, "c", CHECK, [0, 1, 2]) == ""
+    for _ in range(30):
+        roll.comparison = compared((400, 40, 4.0), (400, 2, 4.0))
+        roll._report()
+    assert len(roll.section["report"]) == 24 and len(json.dumps(roll.section)) < 2000
+
+
 def test_what_does_not_fit_is_refused_with_the_reason_and_nothing_is_begun():
     fleet = Fleet(change=replace(CHANGE, before="v0"))
     fleet.world.run(14.0)
@@ -405,17 +435,31 @@
 
 
 @pytest.mark.parametrize("text, words", [
-    ("before = 'v1'", ["one of the two is wanted"]), (GOOD.replace("v1", "v2"), ["before: v2 is what"]),
+    ("before = 'v1'", ["one of the three is wanted"]), (GOOD.replace("v1", "v2"), ["before: v2 is what"]),
     (GOOD + "stages = []", ["the last one must be"]), (GOOD + "stages = [0, 'twice', 1.5, 'all']", [
         "stages[0]: a number of nodes", "stages[1]:", "stages[2]: a part of the fleet"]),
     (GOOD + "[compare]\nlate = 2.0\ntimes = 1", ["compare.late", "compare.times: no such key"]),
-    (GOOD + "[compare]\nseconds = 9\nmost = 3", ["most: must not be less"]), ("release = [", ["not TOML"])])
+    (GOOD + "[compare]\nseconds = 9\nmost = 3", ["most: must not be less"]), ("release = [", ["not TOML"]),
+    ("contracts = 'x'\nbefore = '1'", ["contracts: "]), ("contracts = '2'\nbefore = 'v1'", ["before: the"]),
+    ("contracts = '2'\nbefore = '1'", ["contracts-2.toml: No such file"])])
 def test_all_that_is_wrong_with_a_change_is_told(tmp_path, text, words):
     (tmp_path / "c.toml").write_text(text)
     change, _, faults = changes.named(str(tmp_path), "c")
     assert change is None and all(any(word in fault for fault in faults) for word in words), faults
 
 
+def test_contracts_that_a_change_brings_are_checked_with_it(tmp_path):
+    (tmp_path / "c.toml").write_text("contracts = '2'\nbefore = '1'")
+    beside = tmp_path / "contracts-2.toml"
+    beside.write_text("version = 3\nteams = []")
+    assert "version: 3 is not 2" in changes.named(str(tmp_path), "c")[2][0]
+    beside.write_text("version = 2\nteams = [{name = 'north', budget = -1}]")
+    assert changes.named(str(tmp_path), "c")[0] is None
+    beside.write_text("version = 2\nteams = [{name = 'north', budget = 1}]")
+    change, _, faults = changes.named(str(tmp_path), "c")
+    assert not faults and (change.kind(), change.what(), change.before) == ("contracts", "2", "1")
+
+
 def test_a_good_change_is_read_and_a_name_that_is_none_is_not(tmp_path):
     (tmp_path / "c.toml").write_text(GOOD)
     change, check, faults = changes.named(str(tmp_path), "c")
@@ -479,7 +523,15 @@
 ]
 
 
-@pytest.mark.parametrize("message, data", RECORDED, ids=[type(one).__name__ for one, _ in RECORDED])
+# The same of kinds that have grown since.
+GROWN = [
+    (m.Figures(change=4, release=5, tag=6, zone=1, memory=300, rows=[(9, 1, 2, 3, 4, 5, 6, 7, 8, 9)],
+               contracts=2), "981404050601cd012c919a0901020304050607080902"),
+]
+
+
+@pytest.mark.parametrize("message, data", RECORDED + GROWN,
+                         ids=[type(one).__name__ for one, _ in RECORDED + GROWN])
 def test_what_was_sent_once_is_read_for_good_and_more_behind_it_passed_over(message, data):
     assert m._decoder.decode(bytes.fromhex(data)) == message
     tag, *fields = msgpack.decode(bytes.fromhex(data))
--- a/tests/fleet/test_budgets_processes.py
+++ b/tests/fleet/test_budgets_processes.py
@@ -52,7 +52,7 @@
 
 @pytest.fixture(scope="module")
 def played():
-    return dict(zip(CASES, play(*[(told, None) for told in CASES.values()], at_once=3), strict=True))
+    return dict(zip(CASES, play(*[(told, None) for told in CASES.values()], at_once=4), strict=True))
 
 
 @pytest.mark.parametrize("case", CASES)
--- a/tests/fleet/test_roll.py
+++ b/tests/fleet/test_roll.py
@@ -8,7 +8,7 @@
 from msgspec.structs import replace
 from runs import events, fault, play, scenario, sound
 
-from firwalk.lab.scenario import Cluster, Offering, Roll
+from firwalk.lab.scenario import Cluster, Offering, Roll, Team
 
 ROOT = Path(__file__).parents[2]
 CLUSTER = Cluster([0, 1, 2], length=0.8, period=0.3, answer=0.1, report=0.2, hold=1.2)
@@ -32,6 +32,14 @@
     return replace(made, roll=Roll(new=new, **told))
 
 
+def contracts(times, *faults, seconds):
+    """A change of contracts: budgets so many times those before, which are twice what the team asks for."""
+    told = day("good", *faults, seconds=seconds, contracts=times)
+    return replace(told, teams=[Team("north", budget=6.0, burst=3.0)],
+                   offerings=[replace(one, team="north") for one in LOAD],
+                   cluster=replace(CLUSTER, part_length=2.0))
+
+
 # By name: the day, the state that the change ends in, and a word of the reason.
 CASES = {
     "good": (day(seconds=26.0), "done", ""),
@@ -46,8 +54,16 @@
     "agents die between the start of the new one and the end of the old one": (
         day("errors", *(fault(at, "agent-kill", "nodes", 0.4) for at in (1.5, 2.2, 5.0)), seconds=18.0),
         "stopped", ""),
+    "good contracts": (contracts(1.2, seconds=22.0), "done", ""),
+    "contracts with far too small budgets": (contracts(0.05, seconds=12.0), "stopped", ""),
 }
 LONG = {
+    "contracts, coordinators killed": (
+        contracts(0.05, fault(2.5, "kill", "coordinator"), fault(6.5, "kill", "coordinator"), seconds=26.0),
+        "stopped", ""),
+    "contracts, a node killed and a cut": (
+        contracts(1.2, fault(3.0, "kill", "node:3"), fault(6.0, "cut", ["node:0", "node:3"], 3.0, to=[
+            "node:1", "node:2"]), seconds=36.0), "done", ""),
     "slow": (day("slow", seconds=20.0), "stopped", "time"),
     "dies": (day("dies", seconds=12.0), "stopped", "crashed"),
     "leak": (day("leak", seconds=14.0), "stopped", "memory"),
@@ -90,9 +106,12 @@
     found = [one for one in sound(report) if "spoilt" not in case or one[0] != "one final answer"]
     change = report["change"]
     assert found == [] and change["state"] == state and why in change["why"], change
-    assert {tuple(runs) for runs in change["runs"].values()} == (
-        {("v1", "s1")} if state == "stopped" else {("v1", "s2") if "settings" in case else ("v2", "s1")})
-    assert change["most on it"] == (4 if state == "done" else 0 if "settings" in case else min(
+    ends = {"settings": ("v1", "s2", 0), "contracts": ("v1", "s1", 2)}
+    kind = next((kind for kind in ends if kind in case), "")
+    before = ("v1", "s1", int(kind == "contracts"))
+    assert {tuple(runs) for runs in change["runs"].values()} == {
+        before if state == "stopped" else ends.get(kind, ("v2", "s1", 0))}
+    assert change["most on it"] == (4 if state == "done" else 0 if kind == "settings" else min(
         change["most on it"], 1))
 
 
@@ -103,6 +122,17 @@
     assert report["change"]["tasks met it"] < 0.35 and report["change"]["states"][-1][0] < first + 16.0
 
 
+def test_budgets_hold_while_contracts_go_by_stages(played):
+    """Under both contracts at once no more than the larger whole is out; and a team that was served before is
+    served on, whichever contracts a node goes by: its account keeps what it has free."""
+    for case in (case for case in ALL if "contracts" in case):
+        told = played[case][0]["budgets"]["north"]
+        assert 0.5 < told["most_out"] <= 1.0 and told["ran"] <= told["budget"]
+    spells = played["good contracts"][0]["service"]["read"]["windows"][5:]
+    tasks = sum(one["tasks"] for one in spells)
+    assert sum(one["in_time"] for one in spells) >= 0.98 * tasks
+
+
 @pytest.mark.parametrize("case", ["good"])
 def test_a_good_change_loses_no_task(played, case):
     for told in played[case][0]["service"].values():
--- a/tests/fleet/test_zones_processes.py
+++ b/tests/fleet/test_zones_processes.py
@@ -4,20 +4,10 @@
 import sys
 
 import pytest
-from msgspec.structs import replace
 from runs import events, fault, play, scenario, sound
 
-from firwalk.lab.scenario import Cluster, Offering
-
-ZONED = Cluster([0, 1, 2], length=0.8, period=0.3, answer=0.1, report=0.25, hold=1.2,
-                regions=[["a", "b", "c"]])
-LOAD = [Offering("read", rate=120, cost=0.05, due=0.6, expiry=1.5),
-        Offering("send", "side-effecting", rate=40, cost=0.05, due=0.6, expiry=1.5)]
-
-
-def day(*faults, seconds=12.0):
-    return scenario(*faults, nodes=6, zones=3, executors=9, seconds=seconds, cluster=ZONED, offerings=LOAD)
-
+from firwalk.lab import hard
+from firwalk.lab.scenario import Offering
 
 FULL = [Offering("read", rate=70, cost=0.2, due=1.5, expiry=3.0)]
 
@@ -49,7 +39,7 @@
         await asyncio.to_thread(call, rig, 4, "restore", "c")
         await asyncio.sleep(1.0)
         await asyncio.to_thread(call, rig, 3, "show")
-    told = scenario(nodes=6, zones=3, executors=9, seconds=18.0, cluster=ZONED, offerings=FULL)
+    told = scenario(nodes=6, zones=3, executors=9, seconds=18.0, cluster=hard.ZONED, offerings=FULL)
     [(report, rig)] = play((told, None), act=act)
     assert sound(report) == []
     dry, done, shown, refused, after, restored, back = said
@@ -60,43 +50,12 @@
     assert restored == (0, "done", "") and " c returning " in f" {back[1]} "
 
 
-CASES = {
-    "lost whole": day(fault(4.0, "cut", "executors:c", 4.0, to="nodes"), seconds=18.0),
-    "answers lost": day(fault(4.0, "cut", "executors:c", 4.0, to="nodes", one_way=True)),
-    "the coordinator's own": day(fault(4.0, "cut", "executors:a", 5.0, to="nodes"),
-                                 fault(6.5, "kill", "coordinator", 0.3), seconds=13.0),
-    "all are slow": day(fault(4.0, "executor-slow", "executors", 5.0, value=3.0)),
-    "seen from one node alone": day(fault(4.0, "cut", "executors:c", 5.0, to="node:0")),
-    "seen from one zone alone": day(fault(4.0, "cut", "executors:c", 5.0, to="nodes:a")),
-    "nothing happens": day(seconds=8.0),
-    "lost in part": day(fault(4.0, "cut", ["executor:2", "executor:5"], 5.0, to="nodes")),
-    "latency grows": day(fault(3.0, "delay", "executors:c", 8.0, to="nodes", value=0.02),
-                         fault(5.0, "delay", "executors:c", 6.0, to="nodes", value=0.2)),
-    "grey": day(fault(4.0, "executor-slow", "executors:c", 6.0, value=8.0), seconds=14.0),
-    "two zones, one after the other": scenario(
-        fault(3.0, "cut", "executors:c", 8.0, to="nodes"), fault(6.0, "cut", "executors:b", 5.0, to="nodes"),
-        nodes=6, zones=3, executors=9, seconds=15.0, cluster=ZONED,
-        offerings=[replace(o, rate=o.rate / 3) for o in LOAD]),
-    "regions cut off and slow": scenario(
-        fault(3.0, "cut", ["zone:a", "zone:b"], 3.0, to="zone:c"),
-        fault(7.0, "delay", ["zone:a", "zone:b"], 3.0, to="zone:c", value=0.15),
-        nodes=6, zones=3, executors=9, seconds=13.0, offerings=LOAD,
-        cluster=replace(ZONED, regions=[["a", "b"], ["c"]])),
-    # A node is back after some 3 s, and a voter grants a lease later: never two voters out at once, or the
-    # fleet has no coordinator while the zone is lost (it had none for 4 s where all went 1.6 s apart).
-    "loss while nodes restart in turn": day(
-        fault(2.0, "loss", "nodes", 10.0, to="nodes", value=0.1),
-        *(fault(at, "term", f"node:{n}", 0.2)
-          for n, at in ((2, 2.0), (3, 3.6), (4, 5.2), (5, 6.8), (0, 9.0), (1, 13.4))),
-        fault(5.0, "cut", "executors:c", 4.0, to="nodes"), seconds=16.0),
-    "back cold": day(fault(4.0, "cut", "executors:c", 4.0, to="nodes"),
-                     fault(7.5, "executor-restart", "executors:c", 0.6), seconds=15.0),
-}
+CASES = hard.zones()
 
 
 @pytest.fixture(scope="module")
 def played():
-    return dict(zip(CASES, play(*[(told, None) for told in CASES.values()], at_once=3), strict=True))
+    return dict(zip(CASES, play(*[(told, None) for told in CASES.values()], at_once=4), strict=True))
 
 
 def modes(rig, zone):
