Accounts learn what estimates miss by, and let few tasks out until they know

Ruled out: parts, which never summed to more than the whole.

Change: an account keeps, fading, what measured tasks took beside their estimates, and reserves by that; with none measured 8 tasks go at once, 4 more for each that was. What a contract's change begins anew keeps it.

--- a/firwalk/broker/ledger.py
+++ b/firwalk/broker/ledger.py
@@ -10,6 +10,9 @@
 
 DEMAND_FOR = 2.0       # seconds over which the demand is smoothed
 FORGET = 1e-3          # work a second, below which a team has no demand here
+FADES = 20.0           # measured tasks over which what estimates miss by is remembered
+LEAST_MISS, MOST_MISS = 0.05, 20.0       # times an estimate that is reserved
+FIRST_OUT, MORE_OUT = 8, 4     # tasks under way at once before any was measured; more for each that was
 NO_PART = 5.0          # seconds that a task of a team without any part here is told to stay away
 
 
@@ -22,6 +25,8 @@
         self.part, self.until, self.at, self.began = 0, 0.0, now, now
         self.granted = self.free = self.reserved = self.settled = self.returned = self.beyond = 0.0
         self.demand, self.came, self.demand_at = 0.0, 0.0, now
+        self.told, self.took = 0.0, 0.0  # estimates of tasks that were measured, and what they took; fading
+        self.open, self.measured = 0, 0  # tasks under way, and those that were measured
         self.sure = 0.0                  # of what is free, how much is guaranteed: a bucket beside the other
 
     # -- what there is -----------------------------------------------------------------------------------
@@ -87,6 +92,20 @@
         self.reserved += work
         return True
 
+    def weighed(self, work: float) -> float:
+        """An estimate, corrected by what those before missed by: clients that say a tenth had ten times their
+        tasks out before the first outcome told."""
+        return work * min(max(self.took / self.told, LEAST_MISS), MOST_MISS) if self.told else work
+
+    def may_begin(self) -> bool:
+        """Few at once while nobody knows what they take, and soon as many as come (slow start: RFC 5681)."""
+        return self.open < FIRST_OUT + MORE_OUT * self.measured
+
+    def learn(self, told: float, took: float) -> None:
+        keep = 1.0 - 1.0 / FADES
+        self.told, self.took = self.told * keep + told, self.took * keep + took
+        self.measured += 1
+
     def within(self, now: float, work: float) -> bool:
         """Of a task that was let out: whether it is inside the team's guaranteed share, and takes of it. As
         much as the share's bucket holds at all is enough, as with the budget."""
@@ -136,15 +155,20 @@
 
 
 class Reservation:
-    """A task's, on the account that there was when it came."""
+    """A task's, on the account that there was when it came. `told`: its estimate, of which `work` was
+    reserved."""
 
-    def __init__(self, account: Account, work: float, sure: bool = False):
-        self.account, self.work, self.sure, self.open = account, work, sure, True
+    def __init__(self, account: Account, work: float, sure: bool = False, told: float = 0.0):
+        self.account, self.work, self.sure, self.told, self.open = account, work, sure, told, True
+        account.open += 1
 
-    def settle(self, now: float, spent: float) -> None:
-        """Only the first counts, whatever comes afterwards."""
+    def settle(self, now: float, spent: float, measured: bool = False) -> None:
+        """Only the first counts, whatever comes afterwards. `measured`: what it took was seen to its end."""
         if self.open:
             self.open = False
+            self.account.open -= 1
+            if measured and self.told:
+                self.account.learn(self.told, spent)
             self.account.settle(now, self.work, spent, self.sure)
 
 
@@ -170,12 +194,13 @@
         for name, account in before.items():
             part, until = account.part, account.until
             account.fill(now)
-            left = account.free
+            left, known = account.free, (account.told, account.took, account.measured)
             account.drop(now)
             if name in self.teams:
                 fresh = self.account(now, name)
                 fresh.leased(now, part, until)
                 fresh.carry(now, left)
+                fresh.told, fresh.took, fresh.measured = known
 
     def end(self, now: float) -> None:
         """Nothing more comes in, for any team; what is reserved is settled as ever."""
--- a/firwalk/cluster/spending.py
+++ b/firwalk/cluster/spending.py
@@ -32,8 +32,10 @@
     def __init__(self, reservation: Reservation, clock: Callable[[], float]):
         self.reservation, self.clock = reservation, clock
 
-    def settle(self, spent: float) -> None:
-        self.reservation.settle(self.clock(), spent)
+    def settle(self, measured: float, ran: bool) -> None:
+        """`measured`: work of the assignment that finished, 0: none did; `ran`: some of it may have run."""
+        spent = measured or (self.reservation.work if ran else 0.0)
+        self.reservation.settle(self.clock(), spent, bool(measured))
 
 
 class Spending:
@@ -127,14 +129,15 @@
         if account.team.offerings and offering not in account.team.offerings:
             errand.advice = DAY
             return 0.0
-        if account.reserve(now, task.work):
-            sure = account.within(now, task.work)
-            errand.charge = Charge(Reservation(account, task.work, sure), self.clock)
+        work = account.weighed(task.work)
+        if account.may_begin() and account.reserve(now, work):
+            sure = account.within(now, work)
+            errand.charge = Charge(Reservation(account, work, sure, task.work), self.clock)
             return 1.0 if sure else account.team.spare
-        account.beyond += task.work
+        account.beyond += work
         if account.team.beyond == "lower":
             return account.team.importance
-        errand.advice = account.wait(now, task.work)
+        errand.advice = account.wait(now, work)
         return 0.0
 
     def _turned(self, now: float) -> None:
--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -235,7 +235,7 @@
         """Once it is over: what was measured, else the estimate, or nothing if none of it can have run."""
         if task.ref.charge is not None and not task.open and not task.still_out:
             ran = any(a.may_have_run and a.number in task.ref.begun for a in task.assignments)
-            task.ref.charge.settle(task.ref.measured or (task.work if ran else 0.0))
+            task.ref.charge.settle(task.ref.measured, ran)
 
     def _zone(self, executor: Executor) -> int:
         return next((number for number, zone in self.node.zones.items() if zone is executor.zone), -1)
