A node that begins takes tasks once it was told who is there

Traced at all 184 lives: nodes that begin at 27.1 s, as the lost zone is back, send on to executors that left the list at 16 to 18 s: their configuration still names them, and their first call of the list comes up to 3.3 s later, by their number in the fleet. What discovery has counts as told 6 s later for a new process too.

Change: first calls are spread over a second (logic.py, Node's start), and a new process listens once the list has come, a call for it has come to nothing, or 2 s are over (net/service).

Test: with the configuration naming an executor that the list does not, six tasks went to it before, none now.

--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -377,6 +377,11 @@
         """The list comes from another service, whose versions need not follow on those before."""
         self.version = 0
 
+    def list_awaited(self, since: float) -> bool:
+        """Whether the list's service was not heard since then, and no call of it has come to nothing: what
+        the node knows so far is as old as its configuration."""
+        return self.list_at <= since and not self.node.misses
+
     def report_list_broken(self, silent: bool = False) -> None:
         """`silent`: it gave no sign in its time. What it missed is to be known soon, and it was not turned
         down by a service that is busy."""
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -28,7 +28,7 @@
 PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
 PROBES_NEAR, PROBES_FAR = 2, 1  # probes for each task and each round, in the own zone and in others
 FEW = 10               # nodes that call for lists, open connections and judge errors each by itself
-CALL_GAP, SILENT = 0.1, 1.5  # seconds between the calls of more; at most, after a watch that fell silent
+CALL_GAP, SILENT, FIRST_CALLS = 0.1, 1.5, 1.0  # seconds: of more, between calls; after silence; first calls
 COLD_PART, HEAVY_PART, FIRSTS = 0.4, 0.15, 2.0  # of what a cold one bears: all's; a task's; of it, all firsts
 GOLDEN, TIES = 0.6180339887, 4  # spreads draws of cold executors; ones without own work that are compared
 TRUST, HINT_WEIGHT = 4.0, 0.01  # tasks' weight of the trust in hints at first; least of a hint in their means
@@ -191,8 +191,8 @@
         self.executors, self.near, self.far = [], [], []  # all; those ready in the own zone; and in others
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.mean_cost, self.mean_value, self.misses, self.met, self.ask_within = 0.0, 0.0, 0, 0, ask_within
-        if must_ask:
-            host.set_timer(now + (tick + self.pace / nodes) * own_number, lambda *_: host.watch(True), None)
+        first = now + (tick + min(self.pace, FIRST_CALLS) / nodes) * own_number
+        host.set_timer(first, lambda *_: host.watch(True), None) if must_ask else None
         host.set_timer(now + (own_number + 1) / self.nodes * PROBE_EVERY, self._round, None)
 
     def _chance(self) -> float:
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -156,10 +156,20 @@
         if self.managed:  # only now: two nodes that know nothing of each other must not share an address
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MOST_UNREAD)  # for what it accepts
-        self.listener.listen(BACKLOG)
         if self.succession.hung:
+            self._let_in()
             steer(self.listener)
 
+    async def _first_list(self) -> None:
+        """What the configuration says of executors may be long out of date: a node that came back with its
+        zone sent on to executors that were gone since. With the service down, or busy, it has to do."""
+        end = monotonic() + LIST_TIME
+        while monotonic() < end and self.desk.list_awaited(self.opened_at) and not self.ending.is_set():
+            await asyncio.sleep(0.01)
+
+    def _let_in(self) -> None:
+        self.listener.listen(BACKLOG)
+
     def _hear_peers(self) -> None:
         if self.config.get("peer_listen") and self.config["settings"].get("limits", {}).get("peers"):
             try:
@@ -241,6 +251,9 @@
         if self.succession.before is not None:
             await self.succession.fresh(LIST_TIME, self.ending)
             await self.succession.take()
+        else:
+            await self._first_list()
+            self._let_in()
         self._accept()
         self.succession.listen()
         say(f"{self.config.get('name', 'node')} listens at {self.config['listen']}")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -386,6 +386,22 @@
     play(story, known=old, refuse_list=2)
 
 
+def test_a_node_that_begins_sends_nothing_on_by_what_its_configuration_says_of_executors():
+    """They may be gone for long: nodes that came back with their zone sent on to such, which counts as told
+    from the first moment (87 to 101 times on one day of the fleet)."""
+    async def story(w):
+        for n in range(6):
+            assert (await w.ask(post(name=f"t{n}")))[0] == 200
+        assert not w.executors[0].got and len(w.executors[1].got) == 6
+    play(story, None, None, gone=[0], list_late=0.4)
+
+
+def test_a_node_whose_list_does_not_come_takes_tasks_all_the_same():
+    async def story(w):
+        assert (await w.ask(post()))[0] == 200
+    play(story, silent=True)
+
+
 @pytest.mark.parametrize("how", ["reset", "half a line", "an end"])
 def test_a_watch_that_breaks_off_leaves_the_list_and_is_renewed(how):
     async def story(w):
