A node that was stopped sends nothing on past its clients' time when it wakes

Seen: on the rig, nodes stopped for longer than a task's expiry (SIGSTOP) counted the task from when they read it, and sent it on when its client had gone: one effect each, excused by the referee until now.

Cause: the time from a task's arrival in the machine to its reading is not in the count; and on waking, what waits for a connection may run before the timer that ends its task.

Change: a beat tells that the process stood still for over a second (net/stalls); for 5 s after that the machine says how long each task's bytes have waited (TCP_INFO), which is taken off its time. Nothing of a task is begun or completed past its expiry, whatever the timers have told. A first try took the whole stall for all that was read within 0.2 s of waking: on a busy machine more came later, and what was fresh was turned away. The referee excuses no sending any more.

Test: stopped for 2.6 s, a task of 1.5 s reached an executor before, none now, and the next is served; for 0.3 s it is served as ever.

--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -406,13 +406,16 @@
 
     def report_sending(self, errand: Errand, number: int) -> bool:
         """The first byte is about to be written; False: no more. While a connection was awaited, the executor
-        may have begun to drain, or the task may have ended."""
+        may have begun to drain, or the task may have ended; or the process stood still, and wakes past the
+        task's time before its timers have told."""
         assignment = errand.task.assignments[number]
-        return assignment.out and assignment.executor.condition is Condition.READY
+        return (assignment.out and assignment.executor.condition is Condition.READY
+                and self.clock() < errand.task.expiry)
 
     def report_last_byte(self, errand: Errand, number: int) -> bool:
         """The last byte is about to be written: from here on it may run. False: the task has ended."""
-        wanted = errand.task.open and errand.task.assignments[number].out
+        wanted = (errand.task.open and errand.task.assignments[number].out
+                  and self.clock() < errand.task.expiry)
         if wanted:
             errand.begun.add(number)
         return wanted
--- a/firwalk/lab/referee.py
+++ b/firwalk/lab/referee.py
@@ -84,8 +84,8 @@
         if not one.body_fits:
             self._break(RULES[0], one.answered, f"{one.name} was answered with another's result", job, ran)
         over = one.answered or one.expiry
-        for sent in self.sent.get(one.name, []):  # a node that slept does not know when what it reads came
-            if sent.at > over + self.slack and not self.down(one.node, one.sent, sent.at):
+        for sent in self.sent.get(one.name, []):  # also by a node that slept: it counts for how long
+            if sent.at > over + self.slack:
                 self._break(RULES[0], sent.at, f"{one.name} was sent on after its final answer", job, ran)
 
     def _no_effect_twice(self, job: Job, ran: list[Ran]) -> None:
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -14,6 +14,7 @@
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
 from firwalk.net.executors import Executors
+from firwalk.net.stalls import Stalls
 from firwalk.net.waiting import readable, received
 
 HEALTH = b"/_health"
@@ -124,7 +125,8 @@
         was wrong."""
         now = monotonic()
         self.pushes = self.pushes + 1 if now - self.turned_away_at < AT_ONCE else 0
-        self.waiting.append((method, target, headers, body, keep, now))
+        came_at = now - self.clients.stalls.behind(now, self.sock)
+        self.waiting.append((method, target, headers, body, keep, came_at))
 
     def _next(self) -> None:
         if self.waiting and not self.busy:
@@ -218,7 +220,7 @@
         self.ending, self.stopping, self.malformed = False, False, 0
         # Another process of this node gets each as soon as it is still: whom to give it to.
         self.moving: Callable[[bool, socket.socket], None] | None = None
-        self.accepted_at = monotonic()
+        self.accepted_at, self.stalls = monotonic(), Stalls()
         self.held: socket.socket | None = None   # accepted, while no descriptor is free for it
         budget.shed_client = self.shed
 
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -246,7 +246,8 @@
             say(f"changes that need a restart: {', '.join(fixed)}")
 
     async def run(self) -> None:
-        standing = [self.loop.create_task(self.clients.sweep()), self.loop.create_task(self._sweep())]
+        standing = [self.loop.create_task(self.clients.sweep()), self.loop.create_task(self._sweep()),
+                    self.loop.create_task(self.clients.stalls.run())]
         self._wake()
         if self.succession.before is not None:
             await self.succession.fresh(LIST_TIME, self.ending)
--- /dev/null
+++ b/firwalk/net/stalls.py
@@ -0,0 +1,48 @@
+"""Whether this process itself stood still: stopped, or its machine paused.
+
+What it reads when it wakes may have come at any time since: a task that waited with the machine for longer
+than its client does would be sent on when nobody waits for it any more. How long its last bytes have waited
+the machine tells (tcp(7), TCP_INFO: `tcpi_last_data_recv`). Times are seconds of the monotonic clock.
+"""
+from __future__ import annotations
+
+import asyncio
+import socket
+from struct import error, unpack_from
+from time import monotonic
+
+BEAT = 0.25            # seconds between beats
+STALL = 1.0            # seconds without one, beyond the beat's own, that count: a busy moment is none
+WAKING = 5.0           # seconds after a stall in which the machine is asked: what waited is read in turn
+LAST_CAME = 52         # where `tcpi_last_data_recv` is: milliseconds, in 32 bits of the machine's order
+
+
+class Stalls:
+    def __init__(self) -> None:
+        self.beat_at = monotonic()
+        self.woke_at, self.length = float("-inf"), 0.0
+
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT)
+            self.beat(monotonic())
+
+    def beat(self, now: float) -> None:
+        if now - self.beat_at > BEAT + STALL:
+            self.woke_at, self.length = now, now - self.beat_at
+        self.beat_at = now
+
+    def behind(self, now: float, sock: socket.socket) -> float:
+        """Seconds for which what is read now has waited already; 0 in all ordinary times."""
+        if now - self.beat_at > BEAT + STALL:  # this comes before the beat
+            return _waited(sock, now - self.beat_at)
+        return _waited(sock, self.length) if now < self.woke_at + WAKING else 0.0
+
+
+def _waited(sock: socket.socket, most: float) -> float:
+    """Never more than since the process stood still; as long, where the machine does not tell."""
+    try:
+        told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_CAME + 4)
+        return min(unpack_from("=I", told, LAST_CAME)[0] / 1e3, most)
+    except (OSError, error):
+        return most
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -117,6 +117,16 @@
     assert not p.desk.report_sending(first, 0)
 
 
+def test_nothing_of_a_task_is_written_past_its_time_though_no_timer_has_told():
+    """The process stood still: what waits for a connection wakes before its timers."""
+    p = Play(executors=1)
+    errand, other = p.take(budget=0.5), p.take(budget=0.5)
+    assert p.desk.report_sending(other, 0)
+    p.now = 1000.6
+    assert errand.task.open and not p.desk.report_sending(errand, 0)
+    assert not p.desk.report_last_byte(other, 0)
+
+
 @pytest.mark.parametrize("lifecycle", ["leaving", "left", "a word of later days", None])
 def test_only_active_ones_are_sent_to(lifecycle):
     p = Play()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -396,6 +396,23 @@
     play(story, None, None, gone=[0], list_late=0.4)
 
 
+@pytest.mark.parametrize("asleep, sent", [(2.6, 0), (0.3, 1)])
+def test_what_came_while_the_node_was_stopped_is_not_sent_on_past_its_clients_time(asleep, sent):
+    """It counted the task from when it read it, and sent on what nobody waited for any more. A short stop
+    costs nothing."""
+    async def story(w):
+        assert (await w.ask(post(name="before")))[0] == 200
+        await asyncio.sleep(0.5)
+        w.program.send_signal(signal.SIGSTOP)
+        asking = asyncio.create_task(w.ask(post(name="meanwhile", **{"X-Deadline": "1500m"})))
+        await asyncio.sleep(asleep)
+        w.program.send_signal(signal.SIGCONT)
+        status = (await asking)[0]
+        assert len(w.executors[0].got) == 1 + sent and status == (200 if sent else 503)
+        assert (await w.ask(post(name="after")))[0] == 200     # that one did not wait
+    play(story)
+
+
 def test_a_node_whose_list_does_not_come_takes_tasks_all_the_same():
     async def story(w):
         assert (await w.ask(post()))[0] == 200
