A change is compared with each node's own past taken off

Cause: the spread of the old nodes divided the evidence, and the new one's own lean stayed in it. Ruled out: the bounds; with nodes alike the same draws are told right.

Change: the coordinator keeps what each node counted in the five to ten minutes before; where that stands off its zone by three times the spread of chance it is taken off what the node counts since, on both sides.

--- a/firwalk/cluster/comparing.py
+++ b/firwalk/cluster/comparing.py
@@ -18,6 +18,8 @@
 FURTHER = (1.0, 4.0)   # times the stated difference (first) that are tried: plain harm shows with few tasks
 LEAST = 5              # tasks of a node, with fewer its spread says nothing
 PRIOR = 4.0            # degrees of freedom by which the dispersion is held towards 1
+PAST = 50              # of what a node counted before, for its own past to tell anything
+OWN = 3.0              # times the spread by chance that its past must stand off its zone's to be its own
 NEARLY = 0.999         # the largest part that is looked for
 
 Key = tuple[str, int]                    # a figure, and the checksum of an offering's name
@@ -145,11 +147,58 @@
     return whole
 
 
+def _within(name: str, whole: Sums) -> float:
+    """The variance of one of what was looked at, by the law of that figure."""
+    if name == TIME:
+        return max(whole.squares - whole.seen * whole.mean(), 0.0) / max(whole.count - 1.0, 1.0)
+    mean = max(whole.mean(), 1.0 / whole.count)
+    return mean if name == ASSIGNMENTS else mean * (1.0 - min(mean, NEARLY))
+
+
+def _counted(name: str, whole: Sums) -> Sums:
+    """No fewer than none and no more than all, whatever was taken off for a node's past."""
+    most = float("inf") if name in (TIME, ASSIGNMENTS) else whole.count
+    return whole if name == TIME else Sums(whole.count, min(max(whole.seen, 0.0), most), whole.squares)
+
+
+class Pasts:
+    """What each node counted before the change: where it stood off its zone by more than chance has it, that
+    is its own, and is taken off what it counts since. A node on slower executors, compared alone, was stopped
+    for them (5 of 100 good ones, where nodes differ much)."""
+
+    def __init__(self) -> None:
+        self.zones: dict[Key, dict[int, dict[int, Sums]]] = {}
+        self.found: dict[tuple[Key, int, int], float] = {}
+
+    def add(self, zone: int, seat: int, row: Row) -> None:
+        for key, figures in row.figures().items():
+            if figures[0]:
+                self.zones.setdefault(key, {}).setdefault(zone, {}).setdefault(seat, Sums()).add(*figures)
+
+    def own(self, key: Key, zone: int, seat: int) -> float:
+        """By how much the seat's mean stands off; the same at each asking."""
+        at = key, zone, seat
+        if at not in self.found:
+            self.found[at] = self._own(key, self.zones.get(key, {}).get(zone, {}), seat)
+        return self.found[at]
+
+    def _own(self, key: Key, seats: dict[int, Sums], seat: int) -> float:
+        seats = {other: sums for other, sums in seats.items() if sums.count >= PAST}
+        mine, others = seats.get(seat), _together({other: s for other, s in seats.items() if other != seat})
+        if mine is None or not others.count:
+            return 0.0
+        off = mine.mean() - others.mean()
+        spread = _within(key[0], others) * (1.0 / mine.count + 1.0 / others.count)
+        # Off the mean of all: off that of the others each would be moved past the middle.
+        return mine.mean() - _together(seats).mean() if off * off > OWN * OWN * spread else 0.0
+
+
 class Comparison:
-    """Of one stage. `stages`: how many there are, among which the chance of a false stop is divided."""
+    """Of one stage. `stages`: how many there are, among which the chance of a false stop is divided; `past`:
+    what the nodes counted before the change."""
 
-    def __init__(self, worse: Worse, stages: int):
-        self.worse, self.stages = worse, max(stages, 1)
+    def __init__(self, worse: Worse, stages: int, past: Pasts | None = None):
+        self.worse, self.stages, self.past = worse, max(stages, 1), past or Pasts()
         self.zones: dict[Key, dict[int, Side]] = {}
         self.fine: dict[Key, None] = {}      # found so at some look: a sequential test ends at its bound
 
@@ -158,7 +207,11 @@
         for key, figures in row.figures().items():
             if figures[0]:
                 side = self.zones.setdefault(key, {}).setdefault(zone, Side())
-                (side.new if new else side.old).setdefault(seat, Sums()).add(*figures)
+                count, seen, squares = figures
+                if own := self.past.own(key, zone, seat):
+                    squares += count * own * own - 2.0 * own * seen
+                    seen -= count * own
+                (side.new if new else side.old).setdefault(seat, Sums()).add(count, seen, squares)
 
     def _dispersion(self, key: Key) -> float:
         """How much more the old nodes of a zone differ than chance has it; 1: as it has."""
@@ -168,11 +221,7 @@
             if len(nodes) < 2:
                 continue
             mean = whole.mean()
-            if key[0] == TIME:
-                within = max(whole.squares - whole.seen * mean, 0.0) / max(whole.count - 1.0, 1.0)
-            else:
-                mean = max(mean, 1.0 / whole.count)
-                within = mean if key[0] == ASSIGNMENTS else mean * (1.0 - min(mean, NEARLY))
+            within = _within(key[0], whole)
             square += sum(one.count * (one.mean() - mean) ** 2 for one in nodes) / max(within, 1e-6)
             freedom += len(nodes) - 1
         return max((square + PRIOR) / (freedom + PRIOR), 1.0)
@@ -182,7 +231,7 @@
         smaller of the two ways, for a stop, and the larger one, for a pass."""
         sums = [0.0, 0.0]
         for side in self.zones.get(key, {}).values():
-            new, old = _together(side.new), _together(side.old)
+            new, old = (_counted(key[0], _together(seats)) for seats in (side.new, side.old))
             if new.count and old.count and (key[0] != TIME or min(new.count, old.count) >= LEAST):
                 found = LAWS.get(key[0], _parts)(new, old, self.worse.step(key[0]) * times)
                 sums = [sums[0] + found[0], sums[1] + found[1]]
--- a/firwalk/cluster/stages.py
+++ b/firwalk/cluster/stages.py
@@ -13,7 +13,7 @@
 from typing import Any, Protocol
 from zlib import crc32
 
-from firwalk.cluster.comparing import ALL, Comparison, Key, Row, Verdict, Worse
+from firwalk.cluster.comparing import ALL, Comparison, Key, Pasts, Row, Verdict, Worse
 from firwalk.cluster.messages import Figures
 from firwalk.cluster.spans import read, spelled
 
@@ -26,6 +26,7 @@
 PATIENCE = 20.0        # seconds in which a node goes over, before the stage is held for it
 BACK_PATIENCE = 10.0   # in which it goes back, before the next batch is not held up by it
 TOLD, MOST_TOLD = 2, 24        # figures of a stage that the plan keeps, the worst ones; of all stages
+PAST_SPAN = 300.0      # seconds: so long at least, and twice at most, a node's own past goes back
 LEAK_LOOKS = 12        # in a row in which the new nodes' memory is too large
 LEAK_LEAST = 80        # tenths of a megabyte that it must be more
 LONE = 0.5             # part of a zone's nodes that are down: nothing is changed anywhere then
@@ -70,6 +71,18 @@
     rows: dict[int, Row] = field(default_factory=dict)
     since: float = 0.0           # from when it has told from this life and version
     seen: dict[int, Row] = field(default_factory=dict)       # of its rows, what was compared already
+    marks: list[tuple[float, dict[int, Row]]] = field(default_factory=list)  # when, and its rows then
+
+    def mark(self, now: float) -> None:
+        """Once in a while; of the last two the first is where its past begins."""
+        if not self.marks or now >= self.marks[-1][0] + PAST_SPAN:
+            self.marks = [*self.marks, (now, dict(self.rows))][-2:]
+
+    def past(self) -> list[Row]:
+        """What it counted lately: an hour ago its executors may have been others."""
+        then = self.marks[0][1] if self.marks else self.rows
+        found = [row.minus(then.get(offering, Row(offering))) for offering, row in self.rows.items()]
+        return [row for row in found if row is not None]
 
 
 def in_turn(zone_of: dict[int, int], voters: list[int]) -> tuple[list[int], list[int]]:
@@ -134,7 +147,7 @@
         self.section: dict[str, Any] = {}
         self.told: dict[int, Told] = {}
         self.change: Wanted | None = None
-        self.comparison = Comparison(Worse(), 1)
+        self.comparison, self.past = Comparison(Worse(), 1), Pasts()
         self.stages: list[list[int]] = []
         self.ordered_at: dict[int, float] = {}   # by seat, when the plan named it, or named it no more
         self.stage_at: float | None = None       # when all of the stage were on the new version
@@ -151,6 +164,7 @@
         told.at, told.zone, told.memory = now, got.zone, got.memory
         for offering, *counts, times, squares in got.rows:
             told.rows[offering] = Row(offering, *counts, times / MILLI, squares / MILLI)
+        told.mark(now)
         self.told[seat] = told
 
     # -- operators, and agents -----------------------------------------------------------------------------
@@ -199,6 +213,11 @@
         self.change, self.section = change, {**self.section}
         self.stages = sets(change.stages, self._zones(), self.voters, self.terms.names)
         self.section["of"] = len(self.stages)
+        self.past = Pasts()
+        if not read(self.section["new"]):    # of those that went over a new coordinator knows no past
+            for seat, told in self.told.items():
+                for row in told.past():
+                    self.past.add(told.zone, seat, row)
         self._compare_anew()
 
     def hold(self, now: float) -> str:
@@ -439,7 +458,7 @@
 
     def _compare_anew(self) -> None:
         self.stage_at, self.leaks = None, 0
-        self.comparison = Comparison(self.change.compare.worse(), len(self.stages))
+        self.comparison = Comparison(self.change.compare.worse(), len(self.stages), self.past)
         for told in self.told.values():
             told.seen = dict(told.rows)
 
--- a/tests/cluster/test_stages.py
+++ b/tests/cluster/test_stages.py
@@ -1,6 +1,8 @@
 """Changes by stages over whole fleets in virtual time: order, stops, what survives, what never is (I5)."""
 import json
 from io import StringIO
+from math import exp, log
+from random import Random
 from types import SimpleNamespace
 from typing import get_args
 from zlib import crc32
@@ -14,7 +16,7 @@
 from firwalk.cli import picture
 from firwalk.cluster import messages as m
 from firwalk.cluster import stages as stages_module
-from firwalk.cluster.comparing import ABANDONED, ALL, BAD, LATE, TIME, Comparison, Row, Verdict, Worse
+from firwalk.cluster.comparing import ABANDONED, ALL, BAD, LATE, TIME, Comparison, Pasts, Row, Verdict, Worse
 from firwalk.cluster.spans import read, spelled
 from firwalk.cluster.stages import Roll, Terms, in_turn, sets
 from firwalk.lab.rolls import CHANGE, CHECK, KINDS, REPLACE, Fleet, Version
@@ -379,8 +381,6 @@
 @pytest.mark.parametrize("rate", [0.3, 0.05])
 def test_false_stops_and_misses_stay_within_their_chances(rate):
     """300 stages drawn each: the same version on both sides, and one that abandons so many more."""
-    from random import Random
-
     def verdict(seed, extra):
         chance, made = Random(seed), Comparison(Worse(), 5)
         for _ in range(400):
@@ -400,6 +400,60 @@
     assert bad.count(Verdict.FINE) <= 1 and bad.count(Verdict.WORSE) >= count - 3
 
 
+def stage_of_unlike_nodes(seed, times, with_past, looks=200):
+    """One node on the new version beside three on the old one. Each has executors of its own: what is late
+    differs by 0.5 in its logarithm, times by 0.3; `times` as long with the new version."""
+    chance, past = Random(seed), Pasts()
+    late = [min(0.05 * exp(chance.gauss(0.0, 0.5)), 0.5) for _ in range(4)]
+    usual = [4.0 + chance.gauss(0.0, 0.3) for _ in range(4)]
+
+    def row(node, tasks, more):
+        took = [chance.gauss(usual[node] + more, 0.5) for _ in range(tasks)]
+        return Row(1, tasks, sum(chance.random() < late[node] for _ in took), 0, 0, 0, tasks, tasks,
+                   sum(took), sum(one * one for one in took))
+    for node in range(4) if with_past else ():
+        past.add(0, node, row(node, 2000, 0.0))
+    made = Comparison(Worse(), 5, past)
+    for _ in range(looks):
+        for node in range(4):
+            made.add(0, node, node == 0, row(node, 8, log(times) * (node == 0)))
+        found, _ = made.judged()
+        if found is not Verdict.UNSURE:
+            return found
+    return Verdict.UNSURE
+
+
+def test_where_nodes_differ_their_own_past_tells_what_is_theirs():
+    good = [stage_of_unlike_nodes(seed, 1.0, True) for seed in range(30)]
+    slow = [stage_of_unlike_nodes(seed, 1.3, True) for seed in range(30)]
+    assert good.count(Verdict.WORSE) <= 1 and good.count(Verdict.FINE) >= 24
+    assert slow.count(Verdict.FINE) <= 1 and slow.count(Verdict.WORSE) >= 28
+    blind = [stage_of_unlike_nodes(seed, 1.0, False) for seed in range(30)]
+    missed = [stage_of_unlike_nodes(seed, 1.3, False) for seed in range(30)]
+    assert blind.count(Verdict.FINE) + missed.count(Verdict.WORSE) < 45      # so it is the past that tells
+
+
+def test_a_past_that_is_short_or_like_the_others_takes_nothing_off():
+    past = Pasts()
+    for seat, tasks, late in ((0, 40, 40), (1, 400, 20), (2, 400, 24), (3, 400, 120)):
+        past.add(0, seat, Row(1, tasks, late, 0, 0, 0, tasks, 0))
+    for seat in (4, 5, 6):
+        past.add(1, seat, Row(1, 400, 20 + seat, 0, 0, 0, 400, 0))
+    assert past.own((LATE, ALL), 0, 0) == past.own((LATE, ALL), 0, 7) == past.own((LATE, ALL), 1, 3) == 0.0
+    assert [past.own((LATE, ALL), 1, seat) for seat in (4, 5, 6)] == [0.0] * 3
+    assert past.own((LATE, ALL), 0, 3) == pytest.approx(0.3 - 164 / 1200)
+
+
+def test_a_nodes_past_is_what_it_counted_lately():
+    roll = Roll(Terms(), [0], 2, lambda name: (CHANGE, CHECK, []))
+    for at, tasks in ((0.0, 100), (100.0, 150), (310.0, 400), (700.0, 1000), (710.0, 1010)):
+        row = (1, tasks, 0, 0, 0, 0, tasks, 0, 0, 0)
+        roll.figures_came(at, 0, 5, m.Figures(0, crc32(b"v1"), 0, 0, 200, [row]))
+    assert [one.tasks for one in roll.told[0].past()] == [610]
+    roll.figures_came(720.0, 0, 6, m.Figures(0, crc32(b"v1"), 0, 0, 200, [(1, 5, *[0] * 8)]))
+    assert [one.tasks for one in roll.told[0].past()] == [0]
+
+
 def takes_the_larger_evidence(patch):
     real = Comparison.evidence
     patch.setattr(Comparison, "evidence", lambda self, key, times=1.0: real(self, key, times)[::-1])
