--- a/tests/fleet/test_operations.py
+++ b/tests/fleet/test_operations.py
@@ -330,6 +330,32 @@
     assert code == 2 and words in err and "Traceback" not in err and not out
 
 
+@pytest.mark.parametrize("words, told", [
+    (("zone",), "zones or rolls is wanted"), (("zones", "--case", "lost hole"), "there is no lost hole")])
+def test_hard_cases_are_named_in_plain_lines(words, told):
+    code, out, err = command("lab", "hard", *words)
+    assert code == 2 and told in err and len(err.splitlines()) == 1 and not out
+
+
+def test_the_lines_of_hard_cases_count_what_the_reports_say():
+    """From reports made up: what is lost from the fault on, crossings, ends of a change, spans."""
+    from firwalk.lab import hard
+
+    def report(in_time, crossed, broken=0):
+        spells = [{"at": float(at), "tasks": 10, "in_time": 10 if at < 4 else in_time} for at in range(14)]
+        return {"service": {"read": {"windows": spells}}, "counts": {"crossed": crossed, "assignments": 100},
+                "moves": 3, "rules": {"one": broken}, "invariants": {}, "crashes": []}
+    told = hard.zones()["lost whole"]
+    line = hard.zone_line("lost whole", told, [report(9, 10)], [report(8, 20, 1)])
+    assert ("not in time 0.1000 with the part, 0.2000 without (0.50 kept)" in line
+            and "crossed 0.1000 and 0.2000" in line and "all kept in 1 and 0 of 1" in line)
+    change = {"state": "stopped", "most on it": 1, "tasks met it": 0.01,
+              "states": [[3.0, "going"], [5.5, "back"], [6.5, "stopped"]]}
+    line = hard.roll_line("errors", hard.rolls()["errors"], [report(10, 0) | {"change": change}] * 2, [])
+    assert "2 stopped of 2; all kept in 2; at most 1 nodes on it, 0.0100" in line
+    assert "ordered back after 2.5 s (2.5 at most), all back 1.0 s later" in line
+
+
 def mine(network):
     """Processes of a run on these addresses."""
     found = []
