A harm that shows on some of the new nodes alone stops a change

Errors on one of two new nodes were held as too little traffic; 1.3 times the time on two of four and a leak on three of seven went through to the end.

Cause: what all new nodes counted was put together, and the middle of their memory looked at, so that those that had passed before hid those that joined; and the normal law gave a zone without any harm a word for the same that grew with the product of both sides' tasks, by a variance of nearly none, and outweighed another zone. Ruled out: the order and the bounds; each case alone is told.

Change: each stage compares the nodes that join at it, and all new ones beside; a stop takes the variance that lies between the two hypotheses at least; one leaking node is enough.

With a dozen nodes a good change takes longer, since each stage has to be told by its own nodes.

--- a/firwalk/cluster/comparing.py
+++ b/firwalk/cluster/comparing.py
@@ -100,33 +100,40 @@
         return log(self.time) if name == TIME else getattr(self, name)
 
 
-def _parts(new: Sums, old: Sums, step: float) -> tuple[float, float]:
-    """The evidence for "a part that is larger by `step`" over "the same part", two ways: the binomial
-    likelihood with the old part as if known, and the normal one of both samples."""
-    known = (old.seen + 1.0) / (old.count + 2.0)
+Found = tuple[float, float, float]       # the evidence by the exact law, by the normal one, and as cautiously
+
+
+def _normal(new: Sums, old: Sums, step: float, variance: float) -> float:
+    """The evidence by the normal law of both means."""
+    return step * (new.mean() - old.mean() - step / 2) / (variance * (1.0 / new.count + 1.0 / old.count))
+
+
+def _parts(new: Sums, old: Sums, step: float) -> Found:
+    """The evidence for "a part that is larger by `step`" over "the same part": the binomial likelihood with
+    the old part as if known, and the normal one of both samples. The latter cautiously with the variance of
+    what lies between the two at least: of a zone without any, chance alone would seem to allow none, and its
+    word for "the same" outweighed whatever went wrong in another one."""
+    known = min((old.seen + 1.0) / (old.count + 2.0), NEARLY - 1e-3)
     more = min(known + step, NEARLY)
-    known = min(known, NEARLY - 1e-3)
     exact = new.seen * log(more / known) + (new.count - new.seen) * log((1.0 - more) / (1.0 - known))
     pooled = (old.seen + new.seen + 1.0) / (old.count + new.count + 2.0)
-    spread = pooled * (1.0 - pooled) * (1.0 / new.count + 1.0 / old.count)
-    return exact, step * (new.mean() - old.mean() - step / 2) / spread
+    between = min(max(pooled, known + step / 2), max(pooled, 0.5))
+    return (exact, *(_normal(new, old, step, part * (1.0 - part)) for part in (pooled, between)))
 
 
-def _rates(new: Sums, old: Sums, step: float) -> tuple[float, float]:
+def _rates(new: Sums, old: Sums, step: float) -> Found:
     """The same of a number for each task, by Poisson's law."""
     known = (old.seen + 1.0) / (old.count + 1.0)
     exact = new.seen * log((known + step) / known) - new.count * step
     pooled = (old.seen + new.seen + 1.0) / (old.count + new.count + 1.0)
-    spread = pooled * (1.0 / new.count + 1.0 / old.count)
-    return exact, step * (new.mean() - old.mean() - step / 2) / spread
+    return (exact, *(_normal(new, old, step, rate) for rate in (pooled, max(pooled, known + step / 2))))
 
 
-def _times(new: Sums, old: Sums, step: float) -> tuple[float, float]:
+def _times(new: Sums, old: Sums, step: float) -> Found:
     """The same of means, by the normal law; the spread is that within both."""
     within = sum(max(one.squares - one.seen * one.mean(), 0.0) for one in (new, old))
-    spread = max(within / max(new.count + old.count - 2.0, 1.0), 1e-4) * (1.0 / new.count + 1.0 / old.count)
-    found = step * (new.mean() - old.mean() - step / 2) / spread
-    return found, found
+    found = _normal(new, old, step, max(within / max(new.count + old.count - 2.0, 1.0), 1e-4))
+    return found, found, found
 
 
 LAWS = {TIME: _times, ASSIGNMENTS: _rates}
@@ -229,14 +236,14 @@
     def evidence(self, key: Key, times: float = 1.0) -> tuple[float, float]:
         """Logarithms of the likelihood of worse (by so many times the stated difference) over the same: the
         smaller of the two ways, for a stop, and the larger one, for a pass."""
-        sums = [0.0, 0.0]
+        exact, normal, cautious = 0.0, 0.0, 0.0
         for side in self.zones.get(key, {}).values():
             new, old = (_counted(key[0], _together(seats)) for seats in (side.new, side.old))
             if new.count and old.count and (key[0] != TIME or min(new.count, old.count) >= LEAST):
                 found = LAWS.get(key[0], _parts)(new, old, self.worse.step(key[0]) * times)
-                sums = [sums[0] + found[0], sums[1] + found[1]]
+                exact, normal, cautious = exact + found[0], normal + found[1], cautious + found[2]
         dispersion = self._dispersion(key) if key in self.zones else 1.0
-        return min(sums) / dispersion, max(sums) / dispersion
+        return min(exact, cautious) / dispersion, max(exact, normal) / dispersion
 
     def _bounds(self) -> tuple[float, float]:
         stop = self.worse.false_stop / (self.stages * max(len(self.zones), 1) * len(FURTHER))
--- a/firwalk/cluster/stages.py
+++ b/firwalk/cluster/stages.py
@@ -147,11 +147,12 @@
         self.section: dict[str, Any] = {}
         self.told: dict[int, Told] = {}
         self.change: Wanted | None = None
-        self.comparison, self.past = Comparison(Worse(), 1), Pasts()
+        self.comparison, self.whole, self.past = Comparison(Worse(), 1), Comparison(Worse(), 1), Pasts()
         self.stages: list[list[int]] = []
         self.ordered_at: dict[int, float] = {}   # by seat, when the plan named it, or named it no more
         self.stage_at: float | None = None       # when all of the stage were on the new version
-        self.leaks, self.passed = 0, -1          # looks in a row; the stage that an operator let pass
+        self.leaks: dict[int, int] = {}          # by seat, looks in a row in which it has too much
+        self.passed = -1                         # the stage that an operator let pass
 
     # -- what comes ----------------------------------------------------------------------------------------
 
@@ -454,11 +455,18 @@
         """The seats of the stage that is under way."""
         return self.stages[min(self.section["stage"], len(self.stages) - 1)]
 
+    def _stage_before(self) -> list[int]:
+        """The seats of the stage before that, none at the first one."""
+        return self.stages[self.section["stage"] - 1] if self.section["stage"] else []
+
     # -- the comparison ------------------------------------------------------------------------------------
 
     def _compare_anew(self) -> None:
-        self.stage_at, self.leaks = None, 0
-        self.comparison = Comparison(self.change.compare.worse(), len(self.stages), self.past)
+        self.stage_at, self.leaks = None, {}
+        # Of the nodes that joined at this stage: those before would hide what shows on some alone; and of all
+        # that are new, for what shows late. Two looks share the chance of a false stop.
+        self.comparison, self.whole = (
+            Comparison(self.change.compare.worse(), 2 * len(self.stages), self.past) for _ in range(2))
         for told in self.told.values():
             told.seen = dict(told.rows)
 
@@ -483,22 +491,33 @@
         for offering, row in told.rows.items():
             came = row.minus(told.seen.get(offering, Row(offering)))
             if came is not None and both:
-                self.comparison.add(zone, seat, is_new, came)
+                self.whole.add(zone, seat, is_new, came)
+                if not is_new or seat not in self._stage_before():
+                    self.comparison.add(zone, seat, is_new, came)
             told.seen[offering] = row
 
     def _worse(self, now: float, new: list[int]) -> str:
-        verdict, key = self.comparison.judged()
-        if verdict is Verdict.WORSE:
-            mine, others, count, _ = self.comparison.shown(key)
-            return f"{key[0]} {mine:.3f} against {others:.3f} with the old version, of {count:.0f}"
-        mine = [self.told[seat].memory for seat in new if self._settled(now, seat)]
+        for one in (self.comparison, self.whole):
+            verdict, key = one.judged()
+            if verdict is Verdict.WORSE:
+                mine, others, count, _ = one.shown(key)
+                return f"{key[0]} {mine:.3f} against {others:.3f} with the old version, of {count:.0f}"
+        return self._leaks(now, new)
+
+    def _leaks(self, now: float, new: list[int]) -> str:
+        """One new node is enough, for so long more than any old one has: the middle of them hid those that
+        had joined last."""
         others = [told.memory for seat, told in self.told.items()
                   if self._fresh(now, seat) and self._old(now, seat)]
-        large = bool(mine and others) and median(mine) > max(
-            median(others) * self.change.compare.memory, median(others) + LEAK_LEAST)
-        self.leaks = self.leaks + 1 if large else 0
-        if self.leaks >= LEAK_LOOKS:
-            return f"memory {median(mine) / 10:.0f} MB against {median(others) / 10:.0f} with the old version"
+        if not others:
+            return ""
+        most = max(median(others) * self.change.compare.memory, median(others) + LEAK_LEAST, max(others))
+        self.leaks = {seat: self.leaks.get(seat, 0) + 1 for seat in new
+                      if self._settled(now, seat) and self.told[seat].memory > most}
+        for seat, looks in self.leaks.items():
+            if looks >= LEAK_LOOKS:
+                return (f"memory {self.told[seat].memory / 10:.0f} MB of seat {seat} against "
+                        f"{median(others) / 10:.0f} with the old version")
         return ""
 
     # -- for people ----------------------------------------------------------------------------------------
--- a/firwalk/lab/rig.py
+++ b/firwalk/lab/rig.py
@@ -149,12 +149,13 @@
         if roll is None:
             return ""
         releases = self.folder / "releases"
+        nodes = ",".join(map(str, roll.harms)) or "all"
         for name, kind, tree in (("v1", "good", ""), ("v2", roll.new, ""), ("v0", "good", roll.old)):
             (releases / name).mkdir(parents=True, exist_ok=True)
             run = releases / name / "run"
             path = f"PYTHONPATH={shlex.quote(tree)} " if tree else ""
             run.write_text(f"#!/bin/sh\n{path}exec {shlex.quote(sys.executable)} -O "
-                           f"{shlex.quote(versions.__file__)} {kind} {os.getpid()}\n")
+                           f"{shlex.quote(versions.__file__)} {kind} {os.getpid()} {nodes}\n")
             run.chmod(0o755)
         (releases / "s2").mkdir(exist_ok=True)
         (releases / "s2" / "settings.json").write_bytes(orjson.dumps(roll.settings))
