--- a/firwalk/cluster/budgets.py
+++ b/firwalk/cluster/budgets.py
@@ -205,7 +205,6 @@
         self._begin(now)
 
     def _take(self, offer: Offer, beside: Offer | None) -> None:
-        self.offer, self.beside = offer, beside
         self.sides = {one.check: one for one in (offer, beside) if one is not None}
         names = dict.fromkeys(name for one in self.sides.values() for name in one.names)
         self.numbers = {name: number for number, name in enumerate(names)}     # of the books
--- a/firwalk/cluster/seat.py
+++ b/firwalk/cluster/seat.py
@@ -184,11 +184,11 @@
         if change is None:
             return None
         told = self.writer.sections.get("budgets")
-        (before, brings, over), now_in = change, budgets.in_force(told)[0]
-        if over and not budgets.beside(told)[1]:
+        (before, brings, over), (other, named) = change, budgets.beside(told)
+        if over and not named:
             return None
         wanted = [brings] if over == "done" else [before] if over else [before, brings]
-        if [now_in, *([budgets.beside(told)[0]] if budgets.beside(told)[1] else [])] == wanted:
+        if [budgets.in_force(told)[0], *([other] if named else [])] == wanted:
             if self.dealer is None:
                 self._resume_dealing(now)
             return {}
--- a/tests/fleet/runs.py
+++ b/tests/fleet/runs.py
@@ -6,8 +6,9 @@
 import uvloop
 
 from firwalk.lab import several
+from firwalk.lab.hard import fault
 from firwalk.lab.rig import Rig
-from firwalk.lab.scenario import Cluster, Fault, Fleet, Load, Offering, Run, Scenario
+from firwalk.lab.scenario import Cluster, Fleet, Load, Offering, Run, Scenario
 
 DOUBLES = str(Path(__file__).parent / "doubles.py")
 OFFERINGS = [Offering("read", "idempotent", rate=30, cost=0.02),
@@ -22,9 +23,7 @@
                     run=Run(seconds=seconds, seed=seed), load=Load(), cluster=cluster, faults=list(faults))
 
 
-def fault(at, kind, on, lasts=0.0, to=(), value=0.0, one_way=False):
-    names = [on] if isinstance(on, str) else list(on)
-    return Fault(at, kind, lasts, names, [to] if isinstance(to, str) else list(to), value, one_way)
+__all__ = ["fault"]      # the days' own, handed on to the tests
 
 
 def play(*wanted, at_once=4, act=None):
