--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -28,7 +28,8 @@
 PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
 PROBES_NEAR, PROBES_FAR = 2, 1  # probes for each task and each round, in the own zone and in others
 FEW = 10               # nodes that call for lists, open connections and judge errors each by itself
-CALL_GAP, SILENT, FIRST_CALLS = 0.1, 1.5, 1.0  # seconds: of more, between calls; after silence; first calls
+CALL_GAP, FIRST_CALLS = 0.1, 1.0  # seconds: of more nodes, between calls; in which first calls are spread
+LIST_RETRY, LIST_RETRY_MOST, SILENT_SPREAD = 0.35, 2.0, 0.7  # seconds: to the next call; after silence
 COLD_PART, HEAVY_PART, FIRSTS = 0.4, 0.15, 2.0  # of what a cold one bears: all's; a task's; of it, all firsts
 GOLDEN, TIES = 0.6180339887, 4  # spreads draws of cold executors; ones without own work that are compared
 TRUST, HINT_WEIGHT = 4.0, 0.01  # tasks' weight of the trust in hints at first; least of a hint in their means
@@ -235,9 +236,9 @@
 
     def list_broken(self, now: float, silent: bool = False) -> None:
         """Its service works off all calls in turn, late ones too: asked at the pace of one node, for ever."""
-        most = SILENT if silent and not self.misses else max(self.ask_within / 2, 1.0)
-        self.misses += 1
-        wait = (0.5 + self._chance()) * min(1.0 + self.pace * self.misses, most)
+        turned_down, self.misses = self.misses + (not silent), self.misses + 1
+        wait = min(LIST_RETRY * 2.0 ** min(turned_down, 9) + self.pace * turned_down, LIST_RETRY_MOST)
+        wait = (0.5 + self._chance()) * wait if turned_down else self._chance() * SILENT_SPREAD
         self.host.set_timer(now + wait, lambda *_: self.host.watch(True), None)
 
     # -- a task's life -------------------------------------------------------------------------------
--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -3,6 +3,7 @@
 
 import asyncio
 from collections.abc import Callable
+from time import monotonic
 
 import orjson
 
@@ -14,11 +15,15 @@
 from firwalk.net.buffers import Buffers
 from firwalk.net.waiting import connected
 
-CONNECT_TIME = 1.0     # seconds
-SILENCE = 3.0          # seconds without a line (one comes every two) after which a watch has ended
+# What discovery has to tell counts as known six seconds later, whatever failed before. A watch that falls
+# silent, the pause before the next call, its connect and its answer must fit in that time together, and so must
+# a call that hangs, the pause and the call after it: the longest pauses are in `firwalk.logic`.
+CONNECT_TIME = 0.4     # seconds
+SILENCE = 2.4          # seconds without a whole line (one comes every two) after which a watch has ended
+CALL_TIME = 2.2        # seconds from the request to a whole first list, of a watch and of a single call: one that
+                       # waits its turn gets a 503 after two, so that one without any answer has fallen silent
+MOST_LIST = 1 << 22    # bytes of one update, over all its lines
 LIFECYCLES = {"active": Condition.READY, "leaving": Condition.DRAINING, "left": Condition.GONE}
-CALL_TIME = 3.5        # seconds in which a call must begin to be answered: one that waits its turn gets a 503
-                       # after two, so that one without any answer has fallen silent
 
 
 def size(weight: object) -> float:
@@ -91,7 +96,7 @@
         # Another service may count its versions otherwise: the first time it is asked for all.
         since, address = self.desk.version if self.heard else 0, self.address
         target = b"/catalog/members" + (b"?follow=1&since=%d" % since if watch else b"")
-        told, silent = _Told(lambda news: self.told(address, news)), False
+        told, silent = _Told(lambda news: self.told(address, news), watch), False
         try:
             await self._read(address, target, told)
             say(f"the list's service ended {'the watch' if watch else 'a call'} with {told.status}")
@@ -113,11 +118,12 @@
         try:
             async with asyncio.timeout(CONNECT_TIME):
                 await connected(sock, address)
-            parser = http.Answers(told.began, told.line, told.ended)
-            async with asyncio.timeout(CALL_TIME):
+            parser = http.Answers(told.began, told.line, told.ended, told.blank)
+            told.begin()
+            async with asyncio.timeout(told.left()):
                 await loop.sock_sendall(sock, http.ask(b"GET", target, [host_header(address)]))
             while not told.over:
-                async with asyncio.timeout(SILENCE if told.status else CALL_TIME):
+                async with asyncio.timeout(told.left()):
                     count = await loop.sock_recv_into(sock, buffer)
                 if not count:
                     return
@@ -129,18 +135,57 @@
 
 
 class _Told:
-    """What one call has told so far."""
+    """What one call has told so far, and how long it may still take.
 
-    def __init__(self, list_came: Callable[[tuple], None]):
-        self.list_came, self.status, self.lists, self.over = list_came, 0, 0, False
+    An update is a JSON object, on one line or, indented, on several. Bytes alone are no sign of life: whole
+    updates are, and the empty lines that a watch sends while nothing changes.
+    """
+
+    def __init__(self, list_came: Callable[[tuple], None], watch: bool):
+        self.list_came, self.watch, self.until = list_came, watch, 0.0
+        self.status, self.lists, self.over = 0, 0, False
+        self.text = b""          # of an update that is not whole yet
+
+    def begin(self) -> None:
+        """The request is about to be written: a first list has to be whole in the time of a call."""
+        self.until = monotonic() + CALL_TIME
+
+    def left(self) -> float:
+        """Seconds until the call has failed."""
+        return max(self.until - monotonic(), 0.0)
+
+    def _alive(self) -> None:
+        if self.watch and self.lists:
+            self.until = monotonic() + SILENCE
 
     def began(self, status: int, headers: dict) -> None:
         self.status = status
 
     def line(self, line: bytes) -> None:
-        if self.status == 200:
-            self.list_came(entries(line))
-            self.lists += 1
+        if self.status != 200:
+            return
+        first, self.text = not self.text, self.text + line + b"\n"
+        if len(self.text) > MOST_LIST:
+            raise http.Malformed(400, "an update over the limit")
+        if not first and not line.rstrip().endswith(b"}"):
+            return  # an object ends with its bracket: only there is it worth a look
+        try:
+            update = orjson.loads(self.text)
+        except orjson.JSONDecodeError as problem:
+            if problem.pos >= len(self.text.rstrip()):
+                return  # indented: it goes on
+            raise http.Malformed(400, f"not a list of executors: {problem}") from problem
+        self.text = b""
+        self.list_came(entries(update))
+        self.lists += 1
+        self._alive()
+
+    def blank(self) -> None:
+        if self.text:
+            raise http.Malformed(400, "half an update, then a sign of life")
+        self._alive()
 
     def ended(self, keep: bool) -> None:
         self.over = True
+        if self.text:
+            raise http.Malformed(400, "the answer ended in an update")
--- a/firwalk/net/http.py
+++ b/firwalk/net/http.py
@@ -126,11 +126,12 @@
 
 
 class Answers(_Reader):
-    """What an executor or the list's service answers: a status, then lines as they come, then its end."""
+    """What an executor or the list's service answers: a status, then lines as they come, then its end. Empty
+    lines are told apart from others, where that is wanted."""
 
-    def __init__(self, began: Callable, line: Callable, ended: Callable):
+    def __init__(self, began: Callable, line: Callable, ended: Callable, blank: Callable = lambda: None):
         super().__init__()
-        self.began, self.line, self.ended, self.rest = began, line, ended, b""
+        self.began, self.line, self.ended, self.blank, self.rest = began, line, ended, blank, b""
         self.parser = HttpResponseParser(self)
 
     def on_headers_complete(self) -> None:
@@ -142,6 +143,8 @@
         for line in lines:
             if line.strip():
                 self.line(line)
+            else:
+                self.blank()
         if len(self.rest) > MOST_LINE:
             self._too_much(400, "a line over the limit")
 
