--- a/firwalk/__main__.py
+++ b/firwalk/__main__.py
@@ -11,7 +11,7 @@
 
 from firwalk.log import say
 from firwalk.net.service import Service
-from firwalk.settings import in_short, load, read
+from firwalk.settings import in_lines, load, read
 
 
 class Unfit(Exception):
@@ -45,7 +45,8 @@
     try:
         service.reload(read(path))
     except Exception as problem:  # a bad file must not end a node that serves
-        say(f"all stays as it was: cannot use {path}: {in_short(problem)}")
+        for line in in_lines(problem):
+            say(f"all stays as it was: cannot use {path}: {line}")
     if service.cluster is not None:
         _reload_operations(service, operations)
 
@@ -66,7 +67,8 @@
             print(f"firwalk: cannot start: {line}", file=sys.stderr)
         return 2
     except Exception as problem:  # whatever is wrong with it, operators want one plain line
-        print(f"firwalk: cannot start with {path}: {in_short(problem)}", file=sys.stderr)
+        for line in in_lines(problem):
+            print(f"firwalk: cannot start with {path}: {line}", file=sys.stderr)
         return 2
     gc.collect()
     gc.freeze()
--- a/firwalk/cli/main.py
+++ b/firwalk/cli/main.py
@@ -45,13 +45,13 @@
           ) -> None:
     """Tells all that is wrong with an operators' file, a line each."""
     from firwalk import operations
-    from firwalk.settings import in_short, load
+    from firwalk.settings import in_lines, load
     told, faults = operations.load(file)
     if config is not None and told is not None:
         try:
             faults = [f"{file}: {line}" for line in operations.misfits(told, load(config))]
         except Exception as problem:
-            faults = [f"{config}: {in_short(problem)}"]
+            faults = [f"{config}: {line}" for line in in_lines(problem)]
     if faults:
         _bad(faults)
     print(f"{file}: fit for use")
@@ -101,13 +101,13 @@
 def _contracts(file: str, config: str | None = None):
     """Checked; ends with 2 and a line for each fault."""
     from firwalk.broker import contracts as told
-    from firwalk.settings import in_short, load
+    from firwalk.settings import in_lines, load
     found, faults = told.load(file)
     if found is not None and config is not None:
         try:
             faults = [f"{file}: {line}" for line in told.misfits(found, load(config)["settings"])]
         except Exception as problem:
-            faults = [f"{config}: {in_short(problem)}"]
+            faults = [f"{config}: {line}" for line in in_lines(problem)]
     if faults:
         _bad(faults)
     return found
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -23,7 +23,8 @@
               "specifics": ("class-kind", "class-stretch", "class-priority")}
 LEARNT = ("most", "met", "log_mean", "log_spread", "finished", "log_hint", "log_work", "hint_spread",
           "together")                       # by an offering, of its tasks
-ABOVE_ZERO = ("due-time-us", "expiry-us")   # in each offering, in a configuration read at SIGHUP
+ABOVE_ZERO = ("due-time-us", "expiry-us")   # in each offering
+LEAST_SOCKETS = 32     # descriptors with which a node can serve one client at all: most are its own
 # The words of load reports: those of the settings, and those that executors use on sockets.
 REPORT_WORDS = {"rif": "held", "inflight": "held", "busy": "busy", "util": "busy",
                 "x0": "free_slots", "x1": "free_memory"}
@@ -60,7 +61,7 @@
 CONFIG = {
     "name": _text, "listen": _text, "discovery": _text, "peer_listen": _text, "peers": _texts,
     "peers_all": _text, "management": _text, "tag": _text,
-    "limits.memory_mb": _number(1), "limits.sockets": _number(1, whole=True),
+    "limits.memory_mb": _number(1), "limits.sockets": _number(LEAST_SOCKETS, whole=True),
 }
 SETTINGS = {
     "self-index": _number(0, 65535, True), "siblings": _number(1, 65535, True), "az": _number(0, 255, True),
@@ -70,7 +71,8 @@
     "load-report.names": _texts, "specifics.tells-start": _flag,
     "limits.most-assignments": _number(1, 255, True), "limits.second-copies": _flag, "limits.cancel": _flag,
     "limits.probing": _flag, "limits.peers": _flag, "limits.retry-after": _flag,
-    "limits.max-retry-after-us": SPAN, "limits.connect-timeout-us": SPAN, "limits.idle-close-us": SPAN,
+    "limits.max-retry-after-us": SPAN, "limits.connect-timeout-us": _number(1, 1e11),
+    "limits.idle-close-us": SPAN,
     "prices.cross-zone": _number(0), "prices.handshake": _number(0),
     "guarantees.cold-from": _number(0, 1), "guarantees.cold-us": SPAN, "guarantees.fall-multiple": _number(0),
     "guarantees.tip-after-us": SPAN, "guarantees.ask-within-us": SPAN,
@@ -82,72 +84,111 @@
 TENANT = {"name": _text, "quota-per-s": _number(0)}
 
 
-def _check(part: object, fields: dict, where: str) -> None:
-    """Each field that is there must fit; those that are not known are passed over."""
+class ConfigurationError(ValueError):
+    """A configuration that a node cannot work with; `faults` has a line for each reason."""
+
+    def __init__(self, faults: list[str]):
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+def _check(part: object, fields: dict, where: str) -> list[str]:
+    """What is wrong with the fields that are there; those that are not known are passed over."""
     if not isinstance(part, dict):
-        raise ValueError(f"{where or 'the configuration'} must be an object")
+        return [f"{where or 'the configuration'} must be an object"]
+    faults: dict[str, None] = {}     # each once, in order
     for path, fits in fields.items():
         value: object = part
         name = where
         for step in path.split("."):
             if value is not None and not isinstance(value, dict):
-                raise ValueError(f"{name} must be an object")
+                faults[f"{name} must be an object"] = value = None
             name = f"{name}.{step}" if name else step
             value = value.get(step) if value is not None else None
         wanted = "" if value is None else fits(value)
         if wanted:
-            raise ValueError(f"{name} must be {wanted}, not {orjson.dumps(value).decode()[:40]}")
-
-
-def check(config: object) -> None:
-    """ValueError, in one line, for the first thing that a node could not work with."""
-    _check(config, CONFIG, "")
+            faults[f"{name} must be {wanted}, not {orjson.dumps(value).decode()[:40]}"] = None
+    return list(faults)
+
+
+def _classes(entries: list) -> list[str]:
+    """What is wrong with the offerings together, where each is an object with fields that fit."""
+    faults, names = [], [entry.get("name") for entry in entries]
+    if not entries:
+        faults.append("settings.offerings must name one class of tasks at least")
+    for number, entry in enumerate(entries):
+        where = f"settings.offerings[{number}]"
+        if names[number] is None:
+            faults.append(f"{where}.name is missing")
+        elif names[number] in names[:number]:
+            faults.append(f"{where}.name stands twice: each must have a name of its own, not {names[number]}")
+        for word in ABOVE_ZERO:
+            value = entry.get(word)
+            if value is None and word == ABOVE_ZERO[0] and word not in entry:
+                continue  # due at its expiry
+            if word not in entry:
+                faults.append(f"{where}.{word} is missing")
+            elif value is None or value <= 0:
+                faults.append(f"{where}.{word} must be a number above 0")
+    return faults
+
+
+def _faults(config: object) -> list[str]:
+    """All that a node could not work with."""
+    faults = _check(config, CONFIG, "")
+    if not isinstance(config, dict):
+        return faults
     if "settings" not in config:
-        raise ValueError("no settings in it")
+        return [*faults, "no settings in it"]
     settings = config["settings"]
-    _check(settings, SETTINGS, "settings")
-    for word, fields in (("offerings", OFFERING), ("tenants", TENANT)):
+    faults += _check(settings, SETTINGS, "settings")
+    for word, fields in (("offerings", OFFERING), ("tenants", TENANT)) if isinstance(settings, dict) else ():
         entries = settings.get(word, [])
         if not isinstance(entries, list):
-            raise ValueError(f"settings.{word} must be a list")
+            faults.append(f"settings.{word} must be a list")
+            continue
+        before = len(faults)
         for number, entry in enumerate(entries):
-            _check(entry, fields, f"settings.{word}[{number}]")
+            faults += _check(entry, fields, f"settings.{word}[{number}]")
+        if word == "offerings" and word in settings and len(faults) == before:
+            faults += _classes(entries)
+    return faults
 
 
-def _lacking(old: dict, new: dict, where: str = "") -> None:
+def check(config: object) -> None:
+    """ConfigurationError with a line for each fault."""
+    faults = _faults(config)
+    if faults:
+        raise ConfigurationError(faults)
+
+
+def _lacking(old: dict, new: dict, where: str = "") -> list[str]:
     """Each key that the old one has must be in the new one; in lists, each that all entries have."""
+    faults = []
     for word, value in old.items():
         name = f"{where}{word}"
         if word not in new:
-            raise ValueError(f"{name} is missing")
-        if isinstance(value, dict):
-            if not isinstance(new[word], dict):
-                raise ValueError(f"{name} must be an object")
-            _lacking(value, new[word], f"{name}.")
+            faults.append(f"{name} is missing")
+        elif isinstance(value, dict):
+            if isinstance(new[word], dict):
+                faults += _lacking(value, new[word], f"{name}.")
+            else:
+                faults.append(f"{name} must be an object")
         elif word in ("offerings", "tenants") and value:
             common = {key: None for key in value[0] if all(key in entry for entry in value)}
             for number, entry in enumerate(new[word]):
-                _lacking(common, entry, f"{name}[{number}].")
+                faults += _lacking(common, entry, f"{name}[{number}].")
+    return faults
 
 
 def check_news(old: dict, new: object) -> None:
     """Stricter than at a start: a file that is cut short or lost a key must not change a node at work."""
     check(new)
-    _lacking(old, new)
-    settings = new["settings"]
-    for number, entry in enumerate(settings.get("offerings", [])):
-        for word in ABOVE_ZERO:
-            value = entry.get(word)
-            if value is None and word == ABOVE_ZERO[0] and word not in entry:
-                continue  # due at its expiry
-            if not isinstance(value, int | float) or not 0 < value:
-                raise ValueError(f"settings.offerings[{number}].{word} must be a number above 0")
-    names = [entry.get("name") for entry in settings.get("offerings", [])]
-    if len(set(names)) < len(names) or None in names:
-        raise ValueError("each of settings.offerings must have a name of its own")
-    most = settings.get("limits", {}).get("most-assignments", 1)
-    if most is None:
-        raise ValueError("settings.limits.most-assignments must be a whole number above 0")
+    faults = _lacking(old, new)
+    if new["settings"].get("limits", {}).get("most-assignments", 1) is None:
+        faults.append("settings.limits.most-assignments must be a whole number above 0")
+    if faults:
+        raise ConfigurationError(faults)
 
 
 def load(path: str) -> dict:
@@ -167,6 +208,11 @@
     return f"{type(problem).__name__}: {' '.join(str(problem).split())}"
 
 
+def in_lines(problem: Exception) -> list[str]:
+    """The same; each fault of a configuration in a line of its own."""
+    return problem.faults if isinstance(problem, ConfigurationError) else [in_short(problem)]
+
+
 # -- from settings to a node -----------------------------------------------------------------------------
 
 def _offerings(settings: dict) -> list[Offering]:
