--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -22,6 +22,7 @@
 
 WAY_BACK = 0.02        # seconds kept for an answer's way to the client: at its expiry it would be too late
 FOR_GOOD = float("inf")   # until it is said otherwise
+LEAST_LEFT = 0.001     # seconds: what an executor is told of its time has no smaller part
 LAST_WORD = 0.01       # seconds past a task's expiry, after its time-out
 LAST = (Outcome.FINISHED, Outcome.UNFIT)    # outcomes that end the task itself
 MISSED = (Outcome.NO_CONNECTION, Outcome.BROKEN, Outcome.TIMED_OUT, Outcome.CANCELLED)  # nobody was found
@@ -30,7 +31,7 @@
 class Step(IntEnum):
     """What is to be done next for a task."""
 
-    SEND = 0        # number of the assignment, place, seconds that it may take, whether it can never repeat
+    SEND = 0        # number of the assignment, place, when it must have ended, whether it can never repeat
     CALL_OFF = 1    # number of the assignment
     FINISHED = 2    # the result
     BOUNCED = 3     # seconds to stay away (0: no advice)
@@ -70,6 +71,7 @@
         self.about = ("", "")           # names of its offering and tenant
         self.charge: Any = None         # what is reserved for it of its team's budget
         self.measured = 0.0             # work of the assignment that finished
+        self.left: Callable[[], bool] = lambda: False   # whether its client has gone, read or not
 
     def stir(self) -> None:
         if self.waiter is not None and not self.waiter.done():
@@ -126,6 +128,10 @@
         self.vanished = {name: None for name in (*self.vanished, *before) if name not in self.offerings}
         self._settle(self.clock())
 
+    def takes(self, offering: str) -> bool:
+        """Whether there is such an offering, or was one."""
+        return offering in self.offerings or offering in self.vanished
+
     # -- pick, tick ------------------------------------------------------------------------------------
 
     async def pick(self, errand: Errand) -> tuple | None:
@@ -406,20 +412,28 @@
 
     def report_sending(self, errand: Errand, number: int) -> bool:
         """The first byte is about to be written; False: no more. While a connection was awaited, the executor
-        may have begun to drain, or the task may have ended; or the process stood still, and wakes past the
-        task's time before its timers have told."""
-        assignment = errand.task.assignments[number]
-        return (assignment.out and assignment.executor.condition is Condition.READY
-                and self.clock() < errand.task.expiry)
+        may have begun to drain or come back cold, the client may have left, or the task may have ended; or
+        the process stood still, and wakes past the task's time before its timers have told."""
+        return self._may_go(errand, number)
 
     def report_last_byte(self, errand: Errand, number: int) -> bool:
-        """The last byte is about to be written: from here on it may run. False: the task has ended."""
-        wanted = (errand.task.open and errand.task.assignments[number].out
-                  and self.clock() < errand.task.expiry)
+        """The last byte is about to be written: from here on it may run. False: the task has ended, or its
+        client has gone."""
+        wanted = self._may_go(errand, number, begun=True)
         if wanted:
             errand.begun.add(number)
         return wanted
 
+    def _may_go(self, errand: Errand, number: int, begun: bool = False) -> bool:
+        """The gate at the moment of the send. Less than `LEAST_LEFT` is no time that could be told."""
+        task, assignment = errand.task, errand.task.assignments[number]
+        if not assignment.out or not task.open or self.clock() + LEAST_LEFT >= task.expiry:
+            return False
+        if errand.left():
+            self.report_gone(errand)
+            return False
+        return begun or self.node.may_begin(self.clock(), assignment)
+
     def report_idle(self, place: Place, count: int) -> None:
         """So many connections to it are open and free: what the decisions count misses those that ended."""
         self.node.idle_now(self.places[place.name], count)
@@ -460,7 +474,7 @@
     def send(self, task: Task, executor: Executor, limit: float) -> None:
         assignment = task.assignments[-1]
         end = min(task.expiry, assignment.sent + limit) if limit else task.expiry
-        task.ref.add(Step.SEND, assignment.number, executor.ref, end - assignment.sent,
+        task.ref.add(Step.SEND, assignment.number, executor.ref, end,
                      task.offering.effect is Effect.SIDE_EFFECTING)
         self.set_timer(end, self._time_out, assignment)
 
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -1,13 +1,14 @@
 """firwalk's decisions: which executor gets a task, when to try again, and when to give it up.
 
 How to call it: make one `Node` with a host and the settings; then call one method for each thing that
-happens (`task_arrived`, `started`, `ended`, `probed`, `heard`, ...), with the time in seconds first. It acts
-only through its host; that interface and all enums are in `firwalk/host.py`. Timers come back as calls of
-the function that was set. `Executor.ref` and `Task.ref` are the host's own. Departures: `docs/design.md`.
+happens (`task_arrived`, `ended`, `heard`, ...), with the time in seconds first. It acts only through its host
+(`firwalk/host.py`); timers come back as calls of the function that was set. Departures: `docs/design.md`.
 """
 from __future__ import annotations
 
+from collections import deque
 from math import exp, log
+from typing import Any
 from zlib import crc32
 
 from firwalk.host import Condition, Effect, Group, Host, Outcome
@@ -19,18 +20,17 @@
 LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
 PARTS = 3.0            # times its mean part of all traffic that a node may have without a report showing it
 SHARE_WINDOW, LEAST_SHARE = 3.0, 5.0  # seconds of its share that a tenant may use at once; tasks, anyhow
-# Weights in an executor's share of errors. A break may be the connection's, and all executors may have those.
-FAULTS = {Outcome.ERROR: 0.3, Outcome.NO_CONNECTION: 0.3, Outcome.BROKEN: 0.15}
+FAULTS = {Outcome.ERROR: 0.3, Outcome.NO_CONNECTION: 0.3, Outcome.BROKEN: 0.15}  # weights in share of errors
 ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
 STRIKES, MISSED = 2, 3  # signs of silence that set one aside; executors out of reach with which a zone is
 AWAY, MOST_AWAY = 3.0, 0.34  # seconds set aside, plus as long by chance; share of the ready ones at once
-PROBE_EVERY = 1.0      # seconds between rounds of probes
-PART_WEIGHT = 0.3      # of each second's view in this node's part of all traffic
+PROBE_EVERY, PART_WEIGHT = 1.0, 0.3  # seconds between rounds; of each one's view in this node's part of all
 PROBES_NEAR, PROBES_FAR = 2, 1  # probes for each task and each round, in the own zone and in others
 FEW = 10               # nodes that call for lists, open connections and judge errors each by itself
 CALL_GAP, FIRST_CALLS = 0.1, 1.0  # seconds: of more nodes, between calls; in which first calls are spread
 LIST_RETRY, LIST_RETRY_MOST, SILENT_SPREAD = 0.35, 2.0, 0.7  # seconds: to the next call; after silence
 COLD_PART, HEAVY_PART, FIRSTS = 0.4, 0.15, 2.0  # of what a cold one bears: all's; a task's; of it, all firsts
+OVERLOAD = 1.25        # times what all bear that a node's work, by the number of nodes, may come to unreduced
 GOLDEN, TIES = 0.6180339887, 4  # spreads draws of cold executors; ones without own work that are compared
 TRUST, HINT_WEIGHT = 4.0, 0.01  # tasks' weight of the trust in hints at first; least of a hint in their means
 WARNED, FULL_PAUSE = 6.0, 0.3  # seconds last for what cannot repeat, after an error; unsent, after a full one
@@ -51,8 +51,7 @@
         self.hint_spread = self.together = TRUST
 
     def cost(self, hint: float) -> float:
-        """Where hints miss, a light one is mostly of a heavier task and a heavy one of a lighter: it is
-        drawn to the offering's mean as far as finished tasks show."""
+        """Where hints miss they are drawn to the offering's mean, as far as finished tasks show."""
         self.met += 1
         part, x = max(1.0 / self.met, HINT_WEIGHT), log(hint)
         off = x - self.log_mean
@@ -143,6 +142,7 @@
         self.used_mean, self.held_mean, self.reported_at, self.warned_at = 0.0, 0.0, 0.0, -WARNED
         self.lag, self.lag_at, self.errors, self.strikes = 0.0, 0.0, 0.0, 0  # lag: of starts, unexplained
         self.away_until, self.full_until, self.on_trial = 0.0, 0.0, False
+        self.sent_cold: deque[tuple[float, float]] = deque(maxlen=64)  # when, and work, while cold
 
     def rate(self) -> float:
         return self.speed * max(1.0 - self.others / self.slots, FLOOR)
@@ -172,23 +172,22 @@
     """One dispatcher: all it knows for as long as it lives; one method for each thing that happens."""
 
     def __init__(self, host: Host, seed: int, now: float, *, own_number: int, nodes: int, zone: int,
-                 offerings: list[Offering], tenants: list[Tenant], tick: float, most: int, copies: bool,
-                 may_cancel: bool, may_probe: bool, longest_advice: float, reports: str, tells_start: bool,
-                 must_ask: bool, sized: bool, marked: bool, crossing: float, handshake: float,
-                 beyond_share: float, by_work: bool, cold_from: float, cold_for: float, fall_multiple: float,
-                 fall_window: float, ask_within: float, peers: bool):
+                 tick: float, copies: bool, may_cancel: bool, may_probe: bool, reports: str,
+                 tells_start: bool, must_ask: bool, sized: bool, marked: bool, cold_from: float,
+                 cold_for: float, fall_multiple: float, fall_window: float, ask_within: float, peers: bool,
+                 **tunable: Any):
+        self.retuned(**tunable)
         self.host, self.seed, self.counter, self.nodes = host, seed, 0, nodes
         self.zone, self.pace = Zone(), min(max(nodes - FEW, 0) * CALL_GAP, ask_within / 3)  # of list calls
         self.zones, self.kinds = {zone: self.zone}, {}
-        self.offerings, self.tenants, self.tick, self.tells_start = offerings, tenants, tick, tells_start
-        self.most, self.copies, self.may_cancel, self.may_probe = most, copies, may_cancel, may_probe
-        self.longest_advice, self.warns, self.moves = longest_advice, peers and nodes > FEW, MOST_MOVES
-        self.sized, self.marked, self.fall_window = sized, marked, fall_window
+        self.tick, self.tells_start, self.sized, self.marked = tick, tells_start, sized, marked
+        self.copies, self.may_cancel, self.may_probe = copies, may_cancel, may_probe
+        self.warns, self.moves, self.fall_window = peers and nodes > FEW, MOST_MOVES, fall_window
         self.asks = reports == "on_probe" and may_probe
         self.reports_count = self.asks or not tells_start  # else older than starts
-        self.crossing, self.handshake, self.by_work = crossing, handshake, by_work
         self.part, self.capacity, self.fall_multiple = 1.0 / nodes, 1.0, fall_multiple  # its part of all work
-        self.cold_from, self.cold_for, self.beyond_share = cold_from, cold_for, beyond_share
+        self.offered, self.offered_at, self.began = 0.0, now, now
+        self.cold_from, self.cold_for = cold_from, cold_for
         self.executors, self.near, self.far = [], [], []  # all; those ready in the own zone; and in others
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.mean_cost, self.mean_value, self.misses, self.met, self.ask_within = 0.0, 0.0, 0, 0, ask_within
@@ -207,8 +206,6 @@
         self.longest_advice, self.beyond_share, self.by_work = longest_advice, beyond_share, by_work
         self.crossing, self.handshake = crossing, handshake
 
-    # -- the list of executors ---------------------------------------------------------------------
-
     def new_executor(self, ref: object, kind: int, zone: int, cell: int, size: float) -> Executor:
         """At first it has the mean speed of its kind, or of all, or 1; and one slot, if no size is listed."""
         known = [pace.speed for pace in self.kinds.values() if pace.met] or [1.0]
@@ -224,6 +221,7 @@
         if condition is Condition.READY and came_up > executor.came_up:
             executor.came_up, executor.cold_until, executor.unused = came_up, came_up + self.cold_for, True
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
+            executor.sent_cold.clear()
 
     def _measure(self, now: float) -> None:
         self.capacity = sum(e.slots * e.speed * self._warmth(now, e) for e in self.near + self.far) or 1.0
@@ -241,8 +239,6 @@
         wait = (0.5 + self._chance()) * wait if turned_down else self._chance() * SILENT_SPREAD
         self.host.set_timer(now + wait, lambda *_: self.host.watch(True), None)
 
-    # -- a task's life -------------------------------------------------------------------------------
-
     def task_arrived(self, now: float, ref: object, offering: int, tenant: int, budget: float, cost: float,
                      slots: float, memory: float, again: bool) -> Task:
         kind, hint = self.offerings[offering], cost or max(slots, 1.0)
@@ -254,6 +250,7 @@
         task = Task(ref, kind, hint, cost, max(slots, 1.0), self._chance(),
                     now + min(due, budget), now + budget)  # its client waits no longer
         value = kind.importance * (task.work if self.by_work else 1.0)
+        self._offered(now, task.work)
         self.moves = min(self.moves + MOVES, MOST_MOVES)
         part = 0.02 if self.mean_cost else 1.0
         self.mean_cost += part * (task.work - self.mean_cost)
@@ -276,12 +273,10 @@
             self._give_up(now, task)  # in a queue it would only make those behind it late too
 
     def _choose(self, now: float, task: Task, among: list[Executor], anew: bool = False) -> Executor | None:
-        """The ordinary path: least own outstanding estimated work, plus what it takes to reach it (Recv),
-        among those that can still answer in time."""
+        """The ordinary path: least own outstanding estimated work plus Recv, among those in time."""
         best, best_load, best_answer, ties = None, 0.0, 0.0, 0
         cost, left, kind, own = task.cost, task.due - now, task.offering.kind, task.home or self.zone
-        # What earns less for its work than the mean may wait only that part of its slack: cheap tasks of long
-        # slack, and a tenant's crowd beyond its share, made the dear ones late.
+        # What earns less for its work than the mean may wait only that part of its slack, or dear ones wait.
         part = min(task.value * self.mean_cost / (task.work * self.mean_value), 1.0) ** 2
         price = max(left, 0.0) * self.mean_value / max(task.value, 1e-9)  # Recv, as time
         recv, opening = price * self.crossing, price * self.handshake
@@ -290,7 +285,6 @@
         side = task.offering.effect is Effect.SIDE_EFFECTING
         commons = {zone: zone.lag_now(now) for zone in self.zones.values()}
         for executor in among if own is self.zone else sorted(among, key=lambda e: e.zone is not own):
-            # With hundreds of executors time is scarce: the dearer ones are not looked at any further.
             load = (0.0 if executor.zone is own else recv) + (0.0 if executor.idle else opening)
             if best is not None and load > best_load or near and executor.zone is not own:
                 continue
@@ -332,8 +326,7 @@
         return near[:i][::-1] + near[i:][::-1] + far[:j][::-1] + far[j:][::-1]
 
     def _probe(self) -> None:
-        """As many as tasks pay for: in a large fleet, probes of all would take a node all its time. A place
-        at an executor serves each node less the more share it: opened by all, none were left for tasks."""
+        """As many as tasks pay for. A place at an executor serves each node less the more share it."""
         self.near_at = self._ask_some(self.near, self.near_at, PROBES_NEAR)
         self.far_at = self._ask_some(self.far, self.far_at, PROBES_FAR)
 
@@ -354,26 +347,33 @@
             return lag + max(over, 0.0) * self.mean_cost / (executor.speed * executor.slots)
         return lag + over * executor.work / (executor.held * executor.slots)
 
-    # -- cold starts -----------------------------------------------------------------------------------
-
     def _warmth(self, now: float, executor: Executor) -> float:
         part = max(now - executor.came_up, 0.0) / max(self.cold_for, 0.001)
         return min(self.cold_from + (1.0 - self.cold_from) * part, 1.0)
 
-    def _cold_room(self, now: float, executor: Executor, task: Task) -> bool:
-        """A cold executor pushed over stays down, and no node sees what the others send it. Each task has one
-        draw: of all tasks only its part by present capacity may go there (grants saved up at hundreds all
-        came at once). A node's first there needs none, or few tasks would leave it idle for long."""
+    def _cold_room(self, now: float, executor: Executor, task: Task, own: float = 0.0) -> bool:
+        """No node sees what others send it. Each task has one draw: its part by present capacity of all tasks
+        may go there, of a node with more than its part of them so many fewer. In a window a node sends its
+        part of what the rule allows, rounded up. Its first there, if light, needs no draw."""
         bears = executor.slots * executor.speed * self._warmth(now, executor)
-        part = min(COLD_PART * self.fall_multiple, 1.0) * bears / self.capacity
-        most = HEAVY_PART * bears * self.fall_multiple * self.fall_window
-        # No queue at it: what it has not finished may be heavier, or it slower, than it looks.
-        if task.work > most or executor.held + executor.others >= executor.slots:
+        allowed = bears * self.fall_multiple * self.fall_window  # in a window, by all nodes together
+        if task.work > HEAVY_PART * allowed or executor.held - own + executor.others >= executor.slots:
+            return False  # nor a queue: it may be slower than it looks
+        sent = sum(work for at, work in executor.sent_cold if at > now - self.fall_window)
+        if sent and sent >= allowed / self.nodes:
             return False
-        first = executor.unused and task.work * self.nodes <= FIRSTS * most
-        return first or (task.draw + executor.draw) % 1.0 < part
-
-    # -- the gate that every send passes ---------------------------------------------------------------
+        if executor.unused and task.work * self.nodes <= FIRSTS * HEAVY_PART * allowed:
+            return True
+        part = min(COLD_PART * self.fall_multiple, 1.0) * bears
+        all_offered = self._offered(now, 0.0) * self.nodes / OVERLOAD
+        return (task.draw + executor.draw) % 1.0 < part / max(self.capacity, all_offered)
+
+    def _offered(self, now: float, work: float) -> float:
+        """Work a second that came to this node lately, with some more that comes now."""
+        window = max(self.fall_window / 2, 0.5)
+        self.offered = self.offered * exp((self.offered_at - now) / window) + work / window
+        self.offered_at = now
+        return self.offered / max(1.0 - exp((self.began - now) / window), 0.01)  # a new node has seen little
 
     def _may_repeat(self, now: float, task: Task, executor: Executor, instead: bool = False) -> bool:
         """Rule 2 and the limits on copies, the stricter ones, of a task sent before; `instead`: of one."""
@@ -406,10 +406,19 @@
         assignment = Assignment(task, executor, now, estimate, wait)
         task.assignments.append(assignment)
         executor.idle = max(executor.idle - 1, 0)
+        if executor.cold_until > now:
+            executor.sent_cold.append((now, task.work))
         self.host.send(task, executor, 0.0)
         self.resumed(now, assignment)
         return True
 
+    def may_begin(self, now: float, assignment: Assignment) -> bool:
+        """Whether it may still go out when its connection is up: the executor may drain or be cold by now."""
+        task, executor = assignment.task, assignment.executor
+        cold = executor.came_up > assignment.sent and executor.cold_until > now
+        return executor.condition is Condition.READY and (
+            not cold or self._cold_room(now, executor, task, own=task.slots))
+
     def resumed(self, now: float, assignment: Assignment) -> None:
         """It is out, and counts: sent just now, or before, by another process (of which no mean is known)."""
         task, executor = assignment.task, assignment.executor
@@ -420,8 +429,6 @@
         patience = max(task.due - now - task.cost / executor.speed, 0.0) / part
         self.host.set_timer(now + max(patience, 2 * self.tick), self.overdue, assignment)
 
-    # -- what becomes of an assignment -----------------------------------------------------------------
-
     def overdue(self, now: float, assignment: Assignment) -> None:
         """An assignment shows no start (or, where starts are not told, no end) in the time it had."""
         task, executor = assignment.task, assignment.executor
@@ -433,8 +440,7 @@
             executor.strikes += self.tells_start or not self.may_probe
             if executor.strikes >= (STRIKES if self.reports_count else 1) or executor.on_trial:
                 self._set_aside(now, executor)
-        # Without second copies it is called off first, and placed anew when that is confirmed.
-        # Where a cancel stops nothing each move adds to the load: unbounded, a burst's queues never ended.
+        # Without second copies it is called off first; a cancel may stop nothing, so that moves are bounded.
         first = not self.copies and self.tells_start and self.may_cancel and self.moves >= 1.0
         other = self._choose(now, task, self._order(), first) if task.open and task.still_out < 2 else None
         if other is not None and first:
@@ -488,8 +494,6 @@
         elif task.open and (not task.still_out or how is not Outcome.CANCELLED):
             self._place(now, task)
 
-    # -- health of executors ---------------------------------------------------------------------------
-
     def _judge(self, now: float, assignment: Assignment, how: Outcome, took: float) -> None:
         """What an outcome says of its executor."""
         executor, zone = assignment.executor, assignment.executor.zone
@@ -535,8 +539,6 @@
         executor.away_until = now + AWAY * (1.0 + self._chance())
         executor.on_trial, executor.strikes, executor.errors = True, 0, 0.0
 
-    # -- the end of a task -----------------------------------------------------------------------------
-
     def withdrawn(self, now: float, task: Task) -> None:
         """The client left, or has its answer: nothing is owed, and what waits for a slot need not run."""
         out = [a for a in task.assignments if a.out and task.open and self.may_cancel]
@@ -558,8 +560,6 @@
         else:
             self.host.abandon(task)
 
-    # -- what executors and peers tell ---------------------------------------------------------------
-
     def probed(self, now: float, executor: Executor, how: Outcome, took: float,
                report: dict[str, float] | None) -> None:
         if how is Outcome.FINISHED and report:
@@ -570,8 +570,7 @@
                 self._set_aside(now, executor)
 
     def _round(self, now: float, _: None) -> None:
-        """Without news others' load fades to the mean of its zone: an old report of free slots still believed
-        draws the tasks of hundreds of nodes, an old queue keeps them away for ever."""
+        """Without news others' load fades to the mean of its zone: old free slots draw hundreds of nodes."""
         held, used, met = 0.0, 0.0, sum(pace.met for pace in self.kinds.values())
         samples, self.met = min((met - self.met) / (len(self.near + self.far) or 1), 1.0), met
         sums = {zone: [0.0, 0.0] for zone in self.zones.values()}
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -127,6 +127,46 @@
     assert not p.desk.report_last_byte(other, 0)
 
 
+@pytest.mark.parametrize("at_last_byte", [False, True])
+def test_the_gate_sees_a_client_that_has_gone_before_its_reader_does(at_last_byte):
+    """On a busy node the reader may come to its end later than an attempt to its bytes."""
+    p = Play(executors=2)
+    errand = p.take()
+    if at_last_byte:
+        assert p.desk.report_sending(errand, 0)
+    errand.left = lambda: True
+    assert not (p.desk.report_last_byte if at_last_byte else p.desk.report_sending)(errand, 0)
+    assert not errand.task.open and not errand.begun
+    p.desk.report_outcome(errand, 0, Outcome.NOT_SENT)
+    assert [s for s in p.steps(errand) if s[0] == "SEND"] == [("SEND", 0)] and errand.over()
+
+
+def test_no_attempt_begins_with_less_time_than_can_be_told():
+    p = Play(executors=1)
+    errand = p.take(budget=0.5)
+    p.now = errand.task.expiry - 0.0005
+    assert not p.desk.report_sending(errand, 0) and not p.desk.report_last_byte(errand, 0)
+    p.now = errand.task.expiry - 0.0015
+    assert p.desk.report_sending(errand, 0)
+
+
+def test_the_gate_asks_again_where_the_executor_came_back_cold_while_its_connection_came_up():
+    rules = {"guarantees": {"cold-from": 0.1, "cold-us": 10000000, "fall-multiple": 2.0,
+                            "tip-after-us": 2000000}, "siblings": 200}
+    let_in = 0
+    for seed in range(40):
+        p = Play(executors=1, settings=rules)
+        p.desk.node.seed = seed
+        p.hear(*[(f"e{n}", Condition.READY) for n in range(9)], whole=True)
+        errand = p.take()
+        name = errand.task.assignments[0].executor.ref.name
+        p.now += 0.1
+        p.desk.report_list(2, False, [(name, errand.task.assignments[0].executor.ref.address, "a", "m", 0,
+                                       Condition.READY, p.now - 0.05, 1.0)])
+        let_in += p.desk.report_sending(errand, 0)
+    assert let_in <= 4      # by its draw only, as any other task of the fleet
+
+
 @pytest.mark.parametrize("lifecycle", ["leaving", "left", "a word of later days", None])
 def test_only_active_ones_are_sent_to(lifecycle):
     p = Play()
