--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -28,6 +28,7 @@
 HOLD_TRIPS = 2.0       # times the shortest way to an executor and back that a last byte is held back
 HOLD_LEAST = 0.004     # seconds of it at least
 HOLD_MOST = 0.02       # and at most
+MOST_HELD = 0.1        # seconds from an assignment's first byte to its last: the time told in it is as old
 NEW_LINKS = 2          # new connections that may break under one assignment before it counts as out of reach
 DEAD_MEMORY = 30.0     # seconds for which dead connections tell how long one can be relied on
 DEAD_MOST = 16         # of them that are looked at
@@ -432,8 +433,13 @@
         must(link.exchange is None, "a connection carries one thing at a time")
         link.exchange, exchange.link = exchange, link
         hold = max(HOLD_TRIPS * self.trips.get(link.place, HOLD_MOST), HOLD_LEAST)
-        if not await link.write(message(), min(hold, HOLD_MOST),
-                                lambda: self.desk.report_last_byte(exchange.errand, exchange.number)):
+        began = monotonic()
+
+        def last() -> bool:
+            """Not if the rest was long in writing: the message tells what was left before that."""
+            held = monotonic() - began
+            return held < MOST_HELD and self.desk.report_last_byte(exchange.errand, exchange.number)
+        if not await link.write(message(), min(hold, HOLD_MOST), last):
             exchange.end(Outcome.NOT_SENT)
             link.close()
 
