--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -269,36 +269,51 @@
             self.cluster.leave()
         self.desk.close_by(self.clock() + LONGEST_END)
         self.clients.ending = self.succession.after is None
-        # Another node may be ending too: a client whose connections all close would have nowhere to go. With
-        # another process of this node they are there, and the two need not share its limits any longer.
-        while not self.succession.handed and (now := monotonic()) < began + KEPT and (
-                self.clients.open or now < max(began + STILL_COMING, self.clients.accepted_at + QUIET)):
+        end = began + LONGEST_END + LAST
+        while monotonic() < end and not await self._ended(began):
             await asyncio.sleep(0.02)
         if not self.succession.handed:
-            self.clients.stopping = True
-            self.accepting.cancel()
-            await asyncio.sleep(0)
-            self._last_clients()
-        while monotonic() < began + LONGEST_END + LAST and (
-                self.clients.open or self.clients.works or self.succession.sending()):
-            if self.clients.stopping:
-                self.clients.close_idle()
-            await asyncio.sleep(0.02)
+            await self._last_clients()
         for work in standing:
             work.cancel()
         self.succession.close()
         self.management.close()
         say(f"ended, {len(self.clients.open)} clients left; {self.clients.malformed} were sent away")
 
-    def _last_clients(self) -> None:
-        """Connections that the machine has accepted are this node's to answer."""
+    async def _ended(self, began: float) -> bool:
+        """Whether nothing is owed to anybody any more. The listener stays open as long as this process owes
+        answers: what the machine accepts for it is its to answer. Another node may be ending too: a client
+        whose connections all close at once would have nowhere to go. With another process of this node they
+        are there, and the two need not share its limits any longer."""
+        now, clients = monotonic(), self.clients
+        owed = clients.open or clients.works or self.succession.sending()
+        if self.succession.handed:
+            return not owed
+        quiet = now >= max(began + STILL_COMING, clients.accepted_at + QUIET)
+        clients.stopping |= now >= began + KEPT or quiet and not clients.open
+        if clients.stopping:
+            clients.close_idle()
+        return clients.stopping and quiet and not owed and await self._last_clients() and not clients.open
+
+    async def _last_clients(self) -> bool:
+        """Lets in what the machine has accepted meanwhile, and closes the listener in the same step as it
+        finds none there any more. False: no descriptor is free for one that waits."""
+        if self.listener.fileno() < 0:
+            return True
+        self.accepting.cancel()
+        await asyncio.sleep(0)
+        held, self.clients.held = self.clients.held, None
+        if held is not None:
+            self.clients.admit(held, spare=True)
         while True:
             try:
                 sock, _ = self.listener.accept()
-            except OSError:
-                break
-            if not self.clients.admit(sock):
-                sock.close()
-        if self.clients.held is not None and not self.clients.admit(self.clients.held):
-            self.clients.held.close()
-        self.listener.close()
+            except BlockingIOError:
+                self.listener.close()
+                return True
+            except ConnectionAbortedError:
+                continue
+            except OSError as problem:
+                say(f"no connection accepted at the end: {problem}")
+                return False
+            self.clients.admit(sock, spare=True)
