--- a/firwalk/net/budget.py
+++ b/firwalk/net/budget.py
@@ -57,6 +57,10 @@
         self.spare += 1
         return True
 
+    def force_spare(self) -> None:
+        """One that is open already, whatever the limit on spare ones."""
+        self.spare += 1
+
     def settle(self) -> bool:
         """A client on a spare descriptor moves to a common one, if there is one again."""
         if not self.open_client():
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -5,7 +5,9 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from functools import partial
+from itertools import islice
 from time import monotonic
 
 from firwalk.facade import Desk, Errand, Step
@@ -15,26 +17,33 @@
 from firwalk.net.buffers import Buffers
 from firwalk.net.executors import Executors
 from firwalk.net.stalls import Stalls
-from firwalk.net.waiting import readable, received
+from firwalk.net.waiting import hung_up, readable, received
 
 HEALTH = b"/_health"
 READ_TIME = 2.0        # seconds in which a message must be whole, the first one counted from the connect
 WRITE_TIME = 20.0      # seconds in which a client must take its answer
 LINGER = 1.0           # seconds in which one that is sent away may read why
+SLOW_LINGER = 0.25     # seconds of it for one whose message does not end
 LINGER_STEP = 0.02     # seconds between reads of what it still sends: at full speed it would take the core
 SETTLED = 0.1          # seconds after which a connection without a whole message gives way when short
 NEW = 0.5              # and at the end
+ACCEPTS = 16           # connections that are let in at a time, before others have their turn
+LOOKS = 64             # at those still longest, for one that may give way: at all of them takes too long
 IDLE_TIME = 120.0      # seconds that a connection which has brought a task may stand idle
 SWEEP_TIME = 0.25      # seconds between looks for what has lasted too long
 AT_ONCE = 0.01         # seconds: sooner after it was turned away, a message shows that nobody waited
+TOO_SLOW = 408         # of a message that does not end in its time
+NO_ROOM = 503          # of a message whose body finds no memory
 PUSHES = 2             # such messages in a row that are met without a pause
 PAUSE = 0.25           # seconds that each one beyond waits
+READ_AHEAD = 32        # messages of a connection that are read while one is in work: their time runs by then
+HANG_UP_TIME = 0.03    # seconds between looks whether a client has gone whose further bytes are not read
 
 
 class Client:
     """One connection; it carries one task at a time. On a spare one each task is told 503."""
 
-    def __init__(self, clients: Clients, sock: socket.socket, spare: bool):
+    def __init__(self, clients: Clients, sock: socket.socket, spare: bool, accepted_at: float):
         self.clients, self.sock, self.spare = clients, sock, spare
         self.parser = http.Incoming(self._came, clients.budget.hold, clients.budget.let_go)
         self.waiting: deque[tuple] = deque()
@@ -42,6 +51,7 @@
         self.busy, self.used, self.known, self.errand, self.writing = False, False, False, None, None
         self.message: tuple = ()                         # of its task: id, target, headers, body, keep
         self.heard_at, self.closing, self.gone = monotonic(), False, False
+        self.accepted_at: float | None = accepted_at     # until its first bytes are read: they may be as old
         self.leaving = 0                                 # what it is told for a message that ends it all
         self.turned_away_at, self.pushes = 0.0, 0
         self.heir: Callable[[socket.socket], None] | None = None    # who gets it when its reader has let go
@@ -49,24 +59,28 @@
         self.reading.add_done_callback(self._closed)
 
     async def _read(self) -> None:
-        buffer, loop = self.clients.buffers.take(), asyncio.get_running_loop()
+        buffer = self.clients.buffers.take()
         view = memoryview(buffer)
         try:
             while count := await received(self.sock, buffer):
                 if not self.parser.partial and self.used:
                     self.heard_at = monotonic()
                 self.parser.feed(view[:count])
+                self.accepted_at = None
                 self._next()
                 if self.parser.expects and not self.busy:  # else the word would stand before another answer
                     self.parser.expects = False
                     self.sock.send(http.GO_ON)
-                while self.waiting:  # what it sends beyond that stays with the machine, not in our memory
-                    self.room = loop.create_future()
-                    await self.room
-                if self.leaving:
-                    raise http.Malformed(self.leaving, "turned away, with more behind it")
+                while len(self.waiting) >= READ_AHEAD:  # the rest stays with the machine, not in our memory
+                    if not await self._room():
+                        return
         except OSError:
             pass
+        except asyncio.CancelledError:
+            if self.closing or not self.leaving:
+                raise
+            asyncio.current_task().uncancel()  # by `leave`, to tell the client why
+            await self._turn_away(self.leaving, buffer)
         except http.Malformed as problem:
             await self._spoilt(problem, buffer)
         except Exception as problem:
@@ -75,12 +89,30 @@
             view.release()
             self.clients.buffers.give(buffer)
 
+    async def _room(self) -> bool:
+        """Waits until fewer messages wait; False: the client has gone meanwhile, which no read shows."""
+        self.room = asyncio.get_running_loop().create_future()
+        while not self.room.done():
+            await asyncio.wait([self.room], timeout=HANG_UP_TIME)
+            if hung_up(self.sock):
+                return False
+        return True
+
     async def _spoilt(self, problem: http.Malformed, buffer: bytearray) -> None:
         """Where one message ends and the next begins is not sure any more: with a wrong length, also the task
-        in hand is not what its client meant. It is called off, and told so."""
+        in hand is not what its client meant. It is called off, and told so. Where only memory is short, what
+        came before has its own answers first: a 503 in place of them would promise a harmless retry of what
+        may have run."""
         self.clients.malformed += 1
         say(f"a client's bytes: {problem}")
+        if problem.status == NO_ROOM:
+            self.parser.drop()
+            while self.busy or self.waiting:
+                await asyncio.sleep(HANG_UP_TIME)
+                if hung_up(self.sock):
+                    return
         self.leaving = problem.status
+        self.clients.departs(self)
         self._forget()
         while self.busy:  # an answer is on its way
             await asyncio.sleep(0.02)
@@ -112,7 +144,7 @@
         """The rest is read for a moment, or the close would take the answer with it."""
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(LINGER):
+            async with asyncio.timeout(SLOW_LINGER if status == TOO_SLOW else LINGER):
                 await loop.sock_sendall(self.sock, http.answer(status, keep=False))
                 self.sock.shutdown(socket.SHUT_WR)
                 while await loop.sock_recv_into(self.sock, buffer):
@@ -126,6 +158,8 @@
         now = monotonic()
         self.pushes = self.pushes + 1 if now - self.turned_away_at < AT_ONCE else 0
         came_at = now - self.clients.stalls.behind(now, self.sock)
+        if self.accepted_at is not None:
+            came_at = min(came_at, self.accepted_at)
         self.waiting.append((method, target, headers, body, keep, came_at))
 
     def _next(self) -> None:
@@ -133,15 +167,18 @@
             self.busy = self.used = True
             work = self.clients.serve(self, *self.waiting.popleft())
             self.clients.keep(asyncio.get_running_loop().create_task(work))
-            if not self.waiting and not self.room.done():
+            if not self.room.done():
                 self.room.set_result(None)
 
     async def answer(self, status: int, body: bytes, keep: bool, advice: float = 0.0) -> None:
         """Writes an answer and goes on to what waits; the connection's reader notices its end."""
         must(self.busy, "an answer belongs to a message")
+        more = keep    # whether its client may send more, by its own word or ours
         keep = keep and not self.clients.stopping or bool(self.waiting)  # those have been taken too
-        if 400 <= status < 500 and self.waiting and not self.gone:
-            self._send_away(status)
+        if 400 <= status < 500 and self.waiting and not self.gone and self.clients.all_bad(self.waiting):
+            self.busy = False
+            self._forget()
+            self.leave(status, "turned away, with more of the kind behind it")
             return
         if not self.gone:
             try:
@@ -154,6 +191,7 @@
             finally:
                 self.writing = None
         self.busy, self.heard_at = False, monotonic()
+        self.clients.rests(self)
         if status >= 400:
             self.turned_away_at = self.heard_at
         if self.gone:
@@ -161,16 +199,34 @@
         if self.waiting:
             self._next()
         elif not keep and not self.leaving:  # one that is sent away is told so by its reader
-            self.close()
+            if self._read_up():
+                self.close()
+            elif not more:
+                await self._linger()
+            # Else more came while the last answer was written: it is read, and answered like the rest.
         else:  # at once: a client that goes on without a pause is never found still by a look now and then
             self.clients.move(self)
 
-    def _send_away(self, status: int) -> None:
-        """Hundreds of bad messages at once: the first is answered, and the connection ends with it."""
-        self.busy, self.leaving = False, status
-        self._forget()
-        if not self.room.done():
-            self.room.set_result(None)
+    async def _linger(self) -> None:
+        """A close over unread bytes resets the connection, and takes an answer along that its client has not
+        read yet. Nothing is read any more."""
+        self.closing = True
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            end = monotonic() + LINGER
+            while monotonic() < end and not hung_up(self.sock):
+                await asyncio.sleep(LINGER_STEP)
+        except OSError:
+            pass
+        self.reading.cancel()
+
+    def leave(self, status: int, why: str) -> None:
+        """Nothing more is read from it; it is told the status, and the connection ends with that."""
+        self.clients.malformed += 1
+        say(f"a client's bytes: {why}")
+        self.leaving = status
+        self.clients.departs(self)
+        self.reading.cancel()
 
     def still(self) -> bool:
         """Nothing of a message is read and nothing in work; what may be unread stays in the socket."""
@@ -194,18 +250,19 @@
         except OSError:
             return False
 
-    def dispensable(self, now: float) -> int:
-        """What is closed first when descriptors are short: those sent away, those that never brought a task,
-        those whose tasks are done; 3: none of these."""
+    def dispensable(self, now: float) -> bool:
+        """What may be closed when descriptors are short: one that is sent away, one that never brought a
+        task, one whose tasks are done."""
+        if self.busy:
+            return False
         if self.leaving:
-            return 0
-        if not self.known and now - self.heard_at > SETTLED and self._read_up():
-            return 1
-        return 2 if self.known and self.idle() else 3
+            return True
+        return self.idle() if self.known else now - self.heard_at > SETTLED and self._read_up()
 
     def close(self) -> None:
         if not self.closing:
             self.closing = True
+            self.clients.departs(self)
             self.reading.cancel()
 
 
@@ -215,6 +272,10 @@
     def __init__(self, desk: Desk, executors: Executors, budget: Budget, buffers: Buffers):
         self.desk, self.executors, self.budget, self.buffers = desk, executors, budget, buffers
         self.open: dict[Client, None] = {}
+        # Of these, the one that has been still longest first: sent away; without a task yet; with one before.
+        self.departing: dict[Client, None] = {}
+        self.untried: dict[Client, None] = {}
+        self.rested: dict[Client, None] = {}
         self.works: dict[asyncio.Task, None] = {}
         self.names: dict[bytes, None] = {}       # ids of the tasks in work
         self.ending, self.stopping, self.malformed = False, False, 0
@@ -233,36 +294,48 @@
 
     async def accept(self, listener: socket.socket) -> None:
         while True:
-            try:
-                await readable(listener)
-                sock, _ = listener.accept()
-            except BlockingIOError:  # another process of this node was quicker
-                continue
-            except OSError as problem:
-                say(f"no connection accepted: {problem}")
-                await asyncio.sleep(0.05)
-                continue
-            self.held = sock
-            while not self.admit(sock):  # it waits with what the machine has accepted: closed, it were lost
-                await asyncio.sleep(0.01)
-            self.held = None
-
-    def admit(self, sock: socket.socket) -> bool:
-        spare = not self.budget.open_client()
-        if spare and not self.budget.open_spare():
-            return False
+            await readable(listener)
+            for _ in range(ACCEPTS):
+                try:
+                    sock, _ = listener.accept()
+                except BlockingIOError:  # that was all, or another process of this node was quicker
+                    break
+                except OSError as problem:
+                    say(f"no connection accepted: {problem}")
+                    await asyncio.sleep(0.05)
+                    break
+                self.held, accepted_at = sock, monotonic()
+                while not self.admit(sock, accepted_at):  # closed, what its client has sent were lost
+                    await asyncio.sleep(0.01)
+                self.held = None
+            else:
+                await asyncio.sleep(0)  # what was let in has its turn
+
+    def admit(self, sock: socket.socket, accepted_at: float | None = None, spare: bool = False) -> bool:
+        """Lets a connection in, on a spare descriptor if it must; False if none is left. `spare`: on one in
+        any case, since it has its descriptor already and there is no more time to wait for another."""
+        if spare:
+            self.budget.force_spare()
+        elif not self.budget.open_client():
+            spare = True
+            if not self.budget.open_spare():
+                return False
         self.accepted_at = monotonic()
         sock.setblocking(False)
-        self.open[Client(self, sock, spare)] = None
+        with suppress(OSError):  # it may be reset already
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = Client(self, sock, spare, self.accepted_at if accepted_at is None else accepted_at)
+        self.open[client] = self.untried[client] = None
         return True
 
     def adopt(self, sock: socket.socket, known: bool) -> Client:
         """A connection that another process of this node had: counted there until now, it fits."""
         self.budget.adopt_client()
         sock.setblocking(False)
-        client = Client(self, sock, False)
+        client = Client(self, sock, False, monotonic())
         client.known = client.used = known
         self.open[client] = None
+        (self.rested if known else self.untried)[client] = None
         return client
 
     def resume(self, sock: socket.socket, errand: Errand, message: tuple) -> None:
@@ -283,8 +356,22 @@
             del self.names[name]
             self.budget.let_go(size if held else 0)
 
+    def departs(self, client: Client) -> None:
+        """It is sent away, or closed: the first to give way."""
+        self.untried.pop(client, None)
+        self.rested.pop(client, None)
+        self.departing[client] = None
+
+    def rests(self, client: Client) -> None:
+        """It has its answer: the last to give way of those with a task before."""
+        if client.known and client not in self.departing:
+            self.untried.pop(client, None)
+            self.rested.pop(client, None)
+            self.rested[client] = None
+
     def closed(self, client: Client) -> None:
-        self.open.pop(client, None)
+        for group in (self.open, self.departing, self.untried, self.rested):
+            group.pop(client, None)
         self.budget.close_client(client.spare)
 
     def movable(self, client: Client) -> bool:
@@ -303,15 +390,13 @@
         another process would meet an end there that nothing makes necessary."""
         if self.moving is not None:
             return False
-        now, best = monotonic(), None
-        for client in self.open:
-            if client.spare == spare and not client.busy and not client.closing:
-                rank = client.dispensable(now), client.heard_at
-                if rank[0] < 3 and (best is None or rank < best[0]):
-                    best = rank, client
-        if best is not None:
-            best[1].close()
-        return best is not None
+        now = monotonic()
+        for group in (self.departing, self.untried, self.rested):
+            for client in islice(group, LOOKS):
+                if client.spare == spare and not client.closing and client.dispensable(now):
+                    client.close()
+                    return True
+        return False
 
     async def sweep(self) -> None:
         while True:
@@ -322,18 +407,10 @@
                 if client.busy or client.closing or client.leaving or still < READ_TIME:
                     continue
                 if client.parser.partial:
-                    self._too_slow(client)
+                    client.leave(TOO_SLOW, "a message that does not end")
                 elif (not client.known or still > IDLE_TIME) and client.idle():
                     client.close()
 
-    def _too_slow(self, client: Client) -> None:
-        self.malformed += 1
-        try:
-            client.sock.send(http.answer(408, keep=False))
-        except OSError:
-            pass
-        client.close()
-
     def close_idle(self) -> None:
         """At the end; one that has just come is about to send."""
         new = monotonic() - NEW
@@ -341,6 +418,18 @@
             if (client.used or client.heard_at < new) and client.idle():
                 client.close()
 
+    def all_bad(self, messages: deque[tuple]) -> bool:
+        """Whether each of them can only be turned away as well."""
+        return not any(self._readable(*message[:3]) for message in messages)
+
+    def _readable(self, method: bytes, target: bytes, headers: dict) -> bool:
+        if method == b"GET" and target == HEALTH:
+            return True
+        try:
+            return method == b"POST" and self.desk.takes(fields.read(target, headers)[1]["offering"])
+        except fields.Unreadable:
+            return False
+
     # -- a task's life -----------------------------------------------------------------------------------
 
     async def serve(self, client: Client, method: bytes, target: bytes, headers: dict, body: bytes,
@@ -388,6 +477,7 @@
             await client.answer(400 if told["offering"] in self.desk.offerings else 404, b"", keep)
             return
         client.errand, client.known, self.names[name] = errand, True, None
+        errand.left = partial(hung_up, client.sock)
         client.message = name, target, headers, body, keep
         if client.gone:
             self.desk.report_gone(errand)
@@ -414,9 +504,9 @@
         while (step := await self.desk.pick(errand)) is not None:
             kind = step[0]
             if kind is Step.SEND:
-                _, number, place, seconds, once = step
+                _, number, place, end, once = step
                 self.executors.carry(errand, number, place, name,
-                                     _message(target, headers, body, monotonic() + seconds), once)
+                                     _message(target, headers, body, end, self.desk.clock), once)
             elif kind is Step.CALL_OFF:
                 self.executors.call_off(errand, step[1])
             elif client.errand is not errand:
@@ -434,12 +524,13 @@
         self.keep(asyncio.get_running_loop().create_task(client.answer(status, body, keep, advice)))
 
 
-def _message(target: bytes, headers: dict, body: bytes, end: float):
-    """The bytes of an assignment, made when they are written: the time left is told in them."""
+def _message(target: bytes, headers: dict, body: bytes, end: float, clock: Callable[[], float]):
+    """The bytes of an assignment, made when they are written: the time left until `end`, on the clock of the
+    decisions, is told in them."""
     def message() -> bytes:
         lines = [(b"Host", headers.get(b"host", b"backend.local")),
                  (b"X-Request-Id", headers[b"x-request-id"]),
-                 (b"X-Deadline", b"%dm" % max(int((end - monotonic()) * 1e3), 1))]
+                 (b"X-Deadline", b"%dm" % max(int((end - clock()) * 1e3), 1))]
         if b"idempotency-key" in headers:
             lines.append((b"Idempotency-Key", headers[b"idempotency-key"]))
         return http.ask(b"POST", target, lines, body)
--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -16,12 +16,12 @@
 from firwalk.net.waiting import connected
 
 # What discovery has to tell counts as known six seconds later, whatever failed before. A watch that falls
-# silent, the pause before the next call, its connect and its answer must fit in that time together, and so must
-# a call that hangs, the pause and the call after it: the longest pauses are in `firwalk.logic`.
+# silent, the pause before the next call, its connect and its answer must fit in that time together, and so
+# must a call that hangs, the pause and the call after it: the longest pauses are in `firwalk.logic`.
 CONNECT_TIME = 0.4     # seconds
 SILENCE = 2.4          # seconds without a whole line (one comes every two) after which a watch has ended
-CALL_TIME = 2.2        # seconds from the request to a whole first list, of a watch and of a single call: one that
-                       # waits its turn gets a 503 after two, so that one without any answer has fallen silent
+CALL_TIME = 2.2        # seconds from the request to a whole first list, of a watch and of a single call: one
+                       # that waits its turn gets a 503 after two, so that one without an answer fell silent
 MOST_LIST = 1 << 22    # bytes of one update, over all its lines
 LIFECYCLES = {"active": Condition.READY, "leaving": Condition.DRAINING, "left": Condition.GONE}
 
--- a/firwalk/net/stalls.py
+++ b/firwalk/net/stalls.py
@@ -34,15 +34,18 @@
 
     def behind(self, now: float, sock: socket.socket) -> float:
         """Seconds for which what is read now has waited already; 0 in all ordinary times."""
+        waited = _waited(sock)
         if now - self.beat_at > BEAT + STALL:  # this comes before the beat
-            return _waited(sock, now - self.beat_at)
-        return _waited(sock, self.length) if now < self.woke_at + WAKING else 0.0
+            return now - self.beat_at if waited is None else min(waited, now - self.beat_at)
+        if now < self.woke_at + WAKING:
+            return self.length if waited is None else min(waited, self.length)
+        return waited or 0.0
 
 
-def _waited(sock: socket.socket, most: float) -> float:
-    """Never more than since the process stood still; as long, where the machine does not tell."""
+def _waited(sock: socket.socket) -> float | None:
+    """Seconds since its last bytes came; None where the machine does not tell."""
     try:
         told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_CAME + 4)
-        return min(unpack_from("=I", told, LAST_CAME)[0] / 1e3, most)
+        return unpack_from("=I", told, LAST_CAME)[0] / 1e3
     except (OSError, error):
-        return most
+        return None
--- a/firwalk/net/waiting.py
+++ b/firwalk/net/waiting.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import os
+import select
 import socket
 
 
@@ -47,6 +48,16 @@
         raise OSError(problem, os.strerror(problem))
 
 
+def hung_up(sock: socket.socket) -> bool:
+    """Whether the other side has closed or reset it, also where bytes that came before that are unread."""
+    try:
+        poll = select.poll()
+        poll.register(sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+    except (OSError, ValueError):  # ours is closed already
+        return True
+
+
 def _now(ready: asyncio.Future) -> None:
     if not ready.done():
         ready.set_result(None)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -227,7 +227,7 @@
                          "kinds": ["m"], "resolution-us": 5000, "load-report": {"how": "on_probe"},
                          "specifics": {"tells-start": True}} | (settings or {})
         self.limits = {"memory_mb": 128, "sockets": 256} | (limits or {})
-        self.version, self.watches, self.asked = 1, [], []
+        self.version, self.watches, self.asked, self.asked_at = 1, [], [], []
 
     def entry(self, number, address=None, lifecycle="active"):
         address = address or self.executors[number].address
@@ -284,6 +284,7 @@
     async def _list(self, reader, writer):
         while message := await read_message(reader):
             self.asked.append(message[0])
+            self.asked_at.append(time.monotonic())
             if self.silent:
                 continue
             if self.refuse_list:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,4 @@
-"""The client of discovery against a service that is held at every instant at which a watch or call can fail."""
+"""The client of discovery, against a service held at each instant at which a watch or a call can fail."""
 import asyncio
 import time
 from types import SimpleNamespace
@@ -182,8 +182,9 @@
     play(behave, story, monkeypatch)
 
 
-@pytest.mark.parametrize("half", [WHOLE[:40] + b"\n", INDENTED[:INDENTED.index(b"e1")].rsplit(b"\n", 1)[0] + b"\n"],
-                         ids=["cut in a line", "cut between lines"])
+@pytest.mark.parametrize("half", [
+    WHOLE[:40] + b"\n", INDENTED[:INDENTED.index(b"e1")].rsplit(b"\n", 1)[0] + b"\n"],
+    ids=["cut in a line", "cut between lines"])
 def test_half_a_list_and_a_sign_of_life_behind_it_end_a_watch_at_once(half, monkeypatch):
     async def behave(writer):
         await begin(writer, half)
