--- /dev/null
+++ b/tests/test_sites.py
@@ -0,0 +1,118 @@
+"""Settings of other customers: a node takes up every one that the deployments in deploy/sites use.
+
+The deployments are written in the words of the operators' site files; here they become a node's settings,
+each range by both of its ends, without anything of the bench."""
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from firwalk.facade import Desk, Step
+from firwalk.host import Condition, Effect, Group, Outcome
+from firwalk.settings import EFFECTS, GROUPS, check, check_news
+
+SITES = sorted((Path(__file__).parents[1] / "deploy" / "sites").glob("*.toml"))
+MILLI = 1000           # microseconds
+
+
+def end_of(value, which):
+    """The lower or the upper end of a range; the value itself, where it is none."""
+    if isinstance(value, list) and value and not isinstance(value[0], str):
+        return value[0] if which == 0 else value[-1]
+    return value[which and -1] if isinstance(value, list) else value
+
+
+def settings_of(site, which):
+    """What a node is told of a deployment."""
+    allow, rules, tier, family = site["allow"], site["rules"], site["tier"][0], site["fam"]
+    classes = site["class"]
+    capacity = 100.0
+    return {
+        "self-index": 0, "siblings": end_of(site["scale"]["big_balancers"], which), "az": 0,
+        "azs": site["net"]["zones"], "kinds": [kind["name"] for kind in tier["kind"]],
+        "resolution-us": site["day"]["tick_ms"] * MILLI, "discovery": site["discovery"]["mode"],
+        "weights": tier["weights"], "importance-by": site["load"]["worth_by"],
+        "excess-importance": site["load"].get("over_share_worth", 1.0),
+        "clients": {"marks-retry": end_of(site["clients"]["marks_retry"], which)},
+        "load-report": {"how": "on_probe" if tier["report"]["how"] == "probe" else "inline",
+                        "names": tier["report"]["fields"]},
+        "limits": {
+            "most-assignments": allow["max_attempts"], "second-copies": allow["second_copies"],
+            "cancel": allow["cancel"], "probing": allow["probes"], "peers": allow["peers"],
+            "retry-after": allow["retry_after"],
+            "max-retry-after-us": site["clients"]["max_retry_after_ms"] * MILLI,
+            "connect-timeout-us": tier["conn"]["connect_timeout_ms"] * MILLI,
+            "idle-close-us": tier["conn"]["idle_s"] * 1000 * MILLI},
+        "prices": {"cross-zone": site["prices"]["cross_zone"], "handshake": site["prices"]["handshake"]},
+        "guarantees": {
+            "cold-from": end_of(tier["kind"][0]["cold_from"], which),
+            "cold-us": int(end_of(tier["kind"][0]["cold_s"], which) * 1e6),
+            "fall-multiple": rules["fall_multiple"], "tip-after-us": rules["fall_ms"] * MILLI,
+            "ask-within-us": 10000 * MILLI},
+        "offerings": [{
+            "name": c["name"], "due-time-us": c["aim_ms"] * MILLI, "expiry-us": c["deadline_ms"] * MILLI,
+            "importance": c["worth"], "repeat": c["effect"], "group": c.get("group", "all"),
+            "key-ttl-us": c.get("window_ms", 5000) * MILLI} for c in classes],
+        "tenants": [{"name": t["name"], "quota-per-s": t["share"] * capacity}
+                    for t in site.get("tenant", [])],
+        "specifics": {
+            "tells-start": family["tells_start"], "class-kind": [-1] * len(classes),
+            "class-stretch": [family["class"][-1]["stretch"]] * len(classes),
+            "class-priority": [family["class"][-1]["priority"]] * len(classes)}}
+
+
+def read(path):
+    return tomllib.loads(path.read_text())
+
+
+def test_there_are_two_of_them_and_they_differ_in_what_matters():
+    sites = [read(path) for path in SITES]
+    assert len(sites) == 2
+    assert {site["discovery"]["mode"] for site in sites} == {"push", "ask"}
+    assert {c["effect"] for site in sites for c in site["class"]} == set(EFFECTS)
+    assert {c.get("group", "all") for site in sites for c in site["class"]} == set(GROUPS)
+    assert sorted(len(site["class"]) for site in sites) == [1, 4]
+    for part, word in (("allow", "second_copies"), ("allow", "retry_after"), ("clients", "marks_retry")):
+        assert {site[part][word] for site in sites} == {True, False}
+
+
+@pytest.mark.parametrize("which", [0, 1], ids=["lower", "upper"])
+@pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
+def test_a_node_takes_up_every_setting_and_keeps_each_class_by_its_own_effect(path, which):
+    site = read(path)
+    settings = settings_of(site, which)
+    config = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": settings}
+    check(config)
+    check_news(config, config)
+    for number, c in enumerate(site["class"]):
+        now = [1000.0]
+        desk = Desk(settings, 7, lambda now=now: now[0], lambda: None)
+        desk.report_list(1, True, [
+            (f"e{n}", ("127.0.0.1", 1 + n), site["net"]["zones"][n % 2], settings["kinds"][0], n % 3,
+             Condition.READY, 0.0, 2.0) for n in range(6)])
+        kind = desk.node.offerings[number]
+        assert (kind.due, kind.expiry) == pytest.approx((c["aim_ms"] / 1e3, c["deadline_ms"] / 1e3))
+        assert (kind.effect, kind.group) == (EFFECTS[c["effect"]], GROUPS[c.get("group", "all")])
+        tenant = site["tenant"][0]["name"] if "tenant" in site else ""
+        errand = desk.report_task(c["name"], tenant, None, 0.01, 1.0, 0.0, False)
+        first = errand.task.assignments[0].executor
+        desk.report_last_byte(errand, 0)
+        desk.report_outcome(errand, 0, Outcome.BROKEN)      # it may have run
+        again = [a.executor for a in errand.task.assignments[1:]]
+        if kind.effect is Effect.SIDE_EFFECTING:
+            assert not again and errand.steps[-1][0] is Step.ABANDONED
+        elif again and kind.effect is Effect.FINGERPRINTED and kind.group is not Group.ALL:
+            word = "zone" if kind.group is Group.ZONE else "cell"
+            assert getattr(again[0], word) == getattr(first, word)
+        elif kind.effect is Effect.IDEMPOTENT:
+            assert len(again) == 1 and again[0] is not first
+        assert len(errand.task.assignments) <= site["allow"]["max_attempts"]
+    assert desk.node.copies == site["allow"]["second_copies"]
+    advice = site["clients"]["max_retry_after_ms"] / 1e3 if site["allow"]["retry_after"] else 0.0
+    assert desk.node.longest_advice == pytest.approx(advice)
+
+
+@pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
+def test_nothing_of_the_bench_lies_in_the_repository_beside_them(path):
+    ignored = (Path(__file__).parents[1] / ".gitignore").read_text().split()
+    assert {f"deploy/sites/{name}" for name in ("real.json", "wire.json", "unlock.txt")} <= set(ignored)
