--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -32,7 +32,7 @@
 COLD_PART, HEAVY_PART, FIRSTS = 0.4, 0.15, 2.0  # of what a cold one bears: all's; a task's; of it, all firsts
 OVERLOAD = 1.25        # times what all bear that a node's work, by the number of nodes, may come to unreduced
 HOMES, SETUP, MOST_KEYS = 3, 1.0, 4096  # executors for a key; mean tasks' work that others cost more; kept
-REPEATS, REPEAT_WEIGHT = 0.1, 0.02  # share of tasks with keys that came before, for it to count; of one in it
+KEYS_AT_FIRST, REPEATS, REPEAT_WEIGHT = 0.3, 0.1, 0.02  # share of keys that came before; at least; of one
 GOLDEN, TIES = 0.6180339887, 4  # spreads draws of cold executors; ones without own work that are compared
 TRUST, HINT_WEIGHT = 4.0, 0.01  # tasks' weight of the trust in hints at first; least of a hint in their means
 WARNED, FULL_PAUSE = 6.0, 0.3  # seconds last for what cannot repeat, after an error; unsent, after a full one
@@ -185,7 +185,7 @@
         self.asks = reports == "on_probe" and may_probe
         self.reports_count = self.asks or not tells_start  # else older than starts
         self.part, self.capacity, self.fall_multiple = 1.0 / nodes, 1.0, fall_multiple  # its part of all work
-        self.offered, self.offered_at, self.began, self.repeats, self.lists = 0.0, now, now, 0.0, 0
+        self.offered, self.offered_at, self.began, self.repeats, self.lists = 0.0, now, now, KEYS_AT_FIRST, 0
         self.cold_from, self.cold_for = cold_from, cold_for
         self.executors, self.near, self.far = [], [], []  # all; those ready in the own zone; and in others
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
