--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -9,7 +9,8 @@
 from types import SimpleNamespace
 
 import pytest
-from helpers import World, address_of, post
+from helpers import address_of, post
+from test_service import GET, play
 
 from firwalk.facade import Errand, Place
 from firwalk.host import Outcome
@@ -20,16 +21,6 @@
 from firwalk.net.executors import Executors
 from firwalk.net.service import Service
 
-GET = b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n"
-
-
-def play(story, *behaviours, **world):
-    async def run():
-        async with World(*behaviours, **world) as w:
-            await asyncio.wait_for(story(w), 20)
-        return w
-    return asyncio.run(run())
-
 
 class Held:
     """An executor that begins each task, and ends it when the test says so."""
