--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -51,7 +51,8 @@
         self.busy, self.used, self.known, self.errand, self.writing = False, False, False, None, None
         self.message: tuple = ()                         # of its task: id, target, headers, body, keep
         self.heard_at, self.closing, self.gone = monotonic(), False, False
-        self.accepted_at: float | None = accepted_at     # until its first bytes are read: they may be as old
+        # What is there already when it is let in may have waited since then; None once that is read.
+        self.accepted_at: float | None = None if self._read_up() else accepted_at
         self.leaving = 0                                 # what it is told for a message that ends it all
         self.turned_away_at, self.pushes = 0.0, 0
         self.heir: Callable[[socket.socket], None] | None = None    # who gets it when its reader has let go
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -259,6 +259,25 @@
     asyncio.run(run())
 
 
+def test_a_connection_that_rests_before_its_first_message_loses_none_of_its_time():
+    """Its first message counted from when it was accepted, as if it had waited to be let in."""
+    async def run():
+        clients, served = some_clients(), []
+
+        async def serve(client, *message):
+            served.append(message[-1])
+        clients.serve = serve
+        with socket.create_server(("127.0.0.1", 0)) as server, socket.socket() as theirs:
+            theirs.connect(server.getsockname())
+            assert clients.admit(server.accept()[0])
+            await asyncio.sleep(0.5)
+            came = time.monotonic()
+            theirs.sendall(post())
+            await asyncio.sleep(0.1)
+        assert len(served) == 1 and served[0] > came - 0.1
+    asyncio.run(run())
+
+
 # -- attempts --------------------------------------------------------------------------------------------
 
 def test_an_attempt_whose_bytes_are_long_in_writing_is_not_begun():
