--- a/firwalk/__main__.py
+++ b/firwalk/__main__.py
@@ -1,15 +1,21 @@
 """Starts one node: reads its configuration, sets up signals, and runs it until it is told to end."""
 from __future__ import annotations
 
+from firwalk import early_signals
+
+if __name__ == "__main__":  # before all that takes a while to load
+    early_signals.hold()
+
 import asyncio
 import gc
 import os
 import signal
 import sys
+from contextlib import suppress
 
 import uvloop
 
-from firwalk.log import say
+from firwalk.log import report
 from firwalk.net.service import Service
 from firwalk.settings import in_lines, load, read
 
@@ -31,10 +37,10 @@
 def _reload_operations(service: Service, path: str) -> None:
     try:
         fixed = service.cluster.reload(_operations(path, service.config))
-        say("operators' file read again" + (f"; needs a restart: {', '.join(fixed)}" if fixed else ""))
+        report("operators' file read again" + (f"; needs a restart: {', '.join(fixed)}" if fixed else ""))
     except Unfit as problem:
         for line in str(problem).splitlines():
-            say(f"operators' file stays as it was: {line}")
+            report(f"operators' file stays as it was: {line}")
 
 
 def _reload(service: Service, path: str, told: bool = False, operations: str | None = None) -> None:
@@ -46,19 +52,35 @@
         service.reload(read(path))
     except Exception as problem:  # a bad file must not end a node that serves
         for line in in_lines(problem):
-            say(f"all stays as it was: cannot use {path}: {line}")
+            report(f"all stays as it was: cannot use {path}: {line}")
     if service.cluster is not None:
         _reload_operations(service, operations)
 
 
+def _stream_events(service: Service, path: str | None) -> None:
+    """Appends every event to a file, a line of JSON each; events are lost where it cannot be written,
+    or is a pipe without room."""
+    if path:
+        file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_NONBLOCK, 0o644)
+
+        def write(line: bytes) -> None:
+            with suppress(OSError):
+                os.write(file, line + b"\n")
+        service.desk.events.write = write
+
+
 async def _run(path: str, operations: str | None) -> int:
     loop = asyncio.get_running_loop()
     try:
         service = Service(load(path))
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, service.ending.set)
+            loop.add_signal_handler(number, service.stop.request)
         service.reread = lambda: _reload(service, path, True, operations)
         loop.add_signal_handler(signal.SIGHUP, _reload, service, path, False, operations)
+        loop.add_signal_handler(signal.SIGUSR1, service.tell_counts)
+        _stream_events(service, os.environ.get("FIRWALK_EVENTS"))
+        if early_signals.take(signal.SIGHUP):
+            loop.call_soon(_reload, service, path, False, operations)
         if operations:
             service.join(_operations(operations, service.config))
         await service.open()
@@ -73,9 +95,17 @@
     gc.collect()
     gc.freeze()
     await service.run()
+    _ignore_signals(loop)
     return 0
 
 
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Behind the end nothing is owed: a signal then must not make the end look like a crash."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _told_paths() -> tuple[str | None, str | None]:
     """Imported only where there is something to take apart: two processes of one node share its memory."""
     import argparse
--- a/firwalk/cli/main.py
+++ b/firwalk/cli/main.py
@@ -9,6 +9,7 @@
 import os
 import sys
 import time
+from dataclasses import asdict
 from typing import Annotated
 
 import typer
@@ -381,6 +382,64 @@
     raise typer.Exit(1 if any(one.breaks for one in found) else 0)
 
 
+@lab.command()
+def soak(first: Annotated[int, typer.Option(min=0, help="the first seed")] = 1,
+         count: Annotated[int, typer.Option(min=1, max=1000, help="how many seeds")] = 6,
+         at_once: Annotated[int, typer.Option(min=1, max=8, help="beside each other")] = 2,
+         keep: Annotated[str | None, typer.Option(help="a folder for records, logs and totals.json")] = None
+         ) -> None:
+    """Real processes under drawn faults that overlap; a failing seed tells its history."""
+    from pathlib import Path
+
+    import uvloop
+
+    from firwalk.lab.soak import runner
+    folder = Path(keep) if keep else None
+    seeds = list(range(first, first + count))
+    try:
+        reports = uvloop.run(runner.play_many(seeds, at_once, print, folder))
+    except KeyboardInterrupt:
+        raise typer.Exit(130) from None
+    except OSError as problem:
+        _bad([str(problem)])
+    totals = runner.totals(reports)
+    if folder:
+        (folder / "totals.json").write_text(json.dumps(totals, indent=1))
+    for word in ("faults", "counts", "broken"):
+        print(f"{word}: {', '.join(f'{name} {number}' for name, number in totals[word].items()) or 'none'}")
+    print(f"{len(seeds)} seeds, {len(totals['failing'])} failing: {totals['failing']}")
+    raise typer.Exit(1 if totals["failing"] else 0)
+
+
+@lab.command()
+def scale(sizes: Annotated[str, typer.Option(help="numbers of executors; the first is compared with")] =
+          "200,1000,3200",
+          rate: Annotated[float, typer.Option(min=1, max=500, help="requests a second")] = 40.0,
+          seconds: Annotated[float, typer.Option(min=2, max=120)] = 12.0,
+          as_json: Annotated[bool, typer.Option("--json")] = False) -> None:
+    """One real node at the same traffic beside ever more executors: what it needs, against its bounds."""
+    import uvloop
+
+    from firwalk.lab.scale import run
+    try:
+        counts = [int(size) for size in sizes.split(",")]
+    except ValueError:
+        _bad([f"--sizes: numbers with commas between are wanted, not {sizes!r}"])
+    try:
+        found = [uvloop.run(run.measure(count, rate, seconds)) for count in counts]
+    except (OSError, TimeoutError) as problem:
+        _bad([str(problem)])
+    wrong = [line for other in found[1:] for line in run.broken(found[0], other)]
+    if as_json:
+        print(json.dumps({"needs": [asdict(one) for one in found], "broken": wrong}))
+    else:
+        for one in found:
+            print(", ".join(f"{word} {value}" for word, value in asdict(one).items()))
+        for line in wrong:
+            print(f"over its bound: {line}")
+    raise typer.Exit(1 if wrong else 0)
+
+
 @lab.command()
 def schedules(
         count: Annotated[int, typer.Option(min=1, help="how many")] = 1000,
--- a/firwalk/cluster/steering.py
+++ b/firwalk/cluster/steering.py
@@ -64,7 +64,7 @@
         self.reached = [True] * zones       # by what this node met itself
         desk.terms_of, seat.follower.changed = self.terms, self.follow
         if zones:
-            desk.seen, seat.evidence = Watch(zone, zones, now), self._tells
+            desk.seen, seat.evidence = Watch(zone, zones, now, seat.follower.report), self._tells
             seat.early, desk.seen.alarm = self._tells_early, seat.tell_early
 
     def stop(self) -> None:
--- a/firwalk/cluster/zones.py
+++ b/firwalk/cluster/zones.py
@@ -206,7 +206,8 @@
         told = []
         for number in numbers:
             to = [f"{part:.0%} to {other}" for other, part in tried.shares[number].items() if part > EVEN]
-            told.append(", ".join([*to, f"{tried.turned_away[number]:.0%} would fit nowhere"]))
+            away = tried.turned_away[number]
+            told.append(", ".join([*to, f"{away if away > EVEN else 0.0:.0%} would fit nowhere"]))
         return "; ".join(told)
 
     def restore(self, numbers: list[int], now: float) -> str:
@@ -304,6 +305,7 @@
         """What each node met there in the last looks, since the zone moved: a voice for each that tried
         often enough; none at all where all together tried too seldom to tell trouble from chance."""
         sums: dict[int, View] = {}
+        starts: dict[int, list[float]] = {}
         for new in self.recent:
             for seat, told in new.items():
                 view = told.views.get(zone.number)
@@ -312,7 +314,9 @@
                 seen = sums.setdefault(seat, View())
                 seen.tried, seen.missed = seen.tried + view.tried, seen.missed + view.missed
                 seen.erred = seen.erred + view.erred
-                seen.start += (view.start - seen.start) * view.tried / seen.tried
+                starts.setdefault(seat, []).append(view.start)
+        for seat, view in sums.items():  # not the mean: one look in which a machine stood still leaned a zone
+            view.start = median_low(starts[seat])
         speak = [view for view in sums.values() if view.tried >= LEAST_TRIES]
         enough = len(speak) >= LEAST_VOICES and sum(view.tried for view in speak) >= LEAN_TRIES
         return speak if enough else []
--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -15,15 +15,18 @@
 from zlib import crc32
 
 from firwalk import hearsay
+from firwalk.events import EventLog, Refusal
 from firwalk.host import Condition, Effect, Outcome
 from firwalk.log import must
 from firwalk.logic import Assignment, Executor, Task
 from firwalk.maintenance import Maintenance
+from firwalk.monitor import Monitor, RequestRecord
 from firwalk.settings import REPORT_WORDS, build_node, retune
 
 WAY_BACK = 0.02        # seconds kept for an answer's way to the client: at its expiry it would be too late
 FOR_GOOD = float("inf")   # until it is said otherwise
 LEAST_LEFT = 0.001     # seconds: what an executor is told of its time has no smaller part
+MOST_LOAD = 1e6        # figures of a load report beyond it (an infinite one, too) tell nothing
 LAST_WORD = 0.01       # seconds past a task's expiry, after its time-out
 LAST = (Outcome.FINISHED, Outcome.UNFIT)    # outcomes that end the task itself
 MISSED = (Outcome.NO_CONNECTION, Outcome.BROKEN, Outcome.TIMED_OUT, Outcome.CANCELLED)  # nobody was found
@@ -72,6 +75,8 @@
         self.about = ("", "")           # names of its offering and tenant
         self.charge: Any = None         # what is reserved for it of its team's budget
         self.measured = 0.0             # work of the assignment that finished
+        self.record: RequestRecord | None = None        # what the checks at run time keep of it
+        self.refusal = Refusal.NO_EXECUTOR              # why it was given up, once it was
         self.left: Callable[[], bool] = lambda: False   # whether its client has gone, read or not
 
     def stir(self) -> None:
@@ -91,6 +96,8 @@
 
     def __init__(self, settings: dict, seed: int, clock: Callable[[], float], wake: Callable[[], None]):
         self.clock, self.wake = clock, wake
+        self.events = EventLog()
+        self.monitor = Monitor(self.events, clock)
         self.timers: list[tuple] = []
         self.label, self.next = 0, float("inf")
         self.chores: list[tuple] = []
@@ -167,7 +174,7 @@
 
     def report_task(self, offering: str, tenant: str, budget: float | None, cost: float, slots: float,
                     memory: float, again: bool, marked: bool = True, waited: float = 0.0,
-                    key: bytes = b"") -> Errand | None:
+                    key: bytes = b"", request_id: str = "") -> Errand | None:
         """A task was taken, some seconds ago; None where no such offering exists, or a fingerprint is needed
         and it is not `marked` by one. Its offering's budget is the most that it can have."""
         number = self.offerings.get(offering)
@@ -180,6 +187,7 @@
         budget = max(min(budget, self.closing_at - now) - WAY_BACK, 0.0)
         errand.task = self.node.task_arrived(
             now, errand, number, self.tenants.get(tenant, -1), budget, cost, slots, memory, again, key)
+        errand.record = self.monitor.taken(request_id, errand.task, errand.expiry + WAY_BACK)
         if self.seen is not None and not again:  # what is turned away and comes again is asked for once
             self.seen.arrived(errand.task.work)
         if errand.task.open:
@@ -193,7 +201,7 @@
         if assignment.out and not assignment.started_at:
             now = self.clock()
             if self.seen is not None:
-                self.seen.started(self._zone(assignment.executor), now - assignment.sent)
+                self.seen.started(self._zone(assignment.executor), now - assignment.sent, now)
             self.node.started(now, assignment)
             self._settle(now)
 
@@ -233,6 +241,8 @@
         if how is Outcome.FINISHED and task.ref.charge is not None and not task.ref.measured:
             took = now - (assignment.started_at or assignment.sent)
             task.ref.measured = took * assignment.executor.speed * task.slots
+        if task.ref.record is not None:
+            self.monitor.attempt_ended(task.ref.record, assignment.number, how)
         self.node.ended(now, assignment, how, now - assignment.sent, complete, self._words(load))
         if not task.open:
             self.open.pop(task.ref, None)
@@ -253,7 +263,8 @@
         executor, began = assignment.executor, assignment.started_at
         late = now - assignment.sent > assignment.wait + assignment.task.cost / executor.rate()
         if how is not Outcome.NOT_SENT and (how is not Outcome.CANCELLED or late and not began):
-            self.seen.ended(self._zone(executor), how in MISSED and not began, how is Outcome.ERROR)
+            missed = how in MISSED and not began
+            self.seen.ended(self._zone(executor), missed, how is Outcome.ERROR, now, assignment.sent)
 
     def shun(self, zones: list[int]) -> None:
         """These zones get nothing for as long as they are named."""
@@ -272,9 +283,11 @@
                 bears[number] += executor.slots * executor.speed
         return bears
 
-    def report_gone(self, errand: Errand) -> None:
+    def report_gone(self, errand: Errand, reason: str = "client_left") -> None:
         """The client left."""
         now = self.clock()
+        if errand.record is not None:
+            self.monitor.released(errand.record, reason)
         self.node.withdrawn(now, errand.task)
         self.open.pop(errand, None)
         self._settle_charge(errand.task)
@@ -283,7 +296,7 @@
 
     def report_moved(self, errand: Errand) -> None:
         """Another process of this node goes on with it: here nothing is owed any more."""
-        self.report_gone(errand)
+        self.report_gone(errand, "handed_over")
         for assignment in errand.task.assignments:
             if assignment.out:  # where a cancel means nothing
                 self.report_outcome(errand, assignment.number, Outcome.CANCELLED)
@@ -402,7 +415,7 @@
         now = self.clock()
         if self.seen is not None:
             missed = how not in (Outcome.FINISHED, Outcome.FULL)
-            self.seen.ended(self._zone(self.places[place.name]), missed, False)
+            self.seen.ended(self._zone(self.places[place.name]), missed, False, now, now - took)
         self.node.probed(now, self.places[place.name], how, took, self._words(load))
         self._settle(now)
 
@@ -417,7 +430,19 @@
         """The first byte is about to be written; False: no more. While a connection was awaited, the executor
         may have begun to drain or come back cold, the client may have left, or the task may have ended; or
         the process stood still, and wakes past the task's time before its timers have told."""
-        return self._may_go(errand, number)
+        if not self._may_go(errand, number):
+            return False
+        if errand.record is not None:
+            assignment = errand.task.assignments[number]
+            self.monitor.attempt_begun(errand.record, assignment, self._why(errand, number))
+        return True
+
+    @staticmethod
+    def _why(errand: Errand, number: int) -> str:
+        """Why this attempt is made: the first one, beside one that is still out, or after one that ended."""
+        if number == 0:
+            return "first"
+        return "hedge" if any(a.out for a in errand.task.assignments[:number]) else "retry"
 
     def report_last_byte(self, errand: Errand, number: int) -> bool:
         """The last byte is about to be written: from here on it may run. False: the task has ended, or its
@@ -425,6 +450,8 @@
         wanted = self._may_go(errand, number, begun=True)
         if wanted:
             errand.begun.add(number)
+            if errand.record is not None:
+                self.monitor.attempt_committed(errand.record, number)
         return wanted
 
     def _may_go(self, errand: Errand, number: int, begun: bool = False) -> bool:
@@ -435,11 +462,13 @@
         if errand.left():
             self.report_gone(errand)
             return False
-        return begun or self.node.may_begin(self.clock(), assignment)
+        if begun:
+            return self.node.may_commit(self.clock(), assignment)
+        return self.node.may_begin(self.clock(), assignment)
 
     def report_idle(self, place: Place, count: int) -> None:
         """So many connections to it are open and free: what the decisions count misses those that ended."""
-        self.places[place.name].idle = count
+        self.node.idle_counted(self.places[place.name], count)
 
     def close_by(self, when: float) -> None:
         """The node must be gone then: what it has taken is answered before, as if it expired."""
@@ -456,7 +485,7 @@
         if not isinstance(load, dict):
             return None
         return {REPORT_WORDS.get(name, name): float(value) for name, value in load.items()
-                if isinstance(value, int | float)}
+                if isinstance(value, int | float) and abs(value) < MOST_LOAD}
 
     def _time_out(self, now: float, assignment: Assignment) -> None:
         if assignment.out:
@@ -484,7 +513,17 @@
     def terms(self, task: Task) -> float:
         return 1.0 if self.terms_of is None else self.terms_of(task)
 
+    def _refusal(self, task: Task) -> Refusal:
+        """Why it is given up: by its end, that of the process, the lack of an executor, or failures."""
+        stopped = task.expiry < task.ref.expiry
+        if self.clock() >= task.expiry:
+            return Refusal.STOPPING if stopped else Refusal.DEADLINE
+        if task.assignments:
+            return Refusal.ATTEMPTS_FAILED
+        return Refusal.STOPPING if stopped else Refusal.NO_EXECUTOR
+
     def bounce(self, task: Task, wait: float) -> None:
+        task.ref.refusal = self._refusal(task)
         task.ref.add(Step.BOUNCED, min(max(wait, task.ref.advice), self.node.longest_advice))
         if self.tally is not None:
             self.tally.bounced(task.ref.about[0], len(task.assignments))
@@ -492,6 +531,7 @@
         self._settle_charge(task)
 
     def abandon(self, task: Task) -> None:
+        task.ref.refusal = self._refusal(task)
         task.ref.add(Step.ABANDONED)
         if self.tally is not None:
             self.tally.abandoned(task.ref.about[0], len(task.assignments))
--- /dev/null
+++ b/firwalk/lab/scale/run.py
@@ -0,0 +1,261 @@
+"""One node beside so many executors at the same traffic, and what it needs of everything."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+import orjson
+import psutil
+
+from firwalk.lab.deployment import common_settings
+from firwalk.lab.processes import die_with_parent, start_worker
+from firwalk.lab.scale.worker import FleetSpec
+from firwalk.lab.soak.discovery import Discovery
+from firwalk.lab.standins import is_healthy, read_message
+
+SECONDS = 12.0
+CHANGES = 1 / 200  # of the executors a second that the list tells of
+SLOTS = 4
+DEADLINE_S = 1.0
+WORK_S = 0.02
+HEALTH_EVERY_S = 0.02
+READY_S = 30.0
+NODES = 10  # that the settings tell of
+COLD_FROM, COLD_FOR_S = 0.2, 2.0
+
+
+@dataclass
+class Needs:
+    """What the node needed over one run."""
+
+    executors: int
+    rate: float
+    cpu_s: float
+    memory_mb: float
+    descriptors: int
+    connections: int
+    list_bytes: int
+    longest_turn_s: float
+    ready_s: float
+    served: float
+
+
+@dataclass
+class Bound:
+    """How far one figure may grow over that of a fleet of the usual size: times, plus so much, plus so much
+    for each thousand executors."""
+
+    figure: str
+    times: float
+    plus: float = 0.0
+    per_thousand: float = 0.0
+
+    def most(self, base: Needs, executors: int) -> float:
+        """The bound for a fleet of that size."""
+        return self.times * getattr(base, self.figure) + self.plus + self.per_thousand * executors / 1e3
+
+
+BOUNDS = (
+    Bound("cpu_s", 1.4, 0.02, 0.12),
+    Bound("memory_mb", 1.5, 8.0, 4.0),
+    Bound("descriptors", 2.0, 40.0),
+    Bound("connections", 2.5, 40.0),
+    Bound("list_bytes", 2.0, 64e3, 500e3),
+)
+LEAST_SERVED = 0.85
+
+
+class Measurement:
+    """One run."""
+
+    def __init__(self, executors: int, rate: float, folder: Path, seconds: float = SECONDS):
+        self.executors, self.rate, self.folder, self.seconds = executors, rate, folder, seconds
+        self.network = f"127.{20 + os.getpid() % 200}"
+        self.node_address = (f"{self.network}.1.1", 3000)
+        self.free: list[tuple] = []
+        self.statuses: list[int] = []
+        self.longest = 0.0
+        self.processes: list[asyncio.subprocess.Process] = []
+
+    def _addresses(self) -> list[tuple[str, int]]:
+        return [(f"{self.network}.{10 + n // 250}.{1 + n % 250}", 3000) for n in range(self.executors)]
+
+    async def play(self) -> Needs:
+        """The figures."""
+        try:
+            return await self._play()
+        finally:
+            for process in self.processes:
+                with suppress(ProcessLookupError):
+                    process.kill()
+
+    async def _start_fleet(self) -> asyncio.subprocess.Process:
+        fleet = await start_worker(
+            "firwalk.lab.scale.worker",
+            FleetSpec(self._addresses(), SLOTS),
+            self.folder / "fleet.json",
+            self.folder / "counts.json",
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.processes.append(fleet)
+        await fleet.stdout.readline()
+        return fleet
+
+    async def _start_node(self) -> tuple[asyncio.subprocess.Process, float]:
+        path = self.folder / "config.json"
+        path.write_bytes(orjson.dumps(self._config()))
+        began = time.monotonic()
+        with open(self.folder / "log", "wb") as log:
+            node = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-O", "-m", "firwalk", "--config", str(path)),
+                stderr=log,
+                preexec_fn=die_with_parent,
+            )
+        self.processes.append(node)
+        while not await is_healthy(self.node_address):
+            if time.monotonic() > began + READY_S:
+                raise TimeoutError(f"the node was not ready within {READY_S:g} s")
+            await asyncio.sleep(0.02)
+        return node, time.monotonic() - began
+
+    def _config(self) -> dict:
+        return {
+            "name": "n0",
+            "listen": "{}:{}".format(*self.node_address),
+            "discovery": f"{self.network}.2.1:8500",
+            "seed": "5eed",
+            "limits": {"memory_mb": 192, "sockets": 1024},
+            "known": self.discovery.whole(),
+            "settings": common_settings(0, NODES, COLD_FROM, COLD_FOR_S)
+            | {
+                "azs": ["a"],
+                "prices": {"handshake": 0.001},
+                "offerings": [
+                    {
+                        "name": "read",
+                        "due-time-us": int(DEADLINE_S * 6e5),
+                        "expiry-us": int(DEADLINE_S * 1e6),
+                        "repeat": "safe",
+                        "group": "all",
+                        "key-ttl-us": 5000000,
+                        "importance": 1.0,
+                    }
+                ],
+            },
+        }
+
+    async def _play(self) -> Needs:
+        addresses = {n: f"{host}:{port}" for n, (host, port) in enumerate(self._addresses())}
+        self.discovery = Discovery(addresses, SLOTS, [])
+        await self.discovery.open([(f"{self.network}.2.1", 8500)])
+        fleet = await self._start_fleet()
+        node, ready_s = await self._start_node()
+        process = psutil.Process(node.pid)
+        before = sum(process.cpu_times()[:2])
+        watching = asyncio.ensure_future(self._watch(process))
+        changing = asyncio.ensure_future(self._change())
+        turning = asyncio.ensure_future(self._turns())
+        await self._send()
+        cpu_s = sum(process.cpu_times()[:2]) - before
+        for work in (watching, changing, turning):
+            work.cancel()
+        memory, descriptors = self.peak
+        node.send_signal(signal.SIGTERM)
+        await node.wait()
+        fleet.send_signal(signal.SIGTERM)
+        await fleet.wait()
+        self.discovery.close()
+        counts = orjson.loads((self.folder / "counts.json").read_bytes())
+        served = self.statuses.count(200) / max(len(self.statuses), 1)
+        return Needs(
+            self.executors,
+            self.rate,
+            round(cpu_s, 2),
+            round(memory, 1),
+            descriptors,
+            counts["connections"],
+            self.discovery.bytes_told,
+            round(self.longest, 3),
+            round(ready_s, 2),
+            round(served, 4),
+        )
+
+    async def _watch(self, process: psutil.Process) -> None:
+        self.peak = (0.0, 0)
+        while True:
+            memory, files = process.memory_info().rss / 1e6, process.num_fds()
+            self.peak = max(self.peak[0], memory), max(self.peak[1], files)
+            await asyncio.sleep(0.2)
+
+    async def _change(self) -> None:
+        """Executors drain and come back, one in two hundred a second."""
+        chance = random.Random(1)
+        while True:
+            await asyncio.sleep(1.0 / max(self.executors * CHANGES, 0.1))
+            number = chance.randrange(self.executors)
+            back = self.discovery.lifecycle[number] != "active"
+            self.discovery.change(number, "active" if back else "leaving")
+
+    async def _turns(self) -> None:
+        """How long a health call waits at the most: as long as the node's longest turn."""
+        reader, writer = await asyncio.open_connection(*self.node_address)
+        while True:
+            began = time.monotonic()
+            writer.write(b"GET /_health HTTP/1.1\r\nHost: f\r\n\r\n")
+            if await read_message(reader) is None:
+                return
+            self.longest = max(self.longest, time.monotonic() - began)
+            await asyncio.sleep(HEALTH_EVERY_S)
+
+    async def _send(self) -> None:
+        began, works = time.monotonic(), []
+        for number in range(int(self.seconds * self.rate)):
+            await asyncio.sleep(max(began + number / self.rate - time.monotonic(), 0.0))
+            works.append(asyncio.ensure_future(self._request(number)))
+        await asyncio.gather(*works)
+
+    async def _request(self, number: int) -> None:
+        body = orjson.dumps({"job": f"j{number}", "node": 0, "work": WORK_S})
+        status = 0
+        with suppress(OSError, TimeoutError):
+            async with asyncio.timeout(DEADLINE_S + 1.0):
+                pair = self.free.pop() if self.free else await asyncio.open_connection(*self.node_address)
+                pair[1].write(
+                    f"POST /read/j{number} HTTP/1.1\r\nHost: b\r\nX-Request-Id: r{number:08d}\r\n"
+                    f"X-Deadline: {int(DEADLINE_S * 1e3)}m\r\nX-Cost-Hint: {int(WORK_S * 1e6)}\r\n"
+                    f"Content-Length: {len(body)}\r\n\r\n".encode()
+                    + body
+                )
+                answer = await read_message(pair[0])
+                if answer is not None:
+                    status = int(answer[0].split()[1])
+                    self.free.append(pair)
+        self.statuses.append(status)
+
+
+async def measure(executors: int, rate: float, seconds: float = SECONDS) -> Needs:
+    """One node at that size and traffic."""
+    with tempfile.TemporaryDirectory(prefix="firwalk-scale-") as folder:
+        return await Measurement(executors, rate, Path(folder), seconds).play()
+
+
+def broken(base: Needs, other: Needs) -> list[str]:
+    """The bounds that the larger fleet breaks, a line each."""
+    wrong = [
+        f"{bound.figure} {getattr(other, bound.figure)} at {other.executors}: at most "
+        f"{bound.most(base, other.executors):.2f} beside {getattr(base, bound.figure)} at {base.executors}"
+        for bound in BOUNDS
+        if getattr(other, bound.figure) > bound.most(base, other.executors)
+    ]
+    if other.served < LEAST_SERVED * base.served:
+        wrong.append(f"served {other.served} at {other.executors}: at least {LEAST_SERVED * base.served:.3f}")
+    return wrong
--- /dev/null
+++ b/firwalk/lab/scale/worker.py
@@ -0,0 +1,70 @@
+"""One process that is many executors, each at an address of its own.
+
+`python -m firwalk.lab.scale.worker SPEC.json COUNTS.json`: serves until SIGTERM, then writes what it counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import signal
+import sys
+from pathlib import Path
+
+import msgspec
+import orjson
+import uvloop
+from msgspec import Struct
+
+from firwalk.lab.soak.executors import Executor, ExecutorSpec
+
+
+class FleetSpec(Struct):
+    """Addresses and terms of all executors."""
+
+    addresses: list[tuple[str, int]]
+    slots: int
+
+
+class NoRecords:
+    """In place of the soak's records."""
+
+    def write(self, record: Struct) -> None:
+        """Nothing is kept."""
+
+
+class CountingExecutor(Executor):
+    """Counts the connections that are made to it."""
+
+    connections = 0
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        CountingExecutor.connections += 1
+        await super()._connection(reader, writer)
+
+
+async def serve(spec: FleetSpec) -> dict[str, int]:
+    """All executors, until the process is told to end."""
+    told = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, told.set)
+    servers = []
+    for number, address in enumerate(spec.addresses):
+        one = ExecutorSpec(number, address, spec.slots, number, 0.0, [], {"read": "safe"}, 1.0, 1.0, 0.0)
+        executor = CountingExecutor(one, NoRecords())
+        servers.append(await asyncio.start_server(executor._connection, *address, backlog=64))
+    print("ready", flush=True)
+    await told.wait()
+    return {"connections": CountingExecutor.connections}
+
+
+def main() -> None:
+    """The fleet of executors."""
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+    spec = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=FleetSpec)
+    counts = uvloop.run(serve(spec))
+    Path(sys.argv[2]).write_bytes(orjson.dumps(counts))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/firwalk/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomised fault soak: real processes, faults that overlap, the rules as its oracle (`docs/lab.md`)."""
--- /dev/null
+++ b/firwalk/lab/soak/clients.py
@@ -0,0 +1,253 @@
+"""A worker of a soak: one process of clients behind a front that asks nodes for their health.
+
+`python -m firwalk.lab.soak.clients SPEC.json RECORDS.jsonl`
+
+Clients send at the times that are drawn, on a free connection or a new one. New connections go to nodes that
+answered the front's health call with 200; open ones are used for as long as they stay open. Some clients
+leave before their answer, write slowly, or stop in the middle of a request and stay.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+import orjson
+import uvloop
+from msgspec import Struct
+
+from firwalk.lab.soak.plan import ClientHabits, Fault, RequestClass
+from firwalk.lab.soak.records import ClientRecord, Writer
+from firwalk.lab.standins import is_healthy, read_message
+
+HEALTH_EVERY_S = 0.25
+WAIT_LONGER_S = 1.2  # past the deadline, to see what comes late
+RETRIES = 2
+FRESH_S = 0.3  # since a connection was opened: a node may close one that says nothing for longer
+HALF_STAYS_S = 4.0
+IDLE_CONNECTIONS = 3  # to each node, opened ahead
+STALE_USE = 0.6  # of the requests go on any open connection, also to a node that stops
+
+
+class ClientSpec(Struct):
+    """What one process of clients is told."""
+
+    number: int
+    seed: int
+    nodes: list[tuple[str, int]]
+    began: float
+    duration_s: float
+    classes: list[RequestClass]  # with the rates of this process
+    habits: ClientHabits
+    crowds: list[Fault]
+
+
+class Connection:
+    """One connection to a node."""
+
+    def __init__(self, node: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self.node, self.reader, self.writer, self.used = node, reader, writer, False
+        self.opened_at = time.monotonic()
+
+    def usable(self) -> bool:
+        """Whether the node has not ended it."""
+        return not (self.reader.at_eof() or self.writer.transport.is_closing())
+
+
+async def read_answer(reader: asyncio.StreamReader, record: ClientRecord) -> dict[str, str] | None:
+    """The headers of a whole answer, which is noted in the record; None: there was none."""
+    try:
+        first = await reader.read(1)
+    except OSError:
+        return None
+    if not first:
+        return None
+    record.answer_bytes = True
+    message = await read_message(reader, first)
+    if message is None:
+        return None
+    line, headers, body = message
+    record.status = int(line.split()[1])
+    record.body_fits = record.status != 200 or body == f"made of {record.request_id}".encode()
+    record.more_behind = bool(reader._buffer)
+    return headers
+
+
+class Clients:
+    """All clients of this process."""
+
+    def __init__(self, spec: ClientSpec, writer: Writer):
+        self.spec, self.writer = spec, writer
+        self.chance = random.Random(spec.seed)
+        self.healthy: dict[int, bool] = {}
+        self.free: list[Connection] = []
+        self.count = 0
+        self.works: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Sends everything, and waits for what is out."""
+        watching = [asyncio.ensure_future(self._health(n)) for n in range(len(self.spec.nodes))]
+        crowds = [asyncio.ensure_future(self._crowd(fault)) for fault in self.spec.crowds]
+        sends = sorted((at, one) for one in self.spec.classes for at in self._arrivals(one.rate))
+        await self._open_ahead()
+        for at, one in sends:
+            await asyncio.sleep(max(self.spec.began + at - time.monotonic(), 0.0))
+            self._keep(self._job(one))
+        while self.works:
+            await asyncio.wait(self.works)
+        for work in (*watching, *crowds):
+            work.cancel()
+
+    def _keep(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self.works.add(task)
+        task.add_done_callback(self.works.discard)
+
+    def _arrivals(self, rate: float) -> list[float]:
+        times, at = [], self.chance.expovariate(rate)
+        while at < self.spec.duration_s:
+            times.append(at)
+            at += self.chance.expovariate(rate)
+        return times
+
+    # -- the front -----------------------------------------------------------------------------------------
+
+    async def _health(self, node: int) -> None:
+        while True:
+            self.healthy[node] = await is_healthy(self.spec.nodes[node])
+            await asyncio.sleep(HEALTH_EVERY_S)
+
+    async def _open_ahead(self) -> None:
+        for node in range(len(self.spec.nodes)):
+            for _ in range(IDLE_CONNECTIONS):
+                with suppress(OSError):
+                    self.free.append(Connection(node, *await asyncio.open_connection(*self.spec.nodes[node])))
+
+    async def _crowd(self, fault: Fault) -> None:
+        """Idle clients that open connections and say nothing, or rest behind one health call."""
+        await asyncio.sleep(max(self.spec.began + fault.at - time.monotonic(), 0.0))
+        opened = []
+        for _ in range(int(fault.value)):
+            node = self.chance.randrange(len(self.spec.nodes))
+            with suppress(OSError, TimeoutError):
+                async with asyncio.timeout(0.3):
+                    opened.append(await asyncio.open_connection(*self.spec.nodes[node]))
+        await asyncio.sleep(fault.lasts)
+        for _, writer in opened:
+            writer.close()
+
+    # -- requests ------------------------------------------------------------------------------------------
+
+    async def _job(self, one: RequestClass) -> None:
+        """One thing that a client wants done, tried again where that is harmless."""
+        self.count += 1
+        job = f"j{self.spec.number}-{self.count}"
+        for again in range(RETRIES + 1):
+            connection = await self._connection()
+            if connection is None:
+                return
+            record = await self._request(one, job, connection)
+            self.writer.write(record)
+            if record.status not in (429, 503) or one.effect == "keyed":
+                return
+            await asyncio.sleep(self.chance.uniform(0.02, 0.1) * (again + 1))
+
+    async def _connection(self) -> Connection | None:
+        self.free = [one for one in self.free if one.usable()]
+        among = [one for one in self.free if self.healthy.get(one.node) or self.chance.random() < STALE_USE]
+        if among and self.chance.random() < 0.9:
+            connection = self.chance.choice(among)
+            self.free.remove(connection)
+            return connection
+        nodes = [node for node, healthy in self.healthy.items() if healthy]
+        self.chance.shuffle(nodes)
+        for node in nodes[:2]:
+            with suppress(OSError, TimeoutError):
+                async with asyncio.timeout(0.5):
+                    return Connection(node, *await asyncio.open_connection(*self.spec.nodes[node]))
+        return None
+
+    async def _request(self, one: RequestClass, job: str, connection: Connection) -> ClientRecord:
+        self.count += 1
+        record = ClientRecord(
+            request_id=f"r{self.spec.number:02d}{self.count:06d}",
+            job=job,
+            node=connection.node,
+            class_name=one.name,
+            effect=one.effect,
+            deadline_s=one.deadline_s,
+            opened_at=connection.opened_at,
+            first_on_connection=not connection.used and time.monotonic() < connection.opened_at + FRESH_S,
+        )
+        connection.used = True
+        habit, habits = self.chance.random(), self.spec.habits
+        data = self._bytes(one, record)
+        headers = None
+        try:
+            if habit < habits.stays_half:
+                record.half = True
+                await self._half(connection, data, record)
+            elif habit < habits.stays_half + habits.leaves:
+                await self._leaves(connection, data, record)
+            else:
+                slowly = habit > 1.0 - habits.writes_slowly
+                await self._write(connection, data, slowly)
+                record.sent_at = time.monotonic()
+                async with asyncio.timeout(one.deadline_s + WAIT_LONGER_S):
+                    headers = await read_answer(connection.reader, record)
+        except (OSError, TimeoutError):
+            pass
+        record.ended_at = time.monotonic()
+        if headers is None or headers.get("connection") == "close" or record.more_behind:
+            connection.writer.close()
+        else:
+            self.free.append(connection)
+        return record
+
+    def _bytes(self, one: RequestClass, record: ClientRecord) -> bytes:
+        body = orjson.dumps({"job": record.job, "node": record.node, "work": one.work_s})
+        key = f"Idempotency-Key: {record.job}\r\n" if one.effect == "keyed" else ""
+        return (
+            f"POST /{one.name}/{record.job} HTTP/1.1\r\nHost: b\r\nX-Request-Id: {record.request_id}\r\n"
+            f"X-Deadline: {int(one.deadline_s * 1e6)}u\r\nX-Cost-Hint: {int(one.work_s * 1e6)}\r\n"
+            f"{key}Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
+
+    async def _write(self, connection: Connection, data: bytes, slowly: bool) -> None:
+        if not slowly:
+            connection.writer.write(data)
+            return
+        cut = self.chance.randrange(1, len(data))
+        connection.writer.write(data[:cut])
+        await asyncio.sleep(self.chance.uniform(0.05, 0.8))
+        if not connection.usable():
+            raise ConnectionResetError("it ended before the last byte")
+        connection.writer.write(data[cut:])
+
+    async def _leaves(self, connection: Connection, data: bytes, record: ClientRecord) -> None:
+        connection.writer.write(data)
+        record.sent_at = time.monotonic()
+        await asyncio.sleep(self.chance.uniform(0.0, record.deadline_s))
+        record.left_at = time.monotonic()
+        connection.writer.transport.abort()
+
+    async def _half(self, connection: Connection, data: bytes, record: ClientRecord) -> None:
+        connection.writer.write(data[: self.chance.randrange(1, len(data) - 1)])
+        async with asyncio.timeout(HALF_STAYS_S):
+            await read_answer(connection.reader, record)
+
+
+def main() -> None:
+    """Clients, until all is sent and answered."""
+    spec = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=ClientSpec)
+    with suppress(KeyboardInterrupt):
+        uvloop.run(Clients(spec, Writer(sys.argv[2])).run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/firwalk/lab/soak/discovery.py
@@ -0,0 +1,164 @@
+"""The list of executors for the nodes of a soak: a service with an address for each node, and its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+
+import orjson
+
+from firwalk.lab.soak.plan import Fault, FaultKind
+from firwalk.lab.soak.records import ToldRecord
+from firwalk.lab.standins import read_message
+
+SIGN_OF_LIFE_S = 2.0
+DRIP_S = 0.02  # between two pieces of an update that drips
+DRIP_BYTES = 40
+REFUSED = b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n"
+
+
+class Discovery:
+    """Keeps the list, tells changes to open watches, and notes what was written to whom."""
+
+    def __init__(self, executors: dict[int, str], slots: int, faults: list[Fault]):
+        self.addresses, self.slots, self.faults = executors, slots, faults
+        self.lifecycle = dict.fromkeys(executors, "active")
+        self.started_ms = dict.fromkeys(executors, 0)
+        self.version, self.began = 1, float("inf")
+        self.bytes_told = 0
+        self.watches: dict[asyncio.StreamWriter, int] = {}
+        self.locks: dict[asyncio.StreamWriter, asyncio.Lock] = {}
+        self.told: list[ToldRecord] = []
+        self.changes: list[tuple[float, int, str]] = []  # when, executor, lifecycle
+        self.servers: list[asyncio.Server] = []
+        self.works: set[asyncio.Task] = set()
+
+    async def open(self, addresses: list[tuple[str, int]]) -> None:
+        """Listens at an address for each node."""
+        for node, address in enumerate(addresses):
+            self.servers.append(
+                await asyncio.start_server(lambda r, w, node=node: self._serve(node, r, w), *address)
+            )
+
+    def begin(self, began: float) -> None:
+        """The load begins: faults count from here."""
+        self.began = began
+        for fault in self.faults:
+            if fault.kind is FaultKind.WATCH_END:
+                self._keep(self._end_watches(fault))
+
+    def close(self) -> None:
+        """Ends everything."""
+        for work in self.works:
+            work.cancel()
+        for writer in list(self.watches):
+            writer.transport.abort()
+        for server in self.servers:
+            server.close()
+
+    def whole(self) -> dict:
+        """The whole list, as a configuration or a first answer holds it."""
+        return {
+            "generation": self.version,
+            "reset": True,
+            "instances": [self._entry(number) for number in self.addresses],
+        }
+
+    def change(self, number: int, lifecycle: str, started_ms: int | None = None) -> None:
+        """Another state of an executor, told to all open watches."""
+        self.lifecycle[number], self.version = lifecycle, self.version + 1
+        if started_ms is not None:
+            self.started_ms[number] = started_ms
+        self.changes.append((time.monotonic(), number, lifecycle))
+        update = {"generation": self.version, "reset": False, "instances": [self._entry(number)]}
+        for writer, node in list(self.watches.items()):
+            self._keep(self._tell(writer, node, update))
+
+    # -- inside --------------------------------------------------------------------------------------------
+
+    def _entry(self, number: int) -> dict:
+        return {
+            "instanceId": f"e{number}",
+            "hostPort": self.addresses[number],
+            "zone": "a",
+            "machineType": "m",
+            "cell": number,
+            "lifecycle": self.lifecycle[number],
+            "weight": float(self.slots),
+            "startedAtMs": self.started_ms[number],
+        }
+
+    def _keep(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self.works.add(task)
+        task.add_done_callback(self.works.discard)
+
+    def _on(self, kind: FaultKind, node: int) -> bool:
+        now = time.monotonic() - self.began
+        return any(
+            fault.kind is kind and fault.target in (-1, node) and fault.at <= now < fault.at + fault.lasts
+            for fault in self.faults
+        )
+
+    async def _end_watches(self, fault: Fault) -> None:
+        await asyncio.sleep(max(self.began + fault.at - time.monotonic(), 0.0))
+        for writer, node in list(self.watches.items()):
+            if fault.target in (-1, node):
+                writer.transport.abort()
+
+    async def _serve(self, node: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while (message := await read_message(reader)) is not None:
+                if self._on(FaultKind.DISCOVERY_DOWN, node):
+                    writer.write(REFUSED)
+                    break
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self.locks[writer] = asyncio.Lock()
+                follows = "follow=1" in message[0]
+                if follows:
+                    self.watches[writer] = node
+                await self._tell(writer, node, self.whole())
+                if follows:
+                    await self._live(reader, writer, node)
+                    break
+                writer.write(b"0\r\n\r\n")
+        except (OSError, RuntimeError, asyncio.CancelledError):
+            pass
+        finally:
+            self.watches.pop(writer, None)
+            self.locks.pop(writer, None)
+            writer.close()
+
+    async def _live(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, node: int) -> None:
+        """Signs of life while nothing changes, until the watch ends."""
+        next_at = time.monotonic() + SIGN_OF_LIFE_S
+        while not (reader.at_eof() or writer.transport.is_closing()):
+            if self._on(FaultKind.DISCOVERY_DOWN, node):
+                return
+            if time.monotonic() >= next_at and not self._on(FaultKind.WATCH_SILENT, node):
+                writer.write(b"1\r\n\n\r\n")
+                next_at = time.monotonic() + SIGN_OF_LIFE_S
+            await asyncio.sleep(0.05)
+
+    async def _tell(self, writer: asyncio.StreamWriter, node: int, update: dict) -> None:
+        if writer not in self.locks or self._on(FaultKind.WATCH_SILENT, node) and not update["reset"]:
+            return
+        with suppress(OSError, KeyError, RuntimeError):  # it left meanwhile
+            async with self.locks[writer]:
+                text = orjson.dumps(update) + b"\n"
+                data = b"%x\r\n%s\r\n" % (len(text), text)
+                self.bytes_told += len(data)
+                while data and self._on(FaultKind.WATCH_DRIP, node):
+                    writer.write(data[:DRIP_BYTES])
+                    data = data[DRIP_BYTES:]
+                    await asyncio.sleep(DRIP_S)
+                writer.write(data)
+                await writer.drain()
+                self._note(node, update)
+
+    def _note(self, node: int, update: dict) -> None:
+        now = time.monotonic()
+        for entry in update["instances"]:
+            number = int(entry["instanceId"][1:])
+            self.told.append(ToldRecord(now, node, number, entry["lifecycle"], update["reset"]))
--- /dev/null
+++ b/firwalk/lab/soak/executors.py
@@ -0,0 +1,208 @@
+"""A worker of a soak: one process that is one executor, with the faults that are planned for it.
+
+`python -m firwalk.lab.soak.executors SPEC.json RECORDS.jsonl`
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+import orjson
+import uvloop
+from msgspec import Struct
+
+from firwalk.lab.soak.plan import Fault, FaultKind
+from firwalk.lab.soak.records import AttemptRecord, Writer
+from firwalk.lab.standins import connection_ended, read_message
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+NOT_RUN = b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+HANG_S = 30.0  # longer than any soak
+MAX_QUEUE = 40
+
+
+class ExecutorSpec(Struct):
+    """What one executor is told."""
+
+    number: int
+    address: tuple[str, int]
+    slots: int
+    seed: int
+    began: float  # of the load, on the monotonic clock
+    faults: list[Fault]
+    classes: dict[str, str]  # effect by class
+    cold_from: float
+    cold_for_s: float
+    started_at: float  # on the monotonic clock; 0: long ago
+
+
+class Executor:
+    """Slots, a queue and a speed that grows while it is cold."""
+
+    def __init__(self, spec: ExecutorSpec, writer: Writer):
+        self.spec, self.writer = spec, writer
+        self.chance = random.Random(spec.seed)
+        self.slots = asyncio.Semaphore(spec.slots)
+        self.busy, self.waiting = 0, 0
+
+    async def serve(self) -> None:
+        """Listens for as long as the process lives."""
+        server = await asyncio.start_server(self._connection, *self.spec.address, backlog=512)
+        await server.serve_forever()
+
+    def _mode(self) -> FaultKind | None:
+        """The fault that the next request meets."""
+        now = time.monotonic() - self.spec.began
+        for fault in self.spec.faults:
+            if fault.at <= now < fault.at + fault.lasts and self.chance.random() < fault.value:
+                return fault.kind
+        return None
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await self._message(reader, writer):
+                if self._mode() is FaultKind.EXECUTOR_CLOSE:
+                    await asyncio.sleep(self.chance.uniform(0.0, 0.05))
+                    break
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            pass
+        finally:
+            writer.close()
+
+    async def _message(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """One request; whether the connection goes on."""
+        first = await reader.readexactly(1)
+        first_byte_at = time.monotonic()
+        message = await read_message(reader, first)
+        if message is None:
+            return False
+        line, headers, body = message
+        if line.startswith("GET"):
+            await self._probe(writer)
+            return True
+        attempt = self._attempt(line, headers, body, first_byte_at)
+        return await self._run(reader, writer, attempt, float(orjson.loads(body)["work"]))
+
+    def _attempt(self, line: str, headers: dict, body: bytes, first_byte_at: float) -> AttemptRecord:
+        told = orjson.loads(body)
+        class_name = line.split("/")[1]
+        return AttemptRecord(
+            request_id=headers["x-request-id"],
+            job=told["job"],
+            node=told["node"],
+            executor=self.spec.number,
+            class_name=class_name,
+            effect=self.spec.classes[class_name],
+            key=headers.get("idempotency-key", ""),
+            first_byte_at=first_byte_at,
+            last_byte_at=time.monotonic(),
+            told_deadline_s=float(headers["x-deadline"].rstrip("m")) / 1e3,
+        )
+
+    async def _probe(self, writer: asyncio.StreamWriter) -> None:
+        if self._mode() is FaultKind.EXECUTOR_MUTE:
+            await asyncio.sleep(HANG_S)
+        body = orjson.dumps({"inflight": self.busy + self.waiting, "x0": max(self.spec.slots - self.busy, 0)})
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        await writer.drain()
+
+    async def _run(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        attempt: AttemptRecord,
+        work_s: float,
+    ) -> bool:
+        mode = self._mode()
+        if self.waiting >= MAX_QUEUE:
+            attempt.refused = True
+            self.writer.write(attempt)
+            writer.write(NOT_RUN)
+            return True
+        gone = asyncio.ensure_future(connection_ended(reader, writer))
+        try:
+            if mode is FaultKind.EXECUTOR_MUTE:
+                self.writer.write(attempt)
+                await asyncio.wait([gone], timeout=HANG_S)
+                return False
+            if not await self._slot(gone):
+                self.writer.write(attempt)  # it was cancelled while it waited
+                return False
+            try:
+                return await self._work(writer, attempt, work_s, mode, gone)
+            finally:
+                self.busy -= 1
+                self.slots.release()
+        finally:
+            gone.cancel()
+
+    async def _slot(self, gone: asyncio.Future) -> bool:
+        self.waiting += 1
+        turn = asyncio.ensure_future(self.slots.acquire())
+        await asyncio.wait([turn, gone], return_when=asyncio.FIRST_COMPLETED)
+        self.waiting -= 1
+        if not turn.done():
+            turn.cancel()
+            return False
+        if gone.done():
+            self.slots.release()
+            return False
+        self.busy += 1
+        return True
+
+    async def _work(
+        self,
+        writer: asyncio.StreamWriter,
+        attempt: AttemptRecord,
+        work_s: float,
+        mode: FaultKind | None,
+        gone: asyncio.Future,
+    ) -> bool:
+        attempt.ran_at = time.monotonic()  # the effect takes place as it begins
+        self.writer.write(attempt)
+        writer.write(CHUNKED + self._line(attempt, "started"))
+        if mode is FaultKind.EXECUTOR_RESET:
+            await asyncio.sleep(self.chance.uniform(0.0, work_s))
+            writer.transport.abort()
+            return False
+        took = work_s / self._warmth() * (5.0 if mode is FaultKind.EXECUTOR_SLOW else 1.0)
+        hangs = mode is FaultKind.EXECUTOR_HANG
+        await asyncio.wait([gone], timeout=HANG_S if hangs else took)
+        if gone.done():
+            return False
+        state = "failed" if mode is FaultKind.EXECUTOR_ERROR else "done"
+        writer.write(self._line(attempt, state) + b"0\r\n\r\n")
+        with suppress(OSError):
+            await writer.drain()
+        return True
+
+    def _warmth(self) -> float:
+        if not self.spec.started_at:
+            return 1.0
+        part = (time.monotonic() - self.spec.started_at) / self.spec.cold_for_s
+        return min(self.spec.cold_from + (1.0 - self.spec.cold_from) * part, 1.0)
+
+    @staticmethod
+    def _line(attempt: AttemptRecord, state: str) -> bytes:
+        told = {"id": attempt.request_id, "from": f"e{attempt.executor}", "state": state}
+        if state == "done":
+            told["result"] = f"made of {attempt.request_id}"
+        text = orjson.dumps(told) + b"\n"
+        return b"%x\r\n%s\r\n" % (len(text), text)
+
+
+def main() -> None:
+    """One executor, until it is killed."""
+    spec = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=ExecutorSpec)
+    with suppress(KeyboardInterrupt):
+        uvloop.run(Executor(spec, Writer(sys.argv[2])).serve())
+
+
+if __name__ == "__main__":
+    main()
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -11,6 +11,7 @@
 from typing import Any
 from zlib import crc32
 
+from firwalk.candidates import Candidates
 from firwalk.host import Condition, Effect, Group, Host, Outcome
 
 WEIGHT, KIND_WEIGHT = 0.2, 0.05  # of a new sample in a speed (the design's start); of that in its kind's
@@ -187,6 +188,7 @@
         self.part, self.capacity, self.fall_multiple = 1.0 / nodes, 1.0, fall_multiple  # its part of all work
         self.offered, self.offered_at, self.began, self.repeats, self.lists = 0.0, now, now, KEYS_AT_FIRST, 0
         self.cold_from, self.cold_for = cold_from, cold_for
+        self.candidates = Candidates()  # whom a choice looks at, where there are many
         self.executors, self.near, self.far = [], [], []  # all; those ready in the own zone; and in others
         self.near_at = self.far_at = int(self._chance() * 4294967296.0)  # where the next probes go
         self.mean_cost, self.mean_value, self.misses, self.met, self.ask_within = 0.0, 0.0, 0, 0, ask_within
@@ -215,20 +217,27 @@
         executor.slots = max(pace.slots, round(size) if self.sized else 1.0)
         executor.mark, executor.size = mark, size if self.sized else 1.0
         self.executors.append(executor)
+        self.candidates.met(executor)
         return executor
 
     def heard(self, now: float, executor: Executor, condition: Condition, came_up: float) -> None:
+        if condition is not executor.condition:
+            self.candidates.changes(executor, executor.condition is Condition.READY)
         executor.condition = condition
         if condition is Condition.READY and came_up > executor.came_up:
             executor.came_up, executor.cold_until, executor.unused = came_up, came_up + self.cold_for, True
             executor.others, executor.errors, executor.strikes, executor.away_until = 0.0, 0.0, 0, 0.0
             executor.sent_cold.clear()
+            self.candidates.restarted(executor)
 
     def list_heard(self, now: float) -> None:
-        self.lists += 1
-        self.misses, ready = 0, [e for e in self.executors if e.condition is Condition.READY]
+        self.lists, self.misses = self.lists + 1, 0
+        if self.candidates.take_in(self.zone):
+            return  # what all bear is counted anew each second
+        ready = [e for e in self.executors if e.condition is Condition.READY]
         self.near = [e for e in ready if e.zone is self.zone]
         self.far = [e for e in ready if e.zone is not self.zone]
+        self.candidates.listed(self.near, self.far)
         self.capacity = sum(e.slots * e.speed * self._warmth(now, e) for e in ready) or 1.0
 
     def list_broken(self, now: float, silent: bool = False) -> None:
@@ -264,7 +273,10 @@
         return task
 
     def _place(self, now: float, task: Task) -> None:
-        turns = [e for e in self.near + self.far if e.cold_until > now and not e.held
+        large = self.candidates.large
+        among = self.candidates.in_slow_start(now, self._chance()) if large else self.near + self.far
+        turns = [e for e in among if e.cold_until > now and not e.held
+                 and e.condition is Condition.READY
                  and (e.unused or e.zone is self.zone) and self._cold_room(now, e, task)]
         executor = turns and self._choose(now, task, turns) or self._choose(now, task, self._order())
         if (executor is None or not self._send(now, task, executor)) and not task.still_out:
@@ -318,7 +330,9 @@
         """Executors that may keep what a key needs, the same at all nodes (weighted rendezvous hashing)."""
         known, homes = self.keys.pop(key, (0, ()))
         self.repeats += REPEAT_WEIGHT * (bool(homes) - self.repeats)
-        if known != self.lists:
+        if known != self.lists and self.candidates.large:
+            homes = self.candidates.following(crc32(key), HOMES)
+        elif known != self.lists:
             own = crc32(key)
             ready = sorted(self.near + self.far, key=lambda e: e.size / log(
                 (crc32(b"%d" % (own * e.mark)) + 1) / 4294967298.0))
@@ -330,18 +344,34 @@
 
     def _order(self) -> list[Executor]:
         """The own zone first, then the newest reports first: that differs at each node; else by chance."""
+        if self.candidates.large:
+            return self.candidates.sample(self.zone, self._chance())
         near, far = self.near, self.far
         if not self.asks:
             self.near_at = self.far_at = int(self._chance() * 4294967296.0)
         i, j = self.near_at % (len(near) or 1), self.far_at % (len(far) or 1)
         return near[:i][::-1] + near[i:][::-1] + far[:j][::-1] + far[j:][::-1]
 
+    def _looked_at(self) -> list[Executor]:
+        """All that are ready, or, of many, those that a choice would look at now."""
+        return self._order() if self.candidates.large else self.near + self.far
+
+    def idle_counted(self, executor: Executor, count: int) -> None:
+        """So many of its connections are open and free."""
+        executor.idle = count
+        if count:
+            self.candidates.used(executor)
+
     def _probe(self) -> None:
         """As many as tasks pay for. A place at an executor serves each node less the more share it."""
         self.near_at = self._ask_some(self.near, self.near_at, PROBES_NEAR)
         self.far_at = self._ask_some(self.far, self.far_at, PROBES_FAR)
 
     def _ask_some(self, among: list[Executor], at: int, most: int) -> int:
+        if self.candidates.large:
+            for executor in self.candidates.to_probe(among, at, most):
+                self.host.probe(executor)
+            return at + most
         room = (FEW / self.nodes) ** 2 * len(among) - sum(e.idle + e.held > 0 for e in among)
         asked = [n for n in range(len(among))
                  if self.nodes <= FEW or room >= 1.0 or among[(at + n) % len(among)].idle][:most]
@@ -388,10 +418,16 @@
 
     def _may_repeat(self, now: float, task: Task, executor: Executor, instead: bool = False) -> bool:
         """Rule 2 and the limits on copies, the stricter ones, of a task sent before; `instead`: of one."""
-        effect, group, most = task.offering.effect, task.offering.group, min(self.most, task.most)
-        if len(task.assignments) >= most or (task.still_out and not self.copies and not instead):
+        if len(task.assignments) >= min(self.most, task.most):
             return False
-        for earlier in task.assignments:
+        if task.still_out and not self.copies and not instead:
+            return False
+        return self._safe_after(now, task, executor, task.assignments)
+
+    def _safe_after(self, now: float, task: Task, executor: Executor, before: list[Assignment]) -> bool:
+        """Whether what may have run before makes no second effect possible now, at this executor."""
+        effect, group = task.offering.effect, task.offering.group
+        for earlier in before:
             if earlier.executor is executor:
                 return False
             if not earlier.may_have_run or effect is Effect.IDEMPOTENT:
@@ -426,15 +462,23 @@
     def may_begin(self, now: float, assignment: Assignment) -> bool:
         """Whether it may still go out when its connection is up: the executor may drain or be cold by now."""
         task, executor = assignment.task, assignment.executor
+        if not self.may_commit(now, assignment):
+            return False
         cold = executor.came_up > assignment.sent and executor.cold_until > now
         return executor.condition is Condition.READY and (
             not cold or self._cold_room(now, executor, task, own=task.slots))
 
+    def may_commit(self, now: float, assignment: Assignment) -> bool:
+        """Whether its last byte may go out: the window in which a repeat is known may be over by now."""
+        before = assignment.task.assignments[:assignment.number]
+        return not before or self._safe_after(now, assignment.task, assignment.executor, before)
+
     def resumed(self, now: float, assignment: Assignment) -> None:
         """It is out, and counts: sent just now, or before, by another process (of which no mean is known)."""
         task, executor = assignment.task, assignment.executor
         task.still_out, executor.held = task.still_out + 1, executor.held + task.slots
         executor.work, executor.unused = executor.work + assignment.estimate, False
+        self.candidates.used(executor)
         self.mean_cost, self.mean_value = self.mean_cost or task.work, self.mean_value or task.value
         part = (2 if self.copies else 3) if self.tells_start else 1  # copies add to the load: they come later
         patience = max(task.due - now - task.cost / executor.speed, 0.0) / part
@@ -555,7 +599,7 @@
         ran = any(a.may_have_run and self.host.begun(a) for a in task.assignments)
         effect, group = task.offering.effect, task.offering.group
         if not ran or effect is Effect.IDEMPOTENT or (effect, group) == (Effect.FINGERPRINTED, Group.ALL):
-            wait = min((self._wait(now, e, task.slots) for e in self.near + self.far), default=AWAY)
+            wait = min((self._wait(now, e, task.slots) for e in self._looked_at()), default=AWAY)
             self.host.bounce(task, min(max(wait, self.tick), self.longest_advice))
         else:
             self.host.abandon(task)
--- a/firwalk/moving.py
+++ b/firwalk/moving.py
@@ -5,7 +5,7 @@
 """
 from __future__ import annotations
 
-from firwalk.facade import Desk, Errand
+from firwalk.facade import WAY_BACK, Desk, Errand
 from firwalk.host import Condition, Effect, Group
 from firwalk.logic import Assignment, Executor, Offering, Task
 
@@ -35,7 +35,7 @@
             "may_have_run": assignment.may_have_run, "begun": assignment.number in errand.begun}
 
 
-def unpacked(desk: Desk, about: dict, since: float) -> Errand:
+def unpacked(desk: Desk, about: dict, since: float, request_id: str = "") -> Errand:
     """The task as the other process told it some seconds ago, counted here from now on. KeyError, TypeError
     or ValueError, and nothing counted, if it cannot be understood."""
     later = desk.clock() - since - float(about["now"])
@@ -56,6 +56,7 @@
     if not 0 <= about["out"] < len(task.assignments):
         raise ValueError("no assignment of it is out")
     errand.about, errand.began = (about["offering"] or "", ""), task.assignments[0].sent
+    errand.record = desk.monitor.resumed(request_id, task, task.expiry + WAY_BACK, errand.begun)
     desk.report_resumed(errand)
     return errand
 
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -10,11 +10,14 @@
 from itertools import islice
 from time import monotonic
 
+from firwalk.events import CloseReason, Event, EventLog, Refusal
 from firwalk.facade import Desk, Errand, Step
 from firwalk.log import must, say, trouble
+from firwalk.monitor import Monitor, Rule
 from firwalk.net import fields, http
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
+from firwalk.net.errors import Pause, concerns_connection
 from firwalk.net.executors import Executors
 from firwalk.net.stalls import Stalls
 from firwalk.net.waiting import hung_up, readable, received
@@ -27,6 +30,7 @@
 LINGER_STEP = 0.02     # seconds between reads of what it still sends: at full speed it would take the core
 SETTLED = 0.1          # seconds after which a connection without a whole message gives way when short
 NEW = 0.5              # and at the end
+NEW_AT_LAST = 0.1      # and when all is answered
 ACCEPTS = 16           # connections that are let in at a time, before others have their turn
 LOOKS = 64             # at those still longest, for one that may give way: at all of them takes too long
 IDLE_TIME = 120.0      # seconds that a connection which has brought a task may stand idle
@@ -56,6 +60,7 @@
         self.leaving = 0                                 # what it is told for a message that ends it all
         self.turned_away_at, self.pushes = 0.0, 0
         self.heir: Callable[[socket.socket], None] | None = None    # who gets it when its reader has let go
+        self.close_reason = CloseReason.PEER_LEFT        # until it is ended here
         self.reading = asyncio.get_running_loop().create_task(self._read())
         self.reading.add_done_callback(self._closed)
 
@@ -71,7 +76,7 @@
                 self._next()
                 if self.parser.expects and not self.busy:  # else the word would stand before another answer
                     self.parser.expects = False
-                    self.sock.send(http.GO_ON)
+                    await asyncio.get_running_loop().sock_sendall(self.sock, http.GO_ON)
                 while len(self.waiting) >= READ_AHEAD:  # the rest stays with the machine, not in our memory
                     if not await self._room():
                         return
@@ -112,7 +117,7 @@
                 await asyncio.sleep(HANG_UP_TIME)
                 if hung_up(self.sock):
                     return
-        self.leaving = problem.status
+        self.leaving, self.close_reason = problem.status, CloseReason.MALFORMED
         self.clients.departs(self)
         self._forget()
         while self.busy:  # an answer is on its way
@@ -132,6 +137,7 @@
     def _closed(self, _: asyncio.Task) -> None:
         """Also where the reader was cancelled before it began: its own `finally` would not run then."""
         self.gone = True
+        self.clients.check_closed(self)
         self._forget()
         if self.writing is not None:
             self.writing.cancel()
@@ -201,7 +207,7 @@
             self._next()
         elif not keep and not self.leaving:  # one that is sent away is told so by its reader
             if self._read_up():
-                self.close()
+                self.close(CloseReason.STOPPING if more else CloseReason.LAST_ANSWER)
             elif not more:
                 await self._linger()
             # Else more came while the last answer was written: it is read, and answered like the rest.
@@ -211,7 +217,7 @@
     async def _linger(self) -> None:
         """A close over unread bytes resets the connection, and takes an answer along that its client has not
         read yet. Nothing is read any more."""
-        self.closing = True
+        self.closing, self.close_reason = True, CloseReason.LAST_ANSWER
         try:
             self.sock.shutdown(socket.SHUT_WR)
             end = monotonic() + LINGER
@@ -225,10 +231,22 @@
         """Nothing more is read from it; it is told the status, and the connection ends with that."""
         self.clients.malformed += 1
         say(f"a client's bytes: {why}")
-        self.leaving = status
+        self.refuse(status, CloseReason.MALFORMED)
+
+    def refuse(self, status: int, reason: CloseReason) -> None:
+        """Tells a status in place of what it is about to send, and ends the connection with that."""
+        self.leaving, self.close_reason = status, reason
         self.clients.departs(self)
         self.reading.cancel()
 
+    def owes(self) -> bool:
+        """Whether a message that was read whole has no answer yet."""
+        return (self.busy or bool(self.waiting)) and self.heir is None
+
+    def request_id(self) -> str:
+        """Of the request that it sent last; empty where there was none."""
+        return self.message[0].decode("latin-1") if self.message else ""
+
     def still(self) -> bool:
         """Nothing of a message is read and nothing in work; what may be unread stays in the socket."""
         return not (self.busy or self.closing or self.parser.partial or self.leaving or self.waiting)
@@ -236,7 +254,7 @@
     def hand_over(self, heir: Callable[[socket.socket], None]) -> None:
         """Another process goes on with it, as soon as the event loop has let go of it."""
         self.heir = heir
-        self.close()
+        self.close(CloseReason.HANDED_OVER)
 
     def idle(self) -> bool:
         """Nothing is in work, nor about to be."""
@@ -260,9 +278,10 @@
             return True
         return self.idle() if self.known else now - self.heard_at > SETTLED and self._read_up()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
+        """The one way to end a connection from here, with its reason."""
         if not self.closing:
-            self.closing = True
+            self.closing, self.close_reason = True, reason
             self.clients.departs(self)
             self.reading.cancel()
 
@@ -270,7 +289,9 @@
 class Clients:
     """All clients' connections, and the attending of their tasks."""
 
-    def __init__(self, desk: Desk, executors: Executors, budget: Budget, buffers: Buffers):
+    def __init__(self, desk: Desk, executors: Executors, budget: Budget, buffers: Buffers,
+                 monitor: Monitor | None = None):
+        self.monitor = monitor or Monitor(EventLog(), monotonic)
         self.desk, self.executors, self.budget, self.buffers = desk, executors, budget, buffers
         self.open: dict[Client, None] = {}
         # Of these, the one that has been still longest first: sent away; without a task yet; with one before.
@@ -294,6 +315,7 @@
     # -- connections -------------------------------------------------------------------------------------
 
     async def accept(self, listener: socket.socket) -> None:
+        pause = Pause()
         while True:
             await readable(listener)
             for _ in range(ACCEPTS):
@@ -303,8 +325,11 @@
                     break
                 except OSError as problem:
                     say(f"no connection accepted: {problem}")
-                    await asyncio.sleep(0.05)
+                    if concerns_connection(problem):
+                        continue
+                    await asyncio.sleep(pause.next())
                     break
+                pause.over()
                 self.held, accepted_at = sock, monotonic()
                 while not self.admit(sock, accepted_at):  # closed, what its client has sent were lost
                     await asyncio.sleep(0.01)
@@ -325,6 +350,7 @@
         sock.setblocking(False)
         with suppress(OSError):  # it may be reset already
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.monitor.events.record(Event.CLIENT_CONNECTED, "spare" if spare else "")
         client = Client(self, sock, spare, self.accepted_at if accepted_at is None else accepted_at)
         self.open[client] = self.untried[client] = None
         return True
@@ -352,7 +378,7 @@
             await self._attend(client, errand, *message)
         except Exception as problem:
             trouble("attending to a client of the process before", problem)
-            client.close()
+            client.close(CloseReason.FAILURE)
         finally:
             del self.names[name]
             self.budget.let_go(size if held else 0)
@@ -395,7 +421,7 @@
         for group in (self.departing, self.untried, self.rested):
             for client in islice(group, LOOKS):
                 if client.spare == spare and not client.closing and client.dispensable(now):
-                    client.close()
+                    client.close(CloseReason.EVICTED)
                     return True
         return False
 
@@ -410,14 +436,30 @@
                 if client.parser.partial:
                     client.leave(TOO_SLOW, "a message that does not end")
                 elif (not client.known or still > IDLE_TIME) and client.idle():
-                    client.close()
+                    client.close(CloseReason.IDLE if client.known else CloseReason.SILENT)
 
-    def close_idle(self) -> None:
-        """At the end; one that has just come is about to send."""
-        new = monotonic() - NEW
+    def wind_down(self, final: bool) -> None:
+        """At the end: what rests is closed; one that has just come is about to send. `final`: no time is left
+        for that either, and a message that is not whole is turned away, which promises a harmless retry."""
+        new = monotonic() - (NEW_AT_LAST if final else NEW)
         for client in list(self.open):
             if (client.used or client.heard_at < new) and client.idle():
-                client.close()
+                client.close(CloseReason.STOPPING)
+            elif final and client.parser.partial and not (client.owes() or client.leaving or client.closing):
+                client.refuse(NO_ROOM, CloseReason.STOPPING)
+
+    def check_closed(self, client: Client) -> None:
+        """Counts the end of a connection, and what is still owed on one that is ended from here."""
+        reason = client.close_reason
+        self.monitor.events.record(Event.CLIENT_CLOSED, reason)
+        if reason is not CloseReason.PEER_LEFT and client.owes():
+            self.monitor.violation(Rule.ANSWERED, client.request_id(), closed=reason)
+
+    def check_stopped(self) -> None:
+        """At the end of the process: whether anything is still owed."""
+        for client in self.open:
+            if client.owes():
+                self.monitor.violation(Rule.ANSWERED, client.request_id(), closed="process ends")
 
     def all_bad(self, messages: deque[tuple]) -> bool:
         """Whether each of them can only be turned away as well."""
@@ -436,7 +478,8 @@
     async def serve(self, client: Client, method: bytes, target: bytes, headers: dict, body: bytes,
                     keep: bool, came_at: float) -> None:
         try:
-            if client.pushes > PUSHES:  # the same again as soon as it was turned away: others need the core
+            # The same again as soon as it was turned away: others need the core.
+            if client.pushes > PUSHES and not self.stopping:
                 await asyncio.sleep(PAUSE)
             if client.leaving:  # sent away meanwhile
                 client.busy = False
@@ -451,7 +494,7 @@
                 await client.answer(503 if self.ending else 200, b"", keep)
         except Exception as problem:
             trouble("attending to a client", problem)
-            client.close()
+            client.close(CloseReason.FAILURE)
         finally:
             self.budget.let_go(len(body))
 
@@ -460,21 +503,27 @@
         try:
             name, told = fields.read(target, headers)
         except fields.Unreadable:
+            self._refused(b"", 400, Refusal.BAD_REQUEST)
             await client.answer(400, b"", keep)
             return
         # Told before its bytes were read, the answer would be lost with the connection, and the task with it.
         if client.spare and not await self._settled(client):
             say("no descriptor is left for a client: its task is told 503")
+            self._refused(name, 503, Refusal.NO_DESCRIPTOR)
             await client.answer(503, b"", False)
             return
         if name in self.names:  # executors know tasks by their ids: two of one id would end as one
+            self._refused(name, 409, Refusal.DUPLICATE_ID)
             await client.answer(409, b"", keep)
             return
-        errand = self.desk.report_task(waited=monotonic() - came_at, **told)
+        errand = self.desk.report_task(
+            waited=monotonic() - came_at, request_id=name.decode("latin-1"), **told)
         if errand is None and told["offering"] in self.desk.vanished:
+            self._refused(name, 503, Refusal.CLASS_GONE)
             await client.answer(503, b"", keep, self.desk.node.longest_advice)  # nothing of it has run
             return
         if errand is None:
+            self._refused(name, 400, Refusal.BAD_REQUEST)
             await client.answer(400 if told["offering"] in self.desk.offerings else 404, b"", keep)
             return
         client.errand, client.known, self.names[name] = errand, True, None
@@ -515,12 +564,22 @@
             elif kind is Step.FINISHED:
                 self._answer(client, 200, step[1], keep)
             elif kind is Step.BOUNCED:
-                self._answer(client, 503, b"", keep, step[1])
+                self._answer(client, 503, b"", keep, step[1], errand.refusal)
+            elif kind is Step.UNFIT:
+                self._answer(client, 400, b"", keep, reason=Refusal.BAD_REQUEST)
             else:
-                self._answer(client, 400 if kind is Step.UNFIT else 500, b"", keep)
+                self._answer(client, 500, b"", keep, reason=errand.refusal)
+
+    def _refused(self, request_id: bytes, status: int, reason: Refusal) -> None:
+        """Counts a request that is turned away before it is anybody's."""
+        self.monitor.events.record(
+            Event.REQUEST_ANSWERED, reason, request_id.decode("latin-1"), status=status)
 
-    def _answer(self, client: Client, status: int, body: bytes, keep: bool, advice: float = 0.0) -> None:
+    def _answer(self, client: Client, status: int, body: bytes, keep: bool, advice: float = 0.0,
+                reason: str = "served") -> None:
         """Beside the steps: a client that is slow to read must not keep assignments from being called off."""
+        if client.errand.record is not None:
+            self.monitor.answered(client.errand.record, status, reason)
         client.errand = None
         self.keep(asyncio.get_running_loop().create_task(client.answer(status, body, keep, advice)))
 
--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -15,6 +15,7 @@
 
 import orjson
 
+from firwalk.events import CloseReason, Event, EventLog
 from firwalk.facade import Desk, Errand, Place
 from firwalk.host import Outcome
 from firwalk.log import must, say, trouble
@@ -56,6 +57,7 @@
         self.at_last, self.broken = True, False      # the last byte is under way; it broke before that
         self.seen = b""                              # of the answer in hand
         self.heir: Callable[[socket.socket], None] | None = None    # who gets it when its reader has let go
+        self.close_reason = CloseReason.PEER_LEFT    # until it is ended here
         self.parser = http.Answers(self._began, self._line, self._ended)
         self.reading = asyncio.get_running_loop().create_task(self._read())
         self.reading.add_done_callback(self._closed)
@@ -101,7 +103,7 @@
         if keep and self.open and self.writer is None:
             self.pool.give(self)
         else:
-            self.close()
+            self.close(CloseReason.LAST_ANSWER)
         if exchange is not None:
             exchange.whole()
 
@@ -130,6 +132,7 @@
     def _closed(self, _: asyncio.Task) -> None:
         """Also where the reader was cancelled before it began: its own `finally` would not run then."""
         by_itself, self.open = self.open, False
+        self.pool.events.record(Event.EXECUTOR_CLOSED, self.close_reason)
         exchange, self.exchange = self.exchange, None
         if self.heir is None:
             self.sock.close()
@@ -145,9 +148,10 @@
         if exchange is not None and not self.broken:
             exchange.broke()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """The socket itself is closed by the reader, which the event loop must let go of it first."""
-        self.open = False
+        if self.open:
+            self.open, self.close_reason = False, reason
         self.reading.cancel()
 
     def fresh(self) -> bool:
@@ -199,6 +203,8 @@
                 self.desk.report_progress(self.errand, self.number, float(share))
         elif state == "done":
             result = news.get("result")
+            if result is None:  # an answer of our own making would be no executor's
+                raise http.Malformed(400, "a last line without a result")
             result = result.encode() if isinstance(result, str) else orjson.dumps(result)
             self.end(Outcome.FINISHED, news.get("load"), result)
         elif state == "failed":
@@ -268,7 +274,9 @@
 class Executors:
     """All connections to executors."""
 
-    def __init__(self, desk: Desk, budget: Budget, buffers: Buffers, connect_time: float, idle_time: float):
+    def __init__(self, desk: Desk, budget: Budget, buffers: Buffers, connect_time: float, idle_time: float,
+                 events: EventLog | None = None):
+        self.events = events or EventLog()
         self.desk, self.budget, self.buffers = desk, budget, buffers
         self.connect_time, self.idle_time = connect_time, idle_time * IDLE_PART
         self.links: dict[Link, None] = {}
@@ -284,7 +292,7 @@
 
     def give(self, link: Link) -> None:
         if not link.open or link.address != link.place.address or not self.desk.kept(link.place):
-            link.close()  # the executor has moved: at its old address may be another one
+            link.close(CloseReason.EXECUTOR_GONE)    # moved: at its old address may be another one
             return
         link.idle_since = monotonic()
         self.idle.setdefault(link.place, []).append(link)
@@ -307,7 +315,7 @@
             for link in links:
                 about = {"link": place.name, "idle_since": link.idle_since, "trip": self.trips.get(place)}
                 link.heir = lambda sock, about=about: heir(about, sock)
-                link.close()
+                link.close(CloseReason.HANDED_OVER)
             self.desk.report_idle(place, 0)
         self.idle.clear()
 
@@ -328,7 +336,7 @@
 
     def close_idle(self, place: Place) -> None:
         for link in self.idle.pop(place, []):
-            link.close()
+            link.close(CloseReason.EXECUTOR_GONE)
         self.desk.report_idle(place, 0)
 
     def shed(self) -> bool:
@@ -338,7 +346,7 @@
             return False
         oldest = min(links, key=lambda link: link.idle_since)
         self.idle[oldest.place].remove(oldest)
-        oldest.close()
+        oldest.close(CloseReason.EVICTED)
         return True
 
     def sweep(self) -> None:
@@ -346,11 +354,11 @@
         old = monotonic() - self.idle_time
         for links in self.idle.values():
             while links and links[0].idle_since < old:
-                links.pop(0).close()
+                links.pop(0).close(CloseReason.IDLE)
         for link in list(self.links):  # an answer that has said its last line and does not end
             if isinstance(link.exchange, Exchange) and link.exchange.over:
                 if link.exchange.over_at < monotonic() - END_TIME:
-                    link.close()
+                    link.close(CloseReason.NO_ANSWER)
 
     def died(self, link: Link) -> None:
         """A kept connection ended unanswered."""
@@ -375,7 +383,7 @@
             if link.open and link.fresh() and link.idled < self.idle_time:
                 self.desk.report_idle(place, len(links))
                 return link
-            link.close()
+            link.close(CloseReason.UNRELIABLE)
         self.desk.report_idle(place, 0)
         return None
 
@@ -422,7 +430,7 @@
                 if new >= NEW_LINKS or isinstance(problem, TimeoutError):
                     exchange.end(Outcome.NO_CONNECTION)
                 if link is not None:
-                    link.close()
+                    link.close(CloseReason.PEER_LEFT)
                 link = None
 
     async def _write(self, exchange: Exchange, link: Link, message: Callable) -> None:
@@ -441,7 +449,7 @@
             return held < MOST_HELD and self.desk.report_last_byte(exchange.errand, exchange.number)
         if not await link.write(message(), min(hold, HOLD_MOST), last):
             exchange.end(Outcome.NOT_SENT)
-            link.close()
+            link.close(CloseReason.NOT_SENT)
 
     async def _free(self, place: Place) -> Link | None:
         """Waits for a descriptor, or a connection that becomes free meanwhile. Ended at once for lack of one,
@@ -463,7 +471,7 @@
             exchange.over = True
             work.cancel()
             if exchange.link is not None and exchange.link.exchange is exchange:
-                exchange.link.close()
+                exchange.link.close(CloseReason.CANCELLED)
 
     # -- assignments that go over to another process of this node ----------------------------------------
 
@@ -479,7 +487,7 @@
         """Another process has it, with a descriptor of its own: ours is closed, and nothing is reported."""
         exchange, _ = self.carried.pop((errand, number))
         exchange.over, exchange.link.exchange = True, None
-        exchange.link.close()
+        exchange.link.close(CloseReason.HANDED_OVER)
 
     def resume(self, errand: Errand, number: int, sock: socket.socket, name: bytes, seen: bytes) -> None:
         """An assignment that another process sent goes on here, behind what has come of its answer."""
@@ -524,10 +532,10 @@
                 await probe.over
         except TimeoutError:
             probe.end(Outcome.TIMED_OUT)
-            link.close()
+            link.close(CloseReason.NO_ANSWER)
             # A machine that is cut off leaves all its connections silent. What is written to one of them may
             # pass for run, while a new one that does not come up proves that nothing ran.
             self.close_idle(place)
         except OSError:
             probe.broke()
-            link.close()
+            link.close(CloseReason.PEER_LEFT)
--- a/firwalk/net/handover.py
+++ b/firwalk/net/handover.py
@@ -19,6 +19,7 @@
 import orjson
 
 from firwalk.log import say, trouble
+from firwalk.net.filters import SO_ATTACH_REUSEPORT_CBPF, always_return
 from firwalk.net.waiting import readable
 
 VERSION = 1
@@ -29,9 +30,8 @@
 MOST_TEXT = 1 << 24    # bytes of a line: the list of a large fleet is one
 MOST_FILE = 1 << 20    # bytes of the file
 MOST_FILES = 8         # descriptors beside a line
+MOST_AT_ONCE = 32      # reads before others have their turn
 TOLD_TIME = 0.5        # seconds in which the other process takes over an operator's call
-STEER = 51             # SO_ATTACH_REUSEPORT_CBPF
-RETURN = 0x06          # BPF_RET | BPF_K
 
 
 class Broken(Exception):
@@ -47,6 +47,7 @@
         self.out: deque[tuple[bytes, list[socket.socket]]] = deque()
         self.open, self.writing, self.number = True, False, 0
         self.asked: dict[int, asyncio.Future] = {}
+        self.at_once = 0    # reads since others had their turn
 
     def same_user(self) -> bool:
         _, user, _ = struct.unpack("3i", self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
@@ -107,12 +108,18 @@
     # -- in ----------------------------------------------------------------------------------------------
 
     async def next(self) -> tuple[dict, list[socket.socket]]:
-        """The next line and its descriptors; Broken at the end."""
+        """The next line and its descriptors; Broken at the end. A read ends behind one line with descriptors:
+        were each waited for, a busy loop would take requests over one an iteration, past their deadlines."""
+        if b"\n" not in self.text and self.at_once >= MOST_AT_ONCE:
+            await asyncio.sleep(0)
+            self.at_once = 0
         while b"\n" not in self.text:
-            await readable(self.sock)
             try:
                 part, beside, _, _ = self.sock.recvmsg(PART, socket.CMSG_SPACE(4 * MOST_FILES))
+                self.at_once += 1
             except BlockingIOError:
+                self.at_once = 0
+                await readable(self.sock)
                 continue
             except OSError as problem:
                 raise Broken(str(problem)) from problem
@@ -291,8 +298,7 @@
 
 def steer(listener: socket.socket) -> None:
     """All new connections go to the second listener of the group: the first one's process hangs."""
-    code = array("B", struct.pack("HBBI", RETURN, 0, 0, 1))
     try:
-        listener.setsockopt(socket.SOL_SOCKET, STEER, struct.pack("HP", 1, code.buffer_info()[0]))
+        always_return(listener, SO_ATTACH_REUSEPORT_CBPF, 1)
     except OSError as problem:
         trouble("steering new connections", problem)
--- a/firwalk/net/http.py
+++ b/firwalk/net/http.py
@@ -17,7 +17,7 @@
 LENGTHS = (b"content-length", b"transfer-encoding")
 ONCE = frozenset((*LENGTHS, b"host", b"x-request-id", b"x-tenant", b"x-deadline", b"idempotency-key",
                   b"x-retry", b"x-cost-hint", b"x-extras"))
-MOST_LINE = 1 << 20    # of a line in a stream: the whole list of a large fleet is one
+MOST_LINE = 1 << 22    # of a line in a stream: the whole list of a large fleet is one
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
            409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
            431: "Request Header Fields Too Large", 500: "Internal Server Error",
--- a/firwalk/net/management.py
+++ b/firwalk/net/management.py
@@ -12,6 +12,7 @@
 
 from firwalk.log import say, trouble
 from firwalk.net.address import new_socket
+from firwalk.net.errors import Pause, concerns_connection
 
 SILENT_TIME = 5.0      # seconds in which a call must be whole
 LONGEST = 256          # bytes of a call
@@ -48,14 +49,15 @@
         self.accepting = asyncio.get_running_loop().create_task(self._accept())
 
     async def _accept(self) -> None:
-        loop = asyncio.get_running_loop()
+        loop, pause = asyncio.get_running_loop(), Pause()
         while True:
             try:
                 sock, _ = await loop.sock_accept(self.listener)
             except OSError as problem:
                 say(f"no operator's call accepted: {problem}")
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(0.0 if concerns_connection(problem) else pause.next())
                 continue
+            pause.over()
             sock.setblocking(False)
             while len(self.open) >= self.most:
                 oldest = next(iter(self.open))
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 from time import monotonic, time
 
+from firwalk.events import Event, State
 from firwalk.facade import Chore, Desk
-from firwalk.log import say, trouble
+from firwalk.log import report, say, trouble
 from firwalk.net import discovery
 from firwalk.net.address import new_socket, parse
 from firwalk.net.budget import Budget
@@ -18,17 +19,15 @@
 from firwalk.net.handover import steer
 from firwalk.net.management import Management, places
 from firwalk.net.peers import Peers
+from firwalk.net.stopping import Stop
 from firwalk.net.succession import Succession
-from firwalk.settings import check_news, needs_restart
+from firwalk.net.turns import Turns
+from firwalk.settings import check_news, longest_deadline, needs_restart
+from firwalk.stop_plan import Deadlines
 
 BACKLOG = 1024
 MOST_UNREAD = 1 << 16  # bytes of a client that wait unread with the machine, which may charge them to us
-STILL_COMING = 0.6     # seconds after the signal to end in which clients still come
-KEPT = 2.0             # seconds after it in which clients' connections stay open, and tasks are taken on them
-QUIET = 0.1            # seconds without a new connection after which none is expected any more
-LONGEST_END = 3.4      # seconds after the signal in which all is answered, whatever the expiries
 LIST_TIME = 2.0        # seconds that the first yes waits for a fresh list
-LAST = 0.1             # seconds for the last answers to be written
 
 
 class Clock:
@@ -45,11 +44,11 @@
     def __init__(self, config: dict):
         settings, limits = config["settings"], config.get("limits", {})
         self.config, self.clock = config, Clock()
-        self.turning: asyncio.Handle | None = None
         self.loop = asyncio.get_running_loop()
+        self.turns = Turns(self.loop, self._turn)
         self.loop.set_exception_handler(lambda _, about: trouble(
             about.get("message", "running"), about.get("exception") or RuntimeError("unknown")))
-        self.desk = Desk(settings, int(str(config.get("seed", "0")), 16), self.clock, self._wake)
+        self.desk = Desk(settings, int(str(config.get("seed", "0")), 16), self.clock, self.turns.soon)
         files = min(int(limits.get("sockets", 1024)), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.managed = bool(config.get("management"))
         callers = places(files) if self.managed else 0
@@ -60,8 +59,8 @@
         allowed = settings.get("limits", {})
         self.executors = Executors(
             self.desk, self.budget, self.buffers, allowed.get("connect-timeout-us", 1000000) * 1e-6,
-            allowed.get("idle-close-us", 60000000) * 1e-6)
-        self.clients = Clients(self.desk, self.executors, self.budget, self.buffers)
+            allowed.get("idle-close-us", 60000000) * 1e-6, self.desk.events)
+        self.clients = Clients(self.desk, self.executors, self.budget, self.buffers, self.desk.monitor)
         self.discovery = discovery.Discovery(self.desk, self.buffers, parse(config["discovery"]))
         to_all = config.get("peers_all")
         self.peers = Peers(self.desk, [parse(text) for text in config.get("peers", [])],
@@ -71,7 +70,7 @@
             version, _, entries = discovery.entries(known)
             self.desk.report_list(version, True, entries)
         self.opened_at = self.clock()
-        self.ending = asyncio.Event()
+        self.stop = Stop(self, Deadlines(longest_deadline(settings)))
         self.reread: Callable[[], None] = lambda: None   # reads the file of the configuration again
         self.begun_at = monotonic()
         self.accepting: asyncio.Task | None = None
@@ -91,15 +90,6 @@
 
     # -- time --------------------------------------------------------------------------------------------
 
-    def _wake(self) -> None:
-        self._again(self.loop.call_soon(self._turn))
-
-    def _again(self, handle: asyncio.Handle) -> None:
-        """One turn is due at a time: each would go on scheduling the next for ever."""
-        if self.turning is not None:
-            self.turning.cancel()
-        self.turning = handle
-
     def _turn(self) -> None:
         try:
             when, chores = self.desk.tick()
@@ -107,7 +97,7 @@
             trouble("running timers", problem)
             when, chores = self.clock(), []
         if when != float("inf"):
-            self._again(self.loop.call_later(max(when - self.clock(), 0.0005), self._turn))
+            self.turns.after(max(when - self.clock(), 0.0005))
         for chore in chores:
             self._do(*chore)
 
@@ -164,7 +154,7 @@
         """What the configuration says of executors may be long out of date: a node that came back with its
         zone sent on to executors that were gone since. With the service down, or busy, it has to do."""
         end = monotonic() + LIST_TIME
-        while monotonic() < end and self.desk.list_awaited(self.opened_at) and not self.ending.is_set():
+        while monotonic() < end and self.desk.list_awaited(self.opened_at) and not self.told_to_stop():
             await asyncio.sleep(0.01)
 
     def _let_in(self) -> None:
@@ -175,7 +165,7 @@
             try:
                 self.peers.bind(parse(self.config["peer_listen"]))
             except OSError as problem:  # their warnings help, but no rule rests on them
-                say(f"other nodes cannot be heard: {problem}")
+                report(f"other nodes cannot be heard: {problem}")
 
     # -- two processes as one node -------------------------------------------------------------------------
 
@@ -199,6 +189,9 @@
         if not self.clients.stopping:
             self._accept()
 
+    def told_to_stop(self) -> bool:
+        return self.stop.told.is_set()
+
     def _accept(self) -> None:
         self.accepting = self.loop.create_task(self.clients.accept(self.listener))
         if self.peers.sock is not None:
@@ -217,7 +210,7 @@
         known = self.desk.report_out(name) if out else self.desk.report_back(name)
         known = await self.succession.tell(name, out, known)
         if known:
-            say(f"operators: {name} is {'taken out' if word == 'DETACH' else 'in use again'}")
+            report(f"operators: {name} is {'taken out' if word == 'DETACH' else 'in use again'}")
         return "" if known else "no such executor"
 
     def _serves(self) -> bool:
@@ -233,87 +226,71 @@
         address = parse(config["discovery"])
         discovery.entries(config.get("known") or {"generation": 0, "instances": []})
         fixed = needs_restart(self.config, config)
-        if self.ending.is_set():
-            say("a new configuration comes too late: the node ends")
+        self.stop.deadline_changed(longest_deadline(config["settings"]))
+        if self.told_to_stop():
+            report("a new configuration comes too late: the node ends")
             return
         if config["settings"] != self.desk.settings:
             self.desk.report_settings(config["settings"])
         self.discovery.move(address)
         self.config = self.config | {word: config[word] for word in ("discovery", "tag") if word in config}
-        say(f"reloaded; the list's service is {config['discovery']}; offerings:"
-            f" {', '.join(map(str, self.desk.offerings))}")
+        self.desk.events.record(Event.STATE, State.RELOADED)
+        report(f"reloaded; the list's service is {config['discovery']}; offerings:"
+               f" {', '.join(map(str, self.desk.offerings))}")
         if fixed:
-            say(f"changes that need a restart: {', '.join(fixed)}")
+            report(f"changes that need a restart: {', '.join(fixed)}")
 
     async def run(self) -> None:
         standing = [self.loop.create_task(self.clients.sweep()), self.loop.create_task(self._sweep()),
                     self.loop.create_task(self.clients.stalls.run())]
-        self._wake()
-        if self.succession.before is not None:
-            await self.succession.fresh(LIST_TIME, self.ending)
-            await self.succession.take()
-        else:
-            await self._first_list()
-            self._let_in()
+        self.turns.soon()
+        if not await self._begin():
+            report("told to end before it served: nothing was taken")
+            self.let_go(standing)
+            return
         self._accept()
         self.succession.listen()
-        say(f"{self.config.get('name', 'node')} listens at {self.config['listen']}")
-        await self.ending.wait()
+        self.desk.events.record(Event.STATE, State.SERVING)
+        report(f"{self.config.get('name', 'node')} listens at {self.config['listen']}")
+        await self.stop.told.wait()
         await self._end(standing)
 
-    async def _end(self, standing: list[asyncio.Task]) -> None:
-        """Answers while clients come, closes what is idle, finishes what was taken, and ends in time."""
-        began = monotonic()
-        say("told to end")
-        if self.cluster is not None:
-            self.cluster.leave()
-        self.desk.close_by(self.clock() + LONGEST_END)
-        self.clients.ending = self.succession.after is None
-        end = began + LONGEST_END + LAST
-        while monotonic() < end and not await self._ended(began):
-            await asyncio.sleep(0.02)
-        if not self.succession.handed:
-            await self._last_clients()
+    async def _begin(self) -> bool:
+        """Waits for a fresh list and gets the node, or listens; False, and nothing done, where the process is
+        told to stop meanwhile: another one of this node goes on as it was."""
+        if self.succession.before is not None:
+            await self.succession.fresh(LIST_TIME, self.stop.told)
+            if self.told_to_stop():
+                return False
+            await self.succession.take()
+            return True
+        await self._first_list()
+        if self.told_to_stop() and not self.succession.hung:
+            return False
+        if not self.succession.hung:  # beside one that hangs it listens already
+            self._let_in()
+        return True
+
+    def let_go(self, standing: list[asyncio.Task]) -> None:
+        """Ends what stands by and what both processes of a node share."""
         for work in standing:
             work.cancel()
         self.succession.close()
         self.management.close()
-        say(f"ended, {len(self.clients.open)} clients left; {self.clients.malformed} were sent away")
-
-    async def _ended(self, began: float) -> bool:
-        """Whether nothing is owed to anybody any more. The listener stays open as long as this process owes
-        answers: what the machine accepts for it is its to answer. Another node may be ending too: a client
-        whose connections all close at once would have nowhere to go. With another process of this node they
-        are there, and the two need not share its limits any longer."""
-        now, clients = monotonic(), self.clients
-        owed = clients.open or clients.works or self.succession.sending()
-        if self.succession.handed:
-            return not owed
-        quiet = now >= max(began + STILL_COMING, clients.accepted_at + QUIET)
-        clients.stopping |= now >= began + KEPT or quiet and not clients.open
-        if clients.stopping:
-            clients.close_idle()
-        return clients.stopping and quiet and not owed and await self._last_clients() and not clients.open
-
-    async def _last_clients(self) -> bool:
-        """Lets in what the machine has accepted meanwhile, and closes the listener in the same step as it
-        finds none there any more. False: no descriptor is free for one that waits."""
-        if self.listener.fileno() < 0:
-            return True
-        self.accepting.cancel()
-        await asyncio.sleep(0)
-        held, self.clients.held = self.clients.held, None
-        if held is not None:
-            self.clients.admit(held, spare=True)
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                self.listener.close()
-                return True
-            except ConnectionAbortedError:
-                continue
-            except OSError as problem:
-                say(f"no connection accepted at the end: {problem}")
-                return False
-            self.clients.admit(sock, spare=True)
+
+    async def _end(self, standing: list[asyncio.Task]) -> None:
+        """Answers all that was taken, in the time that is left, and lets go of everything."""
+        report("told to end")
+        if self.cluster is not None:
+            self.cluster.leave()
+        await self.stop.run()
+        self.let_go(standing)
+        self.clients.check_stopped()
+        self.desk.events.record(Event.STATE, State.STOPPED)
+        report(f"ended, {len(self.clients.open)} clients left; {self.clients.malformed} were sent away")
+        self.tell_counts()
+
+    def tell_counts(self) -> None:
+        """What happened so far, by reason, and how often a rule was seen broken."""
+        report(f"counts: {self.desk.events.summary()}")
+        report(f"rules seen broken: {sum(self.desk.monitor.violations.values())}")
--- a/firwalk/net/stalls.py
+++ b/firwalk/net/stalls.py
@@ -13,6 +13,7 @@
 
 BEAT = 0.25            # seconds between beats
 STALL = 1.0            # seconds without one, beyond the beat's own, that count: a busy moment is none
+PAUSE = 0.1            # the same, where the time of a signal is in question
 WAKING = 5.0           # seconds after a stall in which the machine is asked: what waited is read in turn
 LAST_CAME = 52         # where `tcpi_last_data_recv` is: milliseconds, in 32 bits of the machine's order
 
@@ -21,6 +22,7 @@
     def __init__(self) -> None:
         self.beat_at = monotonic()
         self.woke_at, self.length = float("-inf"), 0.0
+        self.pause_began = self.paused_until = float("-inf")
 
     async def run(self) -> None:
         while True:
@@ -30,8 +32,16 @@
     def beat(self, now: float) -> None:
         if now - self.beat_at > BEAT + STALL:
             self.woke_at, self.length = now, now - self.beat_at
+        if now - self.beat_at > BEAT + PAUSE:
+            self.pause_began, self.paused_until = self.beat_at, now
         self.beat_at = now
 
+    def running_until(self, now: float) -> float:
+        """When this process last ran for sure: now, or before it stood still, if it has only just woken."""
+        if now - self.beat_at > BEAT + PAUSE:
+            return self.beat_at
+        return self.pause_began if now - self.beat_at < BEAT and now < self.paused_until + BEAT else now
+
     def behind(self, now: float, sock: socket.socket) -> float:
         """Seconds for which what is read now has waited already; 0 in all ordinary times."""
         waited = _waited(sock)
--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -8,6 +8,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING, Protocol
 
+from firwalk.events import CloseReason
 from firwalk.host import Condition
 from firwalk.log import say, trouble
 from firwalk.moving import packed, unpacked
@@ -33,7 +34,6 @@
     clients: Clients
     executors: Executors
     budget: Budget
-    ending: asyncio.Event
     reread: Callable[[], None]
     files: int
     managed: bool
@@ -51,6 +51,9 @@
     def accept_again(self) -> None:
         """The other process is gone."""
 
+    def told_to_stop(self) -> bool:
+        """Whether this process is on its way to its end."""
+
 
 class Succession:
     def __init__(self, service: Served):
@@ -156,7 +159,7 @@
         try:
             name, target, body, seen, *rest = (text.encode("latin-1") for text in about["bytes"])
             headers = dict(zip(rest[::2], rest[1::2], strict=True))
-            errand = unpacked(self.desk, about["task"], monotonic() - about["at"])
+            errand = unpacked(self.desk, about["task"], monotonic() - about["at"], name.decode("latin-1"))
         except (KeyError, TypeError, ValueError, AttributeError) as problem:
             trouble("going on with a task", problem)
             client.close()
@@ -229,12 +232,12 @@
             await asyncio.sleep(HAND_OVER_EVERY)
 
     def _hand_over_now(self, line: Line) -> None:
+        for client in list(self.service.clients.open) if self.gives_tasks else ():
+            if self.service.clients.movable(client):
+                self._give_task(line, client)    # first: their time runs on
         for client in list(self.service.clients.open):
             self.service.clients.move(client)
         self.service.executors.hand_over(lambda about, sock: line.say(about, sock, give=True))
-        for client in list(self.service.clients.open) if self.gives_tasks else ():
-            if self.service.clients.movable(client):
-                self._give_task(line, client)
         now, more = self._holds()
         if self.holds != now + more:
             self.holds = now + more
@@ -254,9 +257,13 @@
                   "bytes": [part.decode("latin-1") for part in data]}, client.sock, link.sock)
         self.given += 1
         executors.let_go(errand, about["out"])
-        client.errand = None
-        client.close()
+        client.errand, client.busy = None, False
         self.desk.report_moved(errand)
+        client.close(CloseReason.HANDED_OVER)
+
+    def shares_listener(self) -> bool:
+        """Another process of this node holds the listener, and may accept from it when this one is gone."""
+        return self.after is not None or self.before is not None
 
     def sending(self) -> bool:
         """Something is still on its way to the other process."""
@@ -272,7 +279,7 @@
     def _alone(self) -> None:
         """The new process is gone, and this one still there: it goes on as before."""
         self.after, self.service.clients.moving = None, None
-        self.service.clients.ending = self.service.ending.is_set()
+        self.service.clients.ending = self.service.told_to_stop()
         self._shares()
         if self.handed:
             say("the process that was to replace this one has ended; this one serves again")
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -256,6 +256,11 @@
     node.retuned(**figures)
 
 
+def longest_deadline(settings: dict) -> float:
+    """Seconds that a request of the deployment is waited for at most."""
+    return max(offering.get("expiry-us", 0) for offering in settings.get("offerings") or [{}]) * MICRO
+
+
 def needs_restart(old: dict, new: dict) -> list[str]:
     """What differs and cannot be taken over by a running node, by name."""
     def differing(a: dict, b: dict, live: tuple, where: str = "") -> list[str]:
--- /dev/null
+++ b/firwalk/stop_plan.py
@@ -0,0 +1,68 @@
+"""When a process that was told to stop does what, as lengths from the signal. No I/O.
+
+SIGKILL may come as early as the longest deadline of the deployment (3 s at most) and 0.7 s after SIGTERM, and
+clients go on using their open connections until then. So a stop serves for as long as an answer can still be
+given before the earliest kill, and nothing is owed any more shortly before it:
+
+    SIGTERM ........... closing_from ......... resting_until .. answered_by ... gone_by ... kill
+    |-- serves as ever --|-- serves, and each --|-- resting     --|-- what still  --|
+                            answer ends its        connections       comes is
+                            connection             are ended         rejected
+
+The reserve before the kill covers a process that is held up for 0.15 s before it learns of the signal, and
+for as long again before it writes its last answers.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+LONGEST_DEADLINE_S = 3.0  # the most that counts, whatever the deployment allows
+KILL_MARGIN_S = 0.7  # from the longest deadline to the earliest kill
+RESERVE_S = 0.3  # before the kill, in which nothing is owed any more
+WIND_DOWN_S = 0.2  # before that, in which connections end one after the other, each behind an answer
+RESTING_END_S = 0.05  # before that, at which the connections that rest are ended too
+EXIT_S = 0.1  # before the kill, at which the process is gone in any case
+NEW_CONNECTIONS_S = 0.6  # in which new connections still come
+STABLE_S = LONGEST_DEADLINE_S + KILL_MARGIN_S  # for which a replaced deadline may still time the kill
+
+
+@dataclass(frozen=True)
+class StopPlan:
+    """Seconds from SIGTERM."""
+
+    closing_from: float
+    resting_until: float
+    answered_by: float
+    gone_by: float
+    kill: float
+
+    @staticmethod
+    def of(longest_deadline_s: float) -> StopPlan:
+        """The plan of a deployment whose requests wait so long at most."""
+        kill = min(longest_deadline_s, LONGEST_DEADLINE_S) + KILL_MARGIN_S
+        answered_by = kill - RESERVE_S
+        closing_from = max(answered_by - WIND_DOWN_S, 0.0)
+        return StopPlan(closing_from, answered_by - RESTING_END_S, answered_by, kill - EXIT_S, kill)
+
+
+class Deadlines:
+    """The longest deadline of each configuration in force lately.
+
+    Whoever kills the process may go by the newest configuration or by the one just before it: the shortest of
+    those that were in force in the last seconds decides.
+    """
+
+    def __init__(self, longest_s: float):
+        self.current = longest_s
+        self.replaced: list[tuple[float, float]] = []  # until when one was in force, and its longest deadline
+
+    def change(self, longest_s: float, now: float) -> None:
+        """Another configuration is in force from now on."""
+        self.replaced.append((now, self.current))
+        self.current = longest_s
+
+    def shortest(self, now: float) -> float:
+        """The longest deadline by which a kill may be timed at the earliest."""
+        self.replaced = [one for one in self.replaced if one[0] > now - STABLE_S]
+        return min([self.current, *(longest for _, longest in self.replaced)])
