--- a/tests/cluster/test_zones.py
+++ b/tests/cluster/test_zones.py
@@ -162,6 +162,52 @@
     assert hasty.modes()[2] is Mode.LEANING
 
 
+def test_one_look_in_which_a_machine_stood_still_leans_no_zone():
+    """By the mean over some looks it did, and the next drain was refused for it."""
+    held_up = View(10, 0, 0, 1.0, 10.0)
+    fleet = Fleet()
+    fleet.look(times=3)
+    for _ in range(2):
+        fleet.look(lambda seat, zone: held_up if zone == 1 else GOOD)
+        fleet.look(times=2)
+    assert fleet.modes() == [Mode.OPEN] * 3 and fleet.zones.all[1].moves == 0
+    fleet.look(lambda seat, zone: held_up if zone == 1 else GOOD, times=3)
+    assert fleet.modes() == [Mode.OPEN, Mode.LEANING, Mode.OPEN]
+
+
+def test_what_a_pause_let_through_at_once_is_not_what_clients_ask():
+    """Clients that stood still for a second send all of it within one report."""
+    watch, asks = Watch(0, 1, 0.0, report=0.25), []
+    arrivals = [0.25] * 12 + [0.0] * 4 + [1.25] + [0.25] * 8
+    for number, work in enumerate(arrivals):
+        watch.arrived(work)
+        asks.append(watch.told(0.25 * (number + 1), [8.0]).asks / 1e3)
+    assert asks[11] == pytest.approx(1.0) and max(asks) < 1.4 and asks[-1] == pytest.approx(1.0, abs=0.1)
+
+
+def test_two_reports_in_a_row_tell_the_same_demand():
+    watch = Watch(0, 1, 0.0, report=0.25)
+    for number in range(8):
+        watch.arrived(0.25)
+        watch.told(0.25 * (number + 1), [8.0])
+    watch.arrived(0.2)
+    assert watch.told(2.001, [8.0]).asks == pytest.approx(1150, abs=50)
+    assert watch.told(2.001, [8.0]).asks == pytest.approx(1150, abs=50)
+
+
+def test_a_miss_speaks_against_a_zone_only_where_nobody_else_there_answered_since():
+    watch = Watch(0, 2, 0.0)
+    watch.ended(1, True, False, 0.4, 0.2)
+    assert watch.so_far([8.0, 4.0]).views[1][:4] == (1, 1, 1, 0)     # nobody was heard at all
+    watch.started(1, 0.01, 0.5)
+    assert watch.so_far([8.0, 4.0]).views[1][:4] == (1, 1, 0, 1)     # another one answers after it
+    watch.ended(1, True, False, 0.6, 0.45)      # sent before that answer
+    watch.ended(1, False, True, 0.7, 0.6)       # an error is an answer
+    watch.ended(1, True, False, 0.8, 0.65)
+    watch.ended(1, True, False, 1.0, 0.75)      # silence since it was sent
+    assert watch.told(1.0, [8.0, 4.0]).views[1][:4] == (1, 5, 1, 4)
+
+
 def test_what_leaned_a_zone_counts_no_more_after_its_move():
     """Else what was met before a step of its return took the next one back."""
     half = View(10, 4, 0, 0.01, 10.0)
--- /dev/null
+++ b/tests/soak/faulty.py
@@ -0,0 +1,132 @@
+"""Faulty implementations of the program, by name: the oracle of the soak must find each out."""
+
+import asyncio
+import os
+import sys
+import time
+from functools import partial
+from pathlib import Path
+
+from firwalk import facade, stop_plan
+from firwalk.net import clients, stopping
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "fleet"))  # the shim loads this file by its path alone
+import doubles
+
+forgets_an_answer = doubles.forgets_an_answer
+answers_late = partial(doubles.answers_late, 1.7)  # a client of the soak waits 1.2 s past the deadline
+answers_with_anothers_result = doubles.answers_with_anothers_result
+repeats_what_must_not_repeat = doubles.repeats_what_must_not_repeat
+does_not_hear_of_drains = doubles.does_not_hear_of_drains
+pushes_cold_ones_over = doubles.pushes_cold_ones_over
+
+
+def fixed_stop_times():
+    """As the program was at the incident: the times of a stop fit deadlines of 3 s alone."""
+    plan = stop_plan.StopPlan(2.0, 2.0, 3.4, 3.5, 3.7)
+    stop_plan.StopPlan.of = staticmethod(lambda longest_deadline_s: plan)
+
+
+def stops_at_once():
+    """Told to stop, it ends without another look."""
+
+    async def run(self):
+        return None
+
+    stopping.Stop.run = run
+
+
+def closes_over_requests():
+    """In a stop it closes connections that have a request in work."""
+
+    def wind_down(self, final):
+        for client in list(self.open):
+            client.close(clients.CloseReason.STOPPING)
+
+    clients.Clients.wind_down = wind_down
+
+
+def answers_twice():
+    due, real = doubles.every(20), clients.http.answer
+
+    def answer(status, *rest, **more):
+        data = real(status, *rest, **more)
+        return data + data if status == 200 and due() else data
+
+    clients.http.answer = answer
+
+
+def promises_falsely():
+    """It rejects what failed, whatever has run."""
+    real = clients.Clients._answer
+
+    def answer(self, client, status, *rest, **more):
+        real(self, client, 503 if status == 500 else status, *rest, **more)
+
+    clients.Clients._answer = answer
+
+
+def goes_on_for_who_has_left():
+    """Each request waits before its first attempt, and neither the end of its connection nor the gate at the
+    send stops that."""
+    real = clients.Clients._task
+
+    async def task(self, *rest):
+        await asyncio.sleep(0.6)
+        await real(self, *rest)
+
+    clients.Clients._task = task
+    facade.Desk.report_gone = lambda self, errand, reason="": None
+    clients.hung_up = lambda sock: False
+
+
+def tells_more_time_than_is_left():
+    real = clients._message
+
+    def message(target, headers, body, end, clock):
+        return real(target, headers, body, end + 1.0, clock)
+
+    clients._message = message
+
+
+def changes_an_id():
+    due, real = doubles.every(20), clients._message
+
+    def message(target, headers, body, end, clock):
+        if due():
+            headers = headers | {b"x-request-id": b"another"}
+        return real(target, headers, body, end, clock)
+
+    clients._message = message
+
+
+def crashes():
+    real = facade.Desk.report_task
+
+    def report_task(self, *rest, **more):
+        if time.monotonic() > crash_at:
+            os._exit(3)
+        return real(self, *rest, **more)
+
+    crash_at = time.monotonic() + 3.0
+    facade.Desk.report_task = report_task
+
+
+def does_not_begin():
+    async def begin(self):
+        await asyncio.sleep(60.0)
+
+    from firwalk.net import service
+
+    service.Service._begin = begin
+
+
+def counts_a_broken_rule():
+    """The check at run time sees one that no one else does."""
+    real = clients.Clients.check_closed
+
+    def check_closed(self, client):
+        self.monitor.violation(clients.Rule.ANSWERED, "none")
+        real(self, client)
+
+    clients.Clients.check_closed = check_closed
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,102 @@
+"""Lines for the operators: limited, summed up, and the process's own not crowded out by those of others."""
+
+import fcntl
+import os
+import signal
+import subprocess
+import sys
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+from helpers import post
+from test_service import play
+
+from firwalk import log
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    said, now = [], [100.0]
+    monkeypatch.setattr(log, "_print", said.append)
+    monkeypatch.setattr(log, "monotonic", lambda: now[0])
+    monkeypatch.setattr(log, "_of_peers", log._Quota())
+    monkeypatch.setattr(log, "_own", log._Quota())
+    return said, now
+
+
+def test_what_peers_bring_about_is_limited_and_summed_up(lines):
+    said, now = lines
+    for number in range(2 * log.MOST):
+        log.say(f"line {number}")
+        log.say("line 0")
+    assert len(said) == log.MOST
+    now[0] += 1.0
+    log.say("later")
+    assert said[log.MOST :] == [f"{2 * log.MOST} times more: line 0", f"{log.MOST} lines left out", "later"]
+
+
+def test_what_the_process_does_itself_is_told_whatever_peers_send(lines):
+    said, _ = lines
+    for number in range(2 * log.MOST):
+        log.say(f"a client's bytes: {number}")
+    log.report("told to end")
+    log.trouble("running timers", ValueError("x"))
+    assert said[log.MOST] == "told to end" and "error while running timers" in said[log.MOST + 1]
+
+
+def test_a_node_whose_log_nobody_reads_serves_on_and_ends():
+    """It stood still at the first line that found the pipe full."""
+
+    async def story(world):
+        transport = world.program._transport.get_pipe_transport(2)
+        transport.pause_reading()
+        pipe = transport.get_extra_info("pipe").fileno()
+        fcntl.fcntl(pipe, fcntl.F_SETPIPE_SZ, 4096)
+        filler = os.open(f"/proc/self/fd/{pipe}", os.O_WRONLY | os.O_NONBLOCK)
+        with suppress(BlockingIOError):
+            while True:
+                os.write(filler, b"filled\n")
+        os.close(filler)
+        reader, writer = await world.connect()
+        writer.write(b"not http\r\n\r\n")
+        await reader.read()
+        writer.close()
+        assert (await world.ask(post()))[0] == 200
+        world.program.send_signal(signal.SIGTERM)
+        try:
+            await world.until(lambda: world.program.returncode is not None, 2.7)
+        finally:
+            transport.resume_reading()
+        assert world.program.returncode == 0
+
+    play(story)
+
+
+@pytest.mark.parametrize("closed", [[2], [0, 1, 2]])
+def test_a_closed_standard_error_gets_no_line_and_neither_does_what_takes_its_number(closed, tmp_path):
+    code = "import os; from firwalk import log; file = os.open('taken', os.O_RDWR | os.O_CREAT); "
+    code += "log.report('x'); log.say('y'); os.write(file, b'end')"
+    shut = " ".join(f"{number}>&-" if number else "<&-" for number in closed)
+    done = subprocess.run(
+        ["/bin/sh", "-c", f'"$0" -c "$1" {shut}', sys.executable, code],
+        cwd=tmp_path,
+        env=os.environ | {"PYTHONPATH": str(Path(__file__).parent.parent)},
+        capture_output=True,
+        timeout=10,
+    )
+    assert (tmp_path / "taken").read_bytes() == b"end", done
+
+
+def test_events_that_nobody_reads_hold_nobody_up(tmp_path):
+    pipe = str(tmp_path / "events")
+    os.mkfifo(pipe)
+    reading = os.open(pipe, os.O_RDONLY | os.O_NONBLOCK)
+    fcntl.fcntl(reading, fcntl.F_SETPIPE_SZ, 4096)
+
+    async def story(world):
+        for number in range(100):
+            assert (await world.ask(post(name=f"t{number}")))[0] == 200
+
+    play(story, events=pipe)
+    os.close(reading)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -562,3 +562,30 @@
         held.close()
         peers.close()
     asyncio.run(asyncio.wait_for(story(), 5))
+
+
+def test_many_connections_go_over_within_few_turns_of_the_loop():
+    """One came an iteration: beside other work a request that went over was read behind its deadline."""
+    async def run():
+        ours, theirs = socket.socketpair()
+        giver, taker = Line(ours), Line(theirs)
+        ends = [socket.socketpair() for _ in range(40)]
+        loop, turns, over = asyncio.get_running_loop(), [0], []
+
+        def turn():
+            turns[0] += 1
+            if not over:
+                loop.call_soon(turn)
+        for mine, _ in ends:
+            giver.say({"client": True}, mine, give=True)
+        loop.call_soon(turn)
+        for _ in ends:
+            _, files = await taker.next()
+            files[0].close()
+        over.append(turns[0])
+        for _, other in ends:
+            other.close()
+        giver.close()
+        taker.close()
+        return over[0]
+    assert asyncio.run(run()) <= 10
