--- a/tests/cluster/test_stages.py
+++ b/tests/cluster/test_stages.py
@@ -282,6 +282,19 @@
     assert bad.say("hold") == (False, "no change is going") and not bad.say("resume")[0]
 
 
+def test_a_node_that_runs_something_else_tells_it_with_its_next_report():
+    """While nothing is changed nodes tell seldom; a change that starts from what they run now is not refused
+    for what they ran before."""
+    fleet = Fleet()
+    fleet.world.run(14.0)
+    coordinator = fleet.world.coordinator()
+    for part in fleet.made.values():
+        part.contracts_version = lambda: 7
+    fleet.world.run(14.0 + 2.5 * Terms().report)
+    told = fleet.made[coordinator].roll.told
+    assert {seat: one.contracts for seat, one in told.items()} == dict.fromkeys(range(12), 7)
+
+
 def test_the_dry_run_tells_each_stage_and_who_is_alone():
     fleet = Fleet(seats=7, zones=3)
     fleet.world.run(14.0)
