A node that goes over to other contracts, a release or a tag tells it with its next report

Cause: figures go at each tenth report while nothing is changed, whatever changed in the node itself. The coordinator refused a change for what was so seconds before.

--- a/firwalk/cluster/changing.py
+++ b/firwalk/cluster/changing.py
@@ -109,6 +109,7 @@
         report, office = self.seat.follower.report, self.seat.follower.office
         if (self.tag(), self.contracts_version()) != self.was:
             self._runs()
+            self.turn = SELDOM       # what the coordinator knows of this node holds no more
         self.turn += 1
         if office != m.NOBODY and (self._busy(now) or self.turn >= SELDOM or office != self.told_to):
             self.turn, self.told_to = 0, office      # a new coordinator is told at once
