--- a/firwalk/lab/rig.py
+++ b/firwalk/lab/rig.py
@@ -34,6 +34,7 @@
 STOOD_STILL = 0.1      # seconds of lateness from which the load is not what the scenario says for a while
 FLEET_NAME = "lab"
 ASK_AGAIN = 12         # times that an operator does, where there is no coordinator yet
+READY_AT_MOST = 8.0    # seconds that an operator waits for a fleet that began to be what a change starts from
 CHANGE = "c"           # the name of the change that lies ready
 BURNER = "import os, sys\nwhile os.getppid() == int(sys.argv[1]): sum(range(10000))"
 NOISE = 256            # bytes of a datagram of a flood at most
@@ -442,6 +443,8 @@
         """An operator's word at the node's second address, again where it is told to ask again; what was said
         is kept for the report."""
         words = f"ROLL {fault.message.upper()}" + (f" {CHANGE}" if fault.message == "start" else "")
+        if fault.message == "start":
+            await self._all_run_what_it_starts_from()
         for _ in range(ASK_AGAIN):
             said = await self.nodes[number].call(words)
             if not any(word in said for word in ("ask again", "no coordinator", "no answer")):
@@ -450,6 +453,22 @@
         self.said.append({"at": round(time.monotonic() - self.began, 3), "node": number,
                           "word": fault.message, "said": said})
 
+    async def _all_run_what_it_starts_from(self) -> None:
+        """Contracts come with the first plan, which a fleet on a busy machine has later than planned: the
+        operator looks before starting, as the pages say, and reports take a moment more."""
+        if self.scenario.roll is None or not self.scenario.roll.contracts:
+            return
+        until = time.monotonic() + READY_AT_MOST
+        while time.monotonic() < until and not all(map(self._runs_contracts, self.nodes)):
+            await asyncio.sleep(0.05)
+        told = [event["at"] for node in self.nodes for event in node.events if event["event"] == "runs"]
+        settled = max(told, default=0.0) + 3 * self.scenario.cluster.report
+        await asyncio.sleep(max(settled - time.monotonic(), 0.0))
+
+    def _runs_contracts(self, node: Node) -> bool:
+        told = [event["contracts"] for event in node.events if event["event"] == "runs"]
+        return bool(told) and told[-1] > 0
+
     async def _term(self, number: int, fault: Fault) -> None:
         node = self.nodes[number]
         await node.programs[-1].end(self._earliest_kill())
