--- a/firwalk/lab/links.py
+++ b/firwalk/lab/links.py
@@ -14,6 +14,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from firwalk.lab.pace import Pace
+
 End = tuple[str, int]                # ("node", 3), ("executor", 5)
 RETRANSMITTED = 0.2    # seconds that a lost piece of a connection is late: the machine sends it again
 FLICKER = (1.0, 0.2)   # seconds that a flickering link is cut, and heals
@@ -37,7 +39,7 @@
 
 class Links:
     def __init__(self, seed: int):
-        self.chance = random.Random(seed)
+        self.chance, self.pace = random.Random(seed), Pace()
         self.all: dict[tuple[End, End], Conditions] = {}
         self.counts = {"datagrams": 0, "datagram bytes": 0, "datagrams lost": 0, "datagrams doubled": 0,
                        "connections": 0}
