--- a/firwalk/lab/report.py
+++ b/firwalk/lab/report.py
@@ -38,6 +38,7 @@
     began: float
     ended: float
     lag: float
+    stolen_share: float
     own_loss: int
     said: list[dict]
 
@@ -119,7 +120,8 @@
         "service": _service(jobs, rig.began), "faults": sorted(rig.faults, key=lambda f: f["at"]),
         "counts": counts, "memory_mb": round(max(rig.memory, default=0.0), 1),
         "rig": {"own_delay_ms": round(rig.lag * 1e3, 2), "late_sends_ms": round(rig.load.late * 1e3, 2),
-                "datagrams lost by the rig itself": rig.own_loss},
+                "datagrams lost by the rig itself": rig.own_loss,
+                "processor time taken by the host": round(rig.stolen_share, 3)},
         "moves": sum(event["event"] == "zone" for event in events),
         "said": rig.said, "change": _change(rig),
         "budgets": _budgets(rig, judge, seconds), "leaderless": gaps(rig), "seed": rig.seed,
--- a/firwalk/lab/several.py
+++ b/firwalk/lab/several.py
@@ -23,6 +23,8 @@
 
 SETTLED = 20.0         # seconds of virtual time after which costs are counted
 COUNTED = 20.0         # seconds for which they are
+DISTURBED_LAG_S = 0.25         # lateness of the rig's own loop from which a run does not count for times
+DISTURBED_STOLEN_SHARE = 0.15  # of the processors' time, taken by the machine's host, from which it does not
 
 
 @dataclass
@@ -42,11 +44,16 @@
     began: float
     ended: float
     lag: float                   # seconds by which the rig itself was late at the most
+    stolen_share: float          # part of the processors' time that the machine's host took
     nodes: list[NodeSeen] = field(default_factory=list)
 
+    def disturbed(self) -> bool:
+        """The machine did not run what the scenario says: its figures of time are not the nodes'."""
+        return self.lag > DISTURBED_LAG_S or self.stolen_share > DISTURBED_STOLEN_SHARE
+
 
 def seen(rig: Rig) -> Seen:
-    return Seen(rig.began, rig.ended, rig.lag, [
+    return Seen(rig.began, rig.ended, rig.lag, rig.stolen_share, [
         NodeSeen(node.number, node.events, node.lines, len(node.programs)) for node in rig.nodes])
 
 
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -1,4 +1,5 @@
 """What the relay itself adds or loses is counted, not assumed."""
+
 import asyncio
 import socket
 import time
@@ -16,13 +17,14 @@
         relay = DatagramRelay(Links(1), [("127.15.1.1", 7946), ("127.15.1.2", 7946)], known)
         await relay.open()
         sender = socket.socket(type=socket.SOCK_DGRAM)
-        for _ in range(burst):   # without a turn of the relay's loop
+        for _ in range(burst):  # without a turn of the relay's loop
             sender.sendto(b"x" * 200, known(0, 1))
         lost = relay.own_loss()
         sender.close()
         relay.close()
         await asyncio.sleep(0)
         return lost
+
     assert asyncio.run(run(10)) == 0 < asyncio.run(run(20000))
 
 
@@ -39,11 +41,12 @@
             opened[-1].sendall(data)
             sent[data] = time.monotonic()
             if number % 3 == 2:
-                time.sleep(0.2)         # the loop does not turn
+                time.sleep(0.2)  # the loop does not turn
                 await asyncio.sleep(0)
         await asyncio.sleep(0.2)
         for one in opened:
             one.close()
+
     relayed(run)
     assert set(told) == set(sent)
     assert all(sent[data] - 0.5 < at <= sent[data] + 0.02 for data, at in told.items())
@@ -63,12 +66,14 @@
             links.change("cut", 1.0, [(("node", 0), ("executor", 0))], False)
             await asyncio.sleep(0.1)
         return sent
+
     sent = relayed(run)
     assert len(told) == 1 and told[0] <= sent + 0.02
 
 
 def relayed(run):
     """`run(links, address)` with one relayed way from node 0 to an executor that reads and says nothing."""
+
     async def all_of_it():
         links, real, address = Links(1), ("127.15.2.1", 3000), ("127.15.40.1", 3000)
         links.pace.start()
@@ -80,5 +85,6 @@
             listener.close()
             server.close()
             links.pace.stop()
+
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(all_of_it())
