--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import orjson
+import psutil
 import pytest
 from helpers import free_port, post, read_message
 from test_service import play
@@ -80,3 +81,57 @@
         await process.wait()
 
     play(story)
+
+
+async def start_agent(world, before_python_s):
+    """An agent with a node that its release's script starts after a while; the process, and the node's port."""
+    folder, port = Path(world.folder.name) / "agent", free_port()
+    release = folder / "releases" / "v1"
+    release.mkdir(parents=True)
+    run = release / "run"
+    run.write_text(f"#!/bin/sh\nsleep {before_python_s}\nexec {sys.executable} -O -m firwalk\n")
+    run.chmod(0o755)
+    config = world.config | {"listen": f"127.0.0.1:{port}", "peer_listen": f"127.0.0.1:{free_port()}"}
+    (folder / "node.json").write_bytes(orjson.dumps(config))
+    places = [f"127.0.0.1:{free_port()}" for _ in range(2)]
+    words = ('config = "node.json"', 'releases = "releases"', 'release = "v1"', 'folder = "run"')
+    (folder / "agent.toml").write_text("\n".join([*words, f"management = {places}", ""]))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "firwalk.agent",
+        str(folder / "agent.toml"),
+        cwd=ROOT,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    return process, port
+
+
+async def said_by(process, words):
+    while words not in (line := await asyncio.wait_for(process.stderr.readline(), 20)):
+        assert line, f"ended with {await process.wait()}"
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1])
+def test_an_agent_and_what_it_starts_live_through_signals_that_are_not_for_them(number):
+    async def story(world):
+        process, port = await start_agent(world, before_python_s=0.3)
+        try:
+            while not (children := psutil.Process(process.pid).children()):
+                assert process.returncode is None
+                await asyncio.sleep(0.01)
+            children[0].send_signal(number)  # its shell has not become the program
+            process.send_signal(number)
+            await said_by(process, b"listens at")
+            process.send_signal(number)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(post())
+            assert "200" in (await read_message(reader))[0]
+        finally:
+            if process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+            await process.stderr.read()
+        assert await process.wait() == 0
+
+    play(story)
