--- a/firwalk/agent/__main__.py
+++ b/firwalk/agent/__main__.py
@@ -1,6 +1,15 @@
-"""Starts one agent: `python -m firwalk.agent AGENT.toml`. At SIGTERM it ends in good order, its node too."""
+"""Starts one agent: `python -m firwalk.agent AGENT.toml`. At SIGTERM it ends in good order, its node too.
+
+It reads its file at its start alone, so that SIGHUP and SIGUSR1 mean nothing to it. What it starts ignores
+both as well, until that has handlers of its own.
+"""
 from __future__ import annotations
 
+from firwalk import early_signals
+
+if __name__ == "__main__":  # before all that takes a while to load
+    early_signals.ignore()
+
 import asyncio
 import signal
 import sys
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -84,7 +84,7 @@
 
 
 async def start_agent(world, before_python_s):
-    """An agent with a node that its release's script starts after a while; the process, and the node's port."""
+    """An agent whose release begins with a pause in a script; its process, and the node's port."""
     folder, port = Path(world.folder.name) / "agent", free_port()
     release = folder / "releases" / "v1"
     release.mkdir(parents=True)
