The rig in parts: addresses, files, faults; the referee judges by both ends of a send's time

A send lies between the earliest time at which it can have come and its reading: a rule is broken if it is at both.

--- /dev/null
+++ b/firwalk/lab/faults.py
@@ -0,0 +1,390 @@
+"""The faults of a scenario, done to the processes, links and stand-ins of a run."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from msgspec.structs import replace
+
+from firwalk.cluster import messages
+from firwalk.lab import seam
+from firwalk.lab.addresses import Addresses
+from firwalk.lab.files import CHANGE, FLEET_NAME, Files
+from firwalk.lab.links import DatagramRelay, End, Links, Listener
+from firwalk.lab.processes import Node
+from firwalk.lab.scenario import ON_LINKS, Fault, Fleet, Scenario, endpoints
+from firwalk.lab.standins import Executor, Lists
+
+ASK_AGAIN = 12  # times that an operator does, where there is no coordinator yet
+ASK_AGAIN_AFTER_S = 0.3
+READY_WITHIN_S = 8.0  # in which a fleet that began runs what a change starts from
+REPORTS = 3  # after which the coordinator knows what all run
+NOISE_BYTES = 256  # of a datagram of a flood at most
+FLOOD_PAUSE_S = 0.002
+BURNER = "import os, sys\nwhile os.getppid() == int(sys.argv[1]): sum(range(10000))"
+
+
+@dataclass
+class KillOnMessage:
+    """A node to be killed right behind so many more of its messages of a kind."""
+
+    node: int
+    kind: str
+    left: int
+    done: asyncio.Future[None]
+
+
+@dataclass(frozen=True)
+class CoordinatorAnswer:
+    """A coordinator's answer to a member, as the relay saw it."""
+
+    at: float
+    node: int
+    life: int
+    term: Any
+
+
+@dataclass(frozen=True)
+class OperatorAnswer:
+    """What an operator's word came to."""
+
+    at: float
+    node: int
+    word: str
+    said: str
+
+
+class Run(Protocol):
+    """What faults are done to."""
+
+    scenario: Scenario
+    fleet: Fleet
+    began: float
+    nodes: list[Node]
+    executors: list[Executor]
+    ways: list[list[Listener]]
+    lists: Lists
+    links: Links
+    relay: DatagramRelay
+    addresses: Addresses
+    files: Files
+
+    def earliest_kill_s(self) -> float:
+        """Seconds from SIGTERM to the earliest SIGKILL."""
+
+
+class Faults:
+    """Plays them one by one; `played` tells of each what it was, and from when to when."""
+
+    def __init__(self, rig: Run, chance: random.Random):
+        self.rig, self.chance = rig, chance
+        self.played: list[dict[str, Any]] = []
+        self.answers: list[CoordinatorAnswer] = []
+        self.operators: list[OperatorAnswer] = []
+        self._armed: list[KillOnMessage] = []
+        self._burners: list[asyncio.subprocess.Process] = []
+        self._by_kind: dict[str, Callable[[int, Fault], Awaitable[None]]] = {
+            "kill": self.kill,
+            "kill-on": self._kill_on_message,
+            "stop": self._stop,
+            "term": self._term,
+            "upgrade": self.upgrade,
+            "agent-kill": self._kill_agent,
+            "roll": self._say_to_rollout,
+            "burn": self._burn,
+            "clock": self._step_clock,
+            "drift": self._drift_clock,
+            "contracts": self._reload_contracts,
+            "flood": self._flood,
+            "executor-slow": self._slow_executor,
+            "executor-errors": self._failing_executor,
+            "executor-silent": self._silent_executor,
+            "executor-restart": self._restart_executor,
+            "executor-drain": self._drain_executor,
+        }
+
+    def close(self) -> None:
+        """No process that a fault started stays."""
+        for burner in self._burners:
+            if burner.returncode is None:
+                burner.kill()
+
+    # -- which ends a fault is about -----------------------------------------------------------------------
+
+    def ends(self, names: list[str] | tuple[str, ...]) -> list[End]:
+        """Those that a scenario's names stand for now."""
+        scenario, coordinator = self.rig.scenario, self.coordinator()
+        found = [end for name in names for end in endpoints(scenario, name, coordinator)]
+        return list(dict.fromkeys(found))
+
+    def coordinator(self) -> int | None:
+        """Who said last that it has the lease, and not since that it lost it."""
+        events = (event for node in self.rig.nodes for event in node.events if event["event"] == "lease")
+        last = max(events, key=lambda event: event["at"], default=None)
+        return last["seat"] if last else None
+
+    def _pairs(self, fault: Fault) -> list[tuple[End, End]]:
+        a, b = self.ends(fault.on), self.ends(fault.to)
+        pairs = [(x, y) for x in a for y in b if x != y and not (x in b and y in a and fault.one_way)]
+        back = [] if fault.one_way else [(y, x) for x, y in pairs]
+        return list(dict.fromkeys(pairs + back))
+
+    # -- one fault -----------------------------------------------------------------------------------------
+
+    async def play(self, fault: Fault) -> None:
+        """At its time, until it is over."""
+        rig = self.rig
+        await asyncio.sleep(max(rig.began + fault.at - time.monotonic(), 0.0))
+        about = self._about(fault)
+        self.played.append(about)
+        if fault.kind in ON_LINKS:
+            await self._on_links(fault)
+        else:
+            if fault.kind == "contracts":
+                rig.files.new_contracts(fault.value)
+            act = self._by_kind[fault.kind]
+            await asyncio.gather(*(act(end[1], fault) for end in self.ends(fault.on)))
+        about["until"] = round(time.monotonic() - rig.began, 3)
+
+    def _about(self, fault: Fault) -> dict[str, Any]:
+        about: dict[str, Any] = {
+            "at": round(time.monotonic() - self.rig.began, 3),
+            "kind": fault.kind,
+            "on": fault.on,
+        }
+        about |= {"to": fault.to} if fault.to else {}
+        about |= {"value": fault.value} if fault.value else {}
+        about |= {"one_way": True} if fault.one_way else {}
+        about |= {"message": fault.message} if fault.message else {}
+        return about
+
+    async def _on_links(self, fault: Fault) -> None:
+        pairs, links = self._pairs(fault), self.rig.links
+        links.change(fault.kind, fault.value, pairs, True)
+        await asyncio.sleep(fault.lasts)
+        links.change(fault.kind, fault.value, pairs, False)
+
+    # -- processes -----------------------------------------------------------------------------------------
+
+    async def kill(self, number: int, fault: Fault) -> None:
+        """Killed; started from nothing after `lasts`. With `value` above 0 it stays down."""
+        node = self.rig.nodes[number]
+        if node.agent is not None:
+            await node.kill_served()
+            return
+        await node.kill()
+        if not fault.value:
+            await asyncio.sleep(fault.lasts)
+            await self._start_again(node)
+
+    async def _kill_on_message(self, number: int, fault: Fault) -> None:
+        """Killed right behind its message of that kind, the `value`th from now on; started from nothing after
+        `lasts`."""
+        done = asyncio.get_running_loop().create_future()
+        self._armed.append(KillOnMessage(number, fault.message, round(fault.value), done))
+        await done
+        await self.kill(number, replace(fault, value=0.0))
+
+    def saw_message(self, at: float, sender: int, to: int, data: bytes) -> None:
+        """A datagram on its way: coordinators' answers are for the judge."""
+        if len(data) <= messages.HEAD.size:
+            return
+        try:
+            seat, life, _, message = messages.unpacked(messages.fleet_mark(FLEET_NAME), data)
+        except messages.Unreadable:
+            return
+        self._count_message(seat, type(message).__name__.lower())
+        if isinstance(message, messages.Answer):
+            self.answers.append(CoordinatorAnswer(at, seat, life, message.term))
+
+    def _count_message(self, node: int, kind: str) -> None:
+        for armed in [one for one in self._armed if (one.node, one.kind) == (node, kind)]:
+            armed.left -= 1
+            if armed.left <= 0:
+                self._armed.remove(armed)
+                self.rig.nodes[node].signal_all(signal.SIGKILL)  # at once: nothing more of it is sent
+                armed.done.set_result(None)
+
+    async def _start_again(self, node: Node) -> None:
+        """Unless another fault on the same node has started it already: two would want one address."""
+        if node.programs[-1].alive():
+            return
+        await node.start()
+        if await node.ready():
+            node.back()
+
+    async def _stop(self, number: int, fault: Fault) -> None:
+        node = self.rig.nodes[number]
+        node.began_down()
+        node.signal_all(signal.SIGSTOP)
+        await asyncio.sleep(fault.lasts)
+        node.signal_all(signal.SIGCONT)
+        node.back()
+
+    async def _term(self, number: int, fault: Fault) -> None:
+        node = self.rig.nodes[number]
+        await node.programs[-1].end(self.rig.earliest_kill_s())
+        node.began_stopped()
+        await asyncio.sleep(fault.lasts)
+        await self._start_again(node)
+
+    async def upgrade(self, number: int, fault: Fault) -> None:
+        """A second process beside the first; that one is told to end when the second listens."""
+        node = self.rig.nodes[number]
+        before = node.programs[-1]
+        await node.start()
+        await node.ready()
+        await asyncio.sleep(fault.lasts)
+        await before.end(self.rig.earliest_kill_s())
+
+    async def _kill_agent(self, number: int, fault: Fault) -> None:
+        """The agent alone; its node goes on without it. Started again after `lasts`."""
+        node = self.rig.nodes[number]
+        await node.programs[-1].kill(agent=True)
+        await asyncio.sleep(fault.lasts)
+        await node.start()
+
+    async def _burn(self, number: int, fault: Fault) -> None:
+        """Others want its core: it and the burners are bound to one."""
+        program = self.rig.nodes[number].programs[-1]
+        core = sorted(os.sched_getaffinity(0))[-1]
+        pid = program.process.pid
+        before = os.sched_getaffinity(pid)
+        os.sched_setaffinity(pid, {core})
+        burners = [await _burner(core) for _ in range(max(int(fault.value), 1))]
+        self._burners += burners
+        await asyncio.sleep(fault.lasts)
+        for burner in burners:
+            burner.kill()
+            await burner.wait()
+        if self.rig.nodes[number].programs[-1].alive():
+            os.sched_setaffinity(pid, before)
+
+    async def _step_clock(self, number: int, fault: Fault) -> None:
+        node = self.rig.nodes[number]
+        seam.write(str(node.clock_file), fault.value, node.rate)
+
+    async def _drift_clock(self, number: int, fault: Fault) -> None:
+        node = self.rig.nodes[number]
+        node.rate = 1.0 + fault.value
+        seam.write(str(node.clock_file), 0.0, node.rate)
+
+    # -- what operators do ---------------------------------------------------------------------------------
+
+    async def _reload_contracts(self, number: int, fault: Fault) -> None:
+        """The node is told that the file is another one."""
+        for program in self.rig.nodes[number].programs:
+            if program.alive():
+                program.signal(signal.SIGHUP)
+        await asyncio.sleep(fault.lasts)
+
+    async def _say_to_rollout(self, number: int, fault: Fault) -> None:
+        """An operator's word at the node's second address, again where it is told to ask again."""
+        words = f"ROLL {fault.message.upper()}" + (f" {CHANGE}" if fault.message == "start" else "")
+        if fault.message == "start":
+            await self._all_run_what_it_starts_from()
+        for _ in range(ASK_AGAIN):
+            said = await self.rig.nodes[number].call(words)
+            if not any(word in said for word in ("ask again", "no coordinator", "no answer")):
+                break
+            await asyncio.sleep(ASK_AGAIN_AFTER_S)
+        at = round(time.monotonic() - self.rig.began, 3)
+        self.operators.append(OperatorAnswer(at, number, fault.message, said))
+
+    async def _all_run_what_it_starts_from(self) -> None:
+        """Contracts come with the first plan, which a fleet on a busy machine has later than planned: the
+        operator looks before starting, as the pages say, and reports take a moment more."""
+        rig = self.rig
+        if rig.scenario.roll is None or not rig.scenario.roll.contracts:
+            return
+        until = time.monotonic() + READY_WITHIN_S
+        while time.monotonic() < until and not all(map(_runs_contracts, rig.nodes)):
+            await asyncio.sleep(0.05)
+        told = [event["at"] for node in rig.nodes for event in node.events if event["event"] == "runs"]
+        settled = max(told, default=0.0) + REPORTS * rig.scenario.cluster.report
+        await asyncio.sleep(max(settled - time.monotonic(), 0.0))
+
+    # -- datagrams -----------------------------------------------------------------------------------------
+
+    async def _flood(self, number: int, fault: Fault) -> None:
+        """`value` datagrams a second at the node's own address, from another member and from a stranger."""
+        rig, peer = self.rig, self.rig.addresses.peer(number)
+        others = [rig.relay.ends[number, j].transport for j in range(rig.fleet.nodes) if j != number]
+        stranger, sent = socket.socket(type=socket.SOCK_DGRAM), 0
+        began = time.monotonic()
+        while (now := time.monotonic()) < began + fault.lasts:
+            while sent < fault.value * (now - began):
+                data = self._noise(sent)
+                if sent % 4 or not others:
+                    stranger.sendto(data, peer)
+                else:
+                    others[sent // 4 % len(others)].sendto(data, peer)
+                sent += 1
+            await asyncio.sleep(FLOOD_PAUSE_S)
+        stranger.close()
+
+    def _noise(self, number: int) -> bytes:
+        size = self.chance.randrange(5, NOISE_BYTES)
+        ping = messages.packed(messages.fleet_mark("other"), 1, 2, 3, messages.Nack(number))
+        nack = messages.packed(messages.fleet_mark(FLEET_NAME), 1, 2, 3, messages.Nack(1))
+        cut_short = nack[: 15 + number % 2] + self.chance.randbytes(size % 100)
+        kinds = (self.chance.randbytes(size), ping, b"\x07" + ping[1:], cut_short)
+        return kinds[number % len(kinds)]
+
+    # -- executors -----------------------------------------------------------------------------------------
+
+    async def _slow_executor(self, number: int, fault: Fault) -> None:
+        await self._executor_while(number, fault, "slow", fault.value, 1.0)
+
+    async def _failing_executor(self, number: int, fault: Fault) -> None:
+        await self._executor_while(number, fault, "errors", fault.value, 0.0)
+
+    async def _silent_executor(self, number: int, fault: Fault) -> None:
+        await self._executor_while(number, fault, "silent", True, False)
+
+    async def _executor_while(
+        self, number: int, fault: Fault, attribute: str, value: object, after: object
+    ) -> None:
+        executor = self.rig.executors[number]
+        setattr(executor, attribute, value)
+        await asyncio.sleep(fault.lasts)
+        setattr(executor, attribute, after)
+
+    async def _restart_executor(self, number: int, fault: Fault) -> None:
+        rig = self.rig
+        for way in rig.ways:
+            way[number].close()
+        rig.lists.change(number, "left")
+        await rig.executors[number].restart(fault.lasts)
+        for way in rig.ways:
+            way[number].open()
+        rig.lists.change(number, "active", time.time())
+
+    async def _drain_executor(self, number: int, fault: Fault) -> None:
+        self.rig.lists.change(number, "leaving")
+        await asyncio.sleep(fault.lasts)
+        self.rig.lists.change(number, "active")
+
+
+def _runs_contracts(node: Node) -> bool:
+    told = [event["contracts"] for event in node.events if event["event"] == "runs"]
+    return bool(told) and told[-1] > 0
+
+
+async def _burner(core: int) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        BURNER,
+        str(os.getpid()),
+        preexec_fn=lambda: os.sched_setaffinity(0, {core}),
+    )
--- /dev/null
+++ b/firwalk/lab/files.py
@@ -0,0 +1,155 @@
+"""The files of one run: configurations of nodes and agents, the operators' file, changes and contracts."""
+
+from __future__ import annotations
+
+import os
+import shlex
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from firwalk.lab import versions
+from firwalk.lab.addresses import Addresses
+from firwalk.lab.scenario import Scenario, settings
+
+FLEET_NAME = "lab"
+CHANGE = "c"  # the name of the change that lies ready
+SOCKETS = 512  # descriptors that a node may have
+AGENT_LOOKS_S = 0.25
+OPERATORS_FILE, FILE_BEFORE_STAGES, CONTRACTS_FILE = "cluster.toml", "cluster-old.toml", "contracts.toml"
+
+
+class Files:
+    """Writes them into the run's folder, by the scenario."""
+
+    def __init__(self, scenario: Scenario, folder: Path, addresses: Addresses):
+        self.scenario, self.folder, self.addresses = scenario, folder, addresses
+        self.contracts_version = 0
+
+    def node(self, node: int, known: Any) -> dict[str, Any]:
+        """The configuration of a node; `known`: the executors that it names."""
+        fleet, addresses = self.scenario.fleet, self.addresses
+        tag = {"tag": "s1"} if self.scenario.roll is not None else {}
+        return tag | {
+            "name": f"n{node}",
+            "listen": _text(addresses.node(node)),
+            "management": addresses.management(node),
+            "discovery": _text(addresses.discovery(node)),
+            "limits": {"memory_mb": fleet.memory_mb, "sockets": SOCKETS},
+            "peer_listen": _text(addresses.peer(node)),
+            "peers": [_text(addresses.known_peer(node, other)) for other in range(fleet.nodes)],
+            "peers_all": _text(addresses.all_peers(node)),
+            "known": known,
+            "settings": settings(self.scenario, node),
+        }
+
+    def operators(self) -> Path | None:
+        """The operators' file, and what it names; None where the nodes are no cluster."""
+        told = self.scenario.cluster
+        if told is None:
+            return None
+        text = (
+            f'[fleet]\nname = "{FLEET_NAME}"\n\n[lease]\nvoters = {told.voters}\nlength = {told.length}\n'
+            f"drift = {told.drift}\n\n[members]\nperiod = {told.period}\nanswer = {told.answer}\n\n"
+            f'[plan]\nreport = {told.report}\nhold = {told.hold}\n\n[log]\nevents = "all"\n'
+            + self._zones()
+            + self._budgets()
+        )
+        path = self.folder / OPERATORS_FILE
+        path.write_text(text + self._stages())
+        (self.folder / FILE_BEFORE_STAGES).write_text(text)
+        self.new_contracts(1.0)
+        return path
+
+    def agent(self, node: int) -> dict[str, Any] | None:
+        """What the node's agent is told; None: the rig starts the node itself."""
+        roll = self.scenario.roll
+        if roll is None:
+            return None
+        told: dict[str, Any] = {
+            "config": "config.json",
+            "releases": "../releases",
+            "folder": "run",
+            "every": AGENT_LOOKS_S,
+            "release": "v1",
+            "operations": f"../{OPERATORS_FILE}",
+            "management": [self.addresses.management(node, slot) for slot in range(2)],
+            "events": True,
+            "ready": roll.ready,
+            "confirm": roll.confirm,
+            "hang": roll.hang,
+        }
+        if roll.old and node % 2:  # a file with sections that it does not know is turned down
+            told |= {"release": "v0", "operations": f"../{FILE_BEFORE_STAGES}"}
+        if roll.check:
+            told["check"] = [sys.executable, "-m", "firwalk.lab.check", self.scenario.offerings[0].name]
+        return told
+
+    def new_contracts(self, times: float) -> None:
+        """The contracts of all nodes, with budgets so many times those of the scenario."""
+        self.contracts_version += 1
+        (self.folder / CONTRACTS_FILE).write_text(self._contracts(self.contracts_version, times))
+
+    def _contracts(self, version: int, times: float) -> str:
+        lines = [f"version = {version}"]
+        for team in self.scenario.teams:
+            lines += [
+                "",
+                "[[teams]]",
+                f'name = "{team.name}"',
+                f"budget = {team.budget * times}",
+                f"period = {team.period}",
+                f"burst = {team.burst}",
+                f'beyond = "{team.beyond}"',
+            ]
+            lines += [f"guaranteed = {team.guaranteed * times}"] if team.guaranteed else []
+        return "\n".join([*lines, ""])
+
+    def _budgets(self) -> str:
+        if not self.scenario.teams:
+            return ""
+        length = self.scenario.cluster.part_length
+        return f'\n[budgets]\ncontracts = "{CONTRACTS_FILE}"\nlength = {length}\n'
+
+    def _zones(self) -> str:
+        told = self.scenario.cluster
+        regions = [f"r{number} = {orjson.dumps(zones).decode()}" for number, zones in enumerate(told.regions)]
+        head = ["", "[zones]", f"head_room = {told.head_room}", "[zones.regions]"]
+        return "\n".join([*head, *regions, ""]) if regions else ""
+
+    def _stages(self) -> str:
+        """The section, and the change and the releases, which lie ready."""
+        roll = self.scenario.roll
+        if roll is None:
+            return ""
+        self._releases()
+        (self.folder / "changes").mkdir(exist_ok=True)
+        what = 'settings = "s2"\nbefore = "s1"' if roll.settings else 'release = "v2"\nbefore = "v1"'
+        if roll.contracts:
+            what = 'contracts = "2"\nbefore = "1"'
+            contracts = self._contracts(2, roll.contracts)
+            (self.folder / "changes" / "contracts-2.toml").write_text(contracts)
+        compare = "".join(f"{word} = {value}\n" for word, value in roll.compare.items())
+        stages = orjson.dumps(roll.stages).decode()
+        change = f"{what}\nstages = {stages}\n[compare]\n{compare}"
+        (self.folder / "changes" / f"{CHANGE}.toml").write_text(change)
+        return f'\n[stages]\nchanges = "changes"\nsettle = {roll.settle}\nat_once = {roll.at_once}\n'
+
+    def _releases(self) -> None:
+        roll, releases = self.scenario.roll, self.folder / "releases"
+        harmed = ",".join(map(str, roll.harms)) or "all"
+        for name, kind, tree in (("v1", "good", ""), ("v2", roll.new, ""), ("v0", "good", roll.old)):
+            (releases / name).mkdir(parents=True, exist_ok=True)
+            path = f"PYTHONPATH={shlex.quote(tree)} " if tree else ""
+            program = f"{shlex.quote(sys.executable)} -O {shlex.quote(versions.__file__)}"
+            run = releases / name / "run"
+            run.write_text(f"#!/bin/sh\n{path}exec {program} {kind} {os.getpid()} {harmed}\n")
+            run.chmod(0o755)
+        (releases / "s2").mkdir(exist_ok=True)
+        (releases / "s2" / "settings.json").write_bytes(orjson.dumps(roll.settings))
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f"{address[0]}:{address[1]}"
--- a/firwalk/lab/links.py
+++ b/firwalk/lab/links.py
@@ -45,7 +45,8 @@
                        "connections": 0}
         self.listeners: list[Listener] = []
         self.watch: Callable[[float, int, int, bytes], None] = lambda at, sender, to, data: None
-        self.sends: Callable[[float, int, int, bytes], None] = lambda at, node, executor, data: None
+        self.sends: Callable[[float, float, int, int, bytes], None] = (
+            lambda at, read_at, node, executor, data: None)
 
     def between(self, a: End, b: End) -> Conditions:
         found = self.all.get((a, b))
@@ -310,7 +311,7 @@
             near.transport.abort()
 
     def _seen(self, at: float, data: bytes) -> None:
-        self.links.sends(at, self.node, self.executor, data)
+        self.links.sends(at, time.monotonic(), self.node, self.executor, data)
 
     def close(self) -> None:
         """Refuses from now on, as a machine does whose program is gone."""
--- /dev/null
+++ b/tests/fleet/test_referee.py
@@ -0,0 +1,33 @@
+"""What the referee makes of requests that were sent at some time between two."""
+
+import pytest
+
+from firwalk.lab.load import Job, Try
+from firwalk.lab.referee import RULES, Referee
+from firwalk.lab.scenario import Offering
+
+SLACK_S = 0.3
+TOLD = {(0, 0): [(1.0, "leaving"), (3.0, "active")]}
+
+
+def breaks(at, read_at, told=None):
+    """Of one request, answered at 2.0, that was sent on between the two times."""
+    referee = Referee(SLACK_S, lambda node, since, until: False)
+    job = Job("j0", Offering("read"), 0, 1.0)
+    job.tries.append(Try("a", 0, 1.0, 2.5, status=200, answered=2.0))
+    referee.carried(at, read_at, 0, 0, b"POST /read/j0 HTTP/1.1\r\nX-Request-Id: a\r\n\r\n")
+    referee.judge([job], [], told or {}, [])
+    return [one.name for one in referee.breaks]
+
+
+@pytest.mark.parametrize("at, read_at, found", [(1.5, 6.0, []), (2.29, 2.29, []), (2.31, 2.31, RULES[:1])])
+def test_it_is_sent_behind_its_answer_if_it_was_whenever_it_was_sent(at, read_at, found):
+    assert breaks(at, read_at) == list(found)
+
+
+@pytest.mark.parametrize(
+    "at, read_at, found",
+    [(1.79, 1.79, []), (1.81, 1.81, RULES[2:3]), (1.79, 2.2, []), (1.9, 3.01, []), (1.9, 2.99, RULES[2:3])],
+)
+def test_it_is_sent_to_one_that_drains_if_it_was_whenever_it_was_sent(at, read_at, found):
+    assert breaks(at, read_at, TOLD) == list(found)
