The list's updates are read field by field; what tells nothing costs no executor

Cause: discovery.entries handed on whatever a field held. A zone or machine type that is a list ended the desk's reading half way (TypeError; the rest of a whole list not known, its version not taken, the watch ended), null or infinity in a figure lost the entry, and 'instances' as an object was a whole list that names nobody. Change: net/listing.py reads each field with its type and range, tells thousands of bad entries in one line with counts, and turns down what is no update whole.

--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -8,10 +8,9 @@
 import orjson
 
 from firwalk.facade import Desk
-from firwalk.host import Condition
 from firwalk.log import say, trouble
-from firwalk.net import http
-from firwalk.net.address import host_header, new_socket, parse
+from firwalk.net import http, listing
+from firwalk.net.address import host_header, new_socket
 from firwalk.net.buffers import Buffers
 from firwalk.net.waiting import connected
 
@@ -23,33 +22,6 @@
 CALL_TIME = 2.2        # seconds from the request to a whole first list, of a watch and of a single call: one
                        # that waits its turn gets a 503 after two, so that one without an answer fell silent
 MOST_LIST = 1 << 22    # bytes of one update, over all its lines
-LIFECYCLES = {"active": Condition.READY, "leaving": Condition.DRAINING, "left": Condition.GONE}
-
-
-def size(weight: object) -> float:
-    """What the list says of an executor's size; one without a usable figure counts as the smallest."""
-    fits = isinstance(weight, int | float) and 1.0 <= weight < 1e6
-    return float(weight) if fits else 1.0
-
-
-def entries(text: bytes | dict) -> tuple[int, bool, list[tuple]]:
-    """The version, whether it is the whole list, and the entries; Malformed if it is no list. An entry that
-    cannot be read is left out: the others must not go stale for it."""
-    try:
-        news = orjson.loads(text) if isinstance(text, bytes) else text
-        version, whole, lines = int(news["generation"]), bool(news.get("reset")), list(news["instances"])
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as problem:
-        raise http.Malformed(400, f"not a list of executors: {problem!r}") from problem
-    found = []
-    for e in lines:
-        try:
-            found.append((str(e["instanceId"]), parse(e["hostPort"]), e.get("zone", ""),
-                          e.get("machineType", ""), int(e.get("cell", 0)),
-                          LIFECYCLES.get(e.get("lifecycle"), Condition.DRAINING),  # other words: nothing new
-                          float(e.get("startedAtMs", 0)) / 1e3, size(e.get("weight", 1.0))))
-        except (KeyError, TypeError, ValueError, AttributeError) as problem:
-            say(f"an entry of the list is left out: {problem!r}")
-    return version, whole, found
 
 
 class Discovery:
@@ -83,7 +55,7 @@
         self.address, self.heard = address, False
         self.watch(True)
 
-    def told(self, address: tuple[str, int], news: tuple[int, bool, list[tuple]]) -> None:
+    def told(self, address: tuple[str, int], news: listing.Update) -> None:
         if address == self.address and not self.heard:
             self.heard = True
             self.desk.forget_version()
@@ -141,7 +113,7 @@
     updates are, and the empty lines that a watch sends while nothing changes.
     """
 
-    def __init__(self, list_came: Callable[[tuple], None], watch: bool):
+    def __init__(self, list_came: Callable[[listing.Update], None], watch: bool):
         self.list_came, self.watch, self.until = list_came, watch, 0.0
         self.status, self.lists, self.over = 0, 0, False
         self.text = b""          # of an update that is not whole yet
@@ -176,7 +148,7 @@
                 return  # indented: it goes on
             raise http.Malformed(400, f"not a list of executors: {problem}") from problem
         self.text = b""
-        self.list_came(entries(update))
+        self.list_came(listing.read(update))
         self.lists += 1
         self._alive()
 
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -10,7 +10,7 @@
 from firwalk.events import Event, State
 from firwalk.facade import Chore, Desk
 from firwalk.log import report, say, trouble
-from firwalk.net import discovery
+from firwalk.net import discovery, listing
 from firwalk.net.address import new_socket, parse
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
@@ -67,8 +67,8 @@
                            parse(to_all) if to_all else None)
         known = config.get("known")
         if known:
-            version, _, entries = discovery.entries(known)
-            self.desk.report_list(version, True, entries)
+            update = listing.read(known)
+            self.desk.report_list(update.version, True, update.entries)
         self.opened_at = self.clock()
         self.stop = Stop(self, Deadlines(longest_deadline(settings)))
         self.reread: Callable[[], None] = lambda: None   # reads the file of the configuration again
@@ -224,7 +224,7 @@
         worse than the old one."""
         check_news(self.config, config)
         address = parse(config["discovery"])
-        discovery.entries(config.get("known") or {"generation": 0, "instances": []})
+        listing.read(config.get("known") or {"generation": 0, "instances": []})
         fixed = needs_restart(self.config, config)
         self.stop.deadline_changed(longest_deadline(config["settings"]))
         if self.told_to_stop():
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -8,7 +8,7 @@
 from firwalk.facade import Chore, Desk
 from firwalk.hearsay import Marks, mark_of
 from firwalk.host import Condition, Outcome
-from firwalk.net.discovery import entries
+from firwalk.net.listing import read
 
 SETTINGS = {"offerings": OFFERINGS, "limits": LIMITS, "discovery": "ask", "resolution-us": 5000,
             "specifics": {"tells-start": True}, "load-report": {"how": "on_probe"}, "azs": ["a"]}
@@ -172,7 +172,7 @@
     p = Play()
     line = {"generation": 2, "instances": [
         {"instanceId": "e0", "hostPort": "127.0.0.1:1", "zone": "a", "lifecycle": lifecycle}]}
-    p.desk.report_list(*entries(orjson.dumps(line)))
+    p.desk.report_list(*read(orjson.dumps(line)))
     for _ in range(4):
         assert p.take().task.assignments[0].executor.ref.name == "e1"
 
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -1,10 +1,106 @@
 """Updates of the list of executors, whatever their service makes of them."""
 
 import asyncio
+from math import inf, nan
 
+import orjson
+import pytest
 from helpers import post
 from test_service import play
 
+from firwalk.host import Condition
+from firwalk.net import http, listing
+
+ENTRY = {
+    "instanceId": "e0",
+    "hostPort": "127.0.0.1:9",
+    "zone": "a",
+    "machineType": "m",
+    "cell": 3,
+    "lifecycle": "active",
+    "startedAtMs": 2000,
+    "weight": 2.0,
+}
+READ = ("e0", ("127.0.0.1", 9), "a", "m", 3, Condition.READY, 2.0, 2.0)
+LEFT_OUT = [
+    {"instanceId": None},
+    {"instanceId": ""},
+    {"instanceId": 5},
+    {"instanceId": ["e0"]},
+    {"hostPort": None},
+    {"hostPort": 3000},
+    {"hostPort": "nowhere"},
+    {"hostPort": "127.0.0.1:0"},
+]
+# Of these the executor is used all the same, by what stands in place of the field.
+UNKNOWN = [
+    ("zone", [None, 5, [], {}], 2, ""),
+    ("machineType", [None, 5, [], {}], 3, ""),
+    ("cell", [None, "x", [], {}, inf, nan, -1, 10**30, 1.5], 4, 0),
+    ("lifecycle", [None, "", "away", 5, [], {}], 5, Condition.DRAINING),
+    ("startedAtMs", [None, "x", [], inf, nan, -1.0, 1e300], 6, 0.0),
+    ("weight", [None, "x", [], inf, nan, -1.0, 1e300], 7, 1.0),
+]
+
+
+def read(*instances, generation=1, whole=True):
+    return listing.read({"generation": generation, "reset": whole, "instances": list(instances)})
+
+
+def test_an_update_is_read():
+    update = listing.read(orjson.dumps({"generation": 7, "reset": True, "instances": [ENTRY]}))
+    assert tuple(update) == (7, True, [READ])
+    assert tuple(read(whole=False)) == (1, False, [])
+
+
+@pytest.mark.parametrize("wrong", LEFT_OUT)
+def test_an_entry_that_names_no_executor_is_left_out_and_the_others_are_used(wrong, capfd):
+    assert read(ENTRY | wrong, ENTRY).entries == [READ]
+    assert "1 of 2 entries of the list are left out" in capfd.readouterr().err
+
+
+@pytest.mark.parametrize("entry", [None, 5, "e0", [], ["instanceId"]])
+def test_an_entry_that_is_no_object_is_left_out(entry):
+    assert read(entry, ENTRY).entries == [READ]
+
+
+@pytest.mark.parametrize(
+    "name, value, place, found", [(name, value, *rest) for name, values, *rest in UNKNOWN for value in values]
+)
+def test_a_field_that_tells_nothing_costs_no_executor(name, value, place, found):
+    expected = list(READ)
+    expected[place] = found
+    assert read(ENTRY | {name: value}).entries == [tuple(expected)]
+
+
+@pytest.mark.parametrize(
+    "update",
+    [
+        b"",
+        b"[]",
+        b"5",
+        b"null",
+        b"{}",
+        b'{"generation":1}',
+        {"generation": 1, "instances": {}},
+        {"generation": 1, "instances": "e0"},
+        {"generation": 1, "instances": None},
+        {"generation": None, "instances": []},
+        {"generation": inf, "instances": []},
+        {"generation": "x", "instances": []},
+    ],
+)
+def test_what_is_no_update_is_turned_down_whole(update):
+    with pytest.raises(http.Malformed):
+        listing.read(update)
+
+
+def test_thousands_of_bad_entries_are_told_in_one_line(capfd):
+    bad = [ENTRY | {"hostPort": f"nowhere-{number}"} for number in range(3000)]
+    assert read(*bad, ENTRY, *bad).entries == [READ]
+    said = capfd.readouterr().err.splitlines()
+    assert len(said) == 1 and "6000 of 6001 entries" in said[0] and "nowhere-0" in said[0]
+
 
 def test_a_bad_field_in_the_middle_of_a_whole_list_costs_the_program_nothing():
     """What stands behind it is used, what is not named is gone, and the watch goes on."""
