A failing test: a result nested 300 deep is an error of the program's own

orjson reads any depth and writes 254. The client is told failed at once; the log says 'error while reading from an executor', which is counted as a fault of the program.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -101,6 +101,13 @@
     writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line))
 
 
+async def nested_too_deep(executor, writer, name):
+    """A result that can be read, and not be written again."""
+    line = b'{"id":"%s","state":"done","result":%s}\n' % (name.encode(), b"[" * 300 + b"]" * 300)
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line))
+
+
 def test_a_task_is_passed_on_and_its_result_is_the_answer():
     async def story(w):
         status, body = await w.ask(post("/read/k1?a=b", "id7", b"x" * 65536, Idempotency_Key="f" * 32,
@@ -137,7 +144,8 @@
 # What comes back, and whether a side-effecting, a fingerprinted and an idempotent task may go elsewhere.
 @pytest.mark.parametrize("how, never_ran", [
     (not_run, True), (returned, True), (plain_503, False), (reset, False), (no_result, False), (lost, False),
-    (cut_short, False), (garbage, False), (without_a_result, False)])
+    (cut_short, False), (garbage, False), (without_a_result, False),
+    (nested_too_deep, False)])
 def test_has_it_run(how, never_ran):
     async def story(w):
         for n, path in enumerate(("/act/k", "/put/k", "/read/k")):
