--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -202,11 +202,7 @@
             if isinstance(share, int | float):
                 self.desk.report_progress(self.errand, self.number, float(share))
         elif state == "done":
-            result = news.get("result")
-            if result is None:  # an answer of our own making would be no executor's
-                raise http.Malformed(400, "a last line without a result")
-            result = result.encode() if isinstance(result, str) else orjson.dumps(result)
-            self.end(Outcome.FINISHED, news.get("load"), result)
+            self.end(Outcome.FINISHED, news.get("load"), _result(news))
         elif state == "failed":
             self.end(Outcome.ERROR, news.get("load"))
         elif state == "returned":
@@ -264,6 +260,17 @@
             self.over.set_result(None)
 
 
+def _result(last_line: dict) -> bytes:
+    """What a client is answered. Malformed: there is none, and one of our own making would be no executor's."""
+    result = last_line.get("result")
+    if result is None:
+        raise http.Malformed(400, "a last line without a result")
+    try:
+        return result.encode() if isinstance(result, str) else orjson.dumps(result)
+    except (TypeError, UnicodeEncodeError) as problem:
+        raise http.Malformed(400, f"a result that cannot be written: {problem}") from problem
+
+
 def _load(text: bytes | None) -> dict | None:
     try:
         return orjson.loads(text) if text else None
