--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -261,7 +261,7 @@
 
 
 def _result(last_line: dict) -> bytes:
-    """What a client is answered. Malformed: there is none, and one of our own making would be no executor's."""
+    """For the client. Malformed: there is none, and one of our own making would be no executor's."""
     result = last_line.get("result")
     if result is None:
         raise http.Malformed(400, "a last line without a result")
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -48,6 +48,21 @@
     b"a" * 70000,
 ]
 
+ODD_VALUES = [None, [], {}, [[1]], {"a": 1}, "", "x", "a" * 3000, True, 0, -1, 1.5, 1e300, -1e300, 2**63]
+MISFIT_UPDATES = 5  # for each that ends the watch
+LOAD = {"inflight": 1, "x0": 2}
+
+
+def misfitted(chance: random.Random, message: dict) -> dict:
+    """Sound JSON, with one to three fields of another type or size, or none."""
+    message = dict(message)
+    for name in chance.sample(sorted(message), min(chance.randint(1, 3), len(message))):
+        if chance.random() < 0.2:
+            del message[name]
+        else:
+            message[name] = chance.choice(ODD_VALUES)
+    return message
+
 
 def mutated(chance: random.Random, data: bytes) -> bytes:
     """The message with one to three faults in it."""
@@ -98,13 +113,21 @@
 
     async def answer(self, executor, writer, name):
         """As an executor: one answer in three is unsound."""
-        lines = [{"id": name, "state": state, "result": f"made of {name}"} for state in ("started", "done")]
+        lines = [
+            {"id": name, "state": state, "result": f"made of {name}", "load": LOAD, "share": 0.5}
+            for state in ("started", "running", "done")
+        ]
+        unsound = self.chance.random() < self.unsound
+        misfits = unsound and self.chance.random() < 0.5
+        if misfits:
+            lines = [misfitted(self.chance, line) for line in lines]
+            lines[-1]["load"] = misfitted(self.chance, LOAD)
         data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         for line in lines:
             text = orjson.dumps(line) + b"\n"
             data += b"%x\r\n%s\r\n" % (len(text), text)
         data += b"0\r\n\r\n"
-        if self.chance.random() < self.unsound:
+        if unsound and not misfits:
             data = mutated(self.chance, data)
         self.answers[name] = self.answers.get(name, b"") + data
         with suppress(ConnectionError):
@@ -158,6 +181,11 @@
             await asyncio.sleep(self.chance.uniform(0.05, 0.3))
             news = [world.entry(n) for n in range(len(world.executors))]
             with suppress(OSError):
+                for _ in range(MISFIT_UPDATES):
+                    misfits = [misfitted(self.chance, entry) for entry in news]
+                    await world.tell(*misfits, whole=self.chance.random() < 0.5)
+                    await asyncio.sleep(0.01)
+                    await world.tell(*news, whole=True)
                 await world.tell(text=mutated(self.chance, orjson.dumps(world.news(*news))) + b"\n")
                 await world.tell(*news, whole=True)
 
