--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -315,14 +315,19 @@
 
     def report_list(self, version: int, whole: bool, entries: list[tuple]) -> None:
         """Entries are (name, address, zone, machine type, cell, condition, when it came up, size); `whole`:
-        what is not named is gone."""
+        what is not named is gone. One that says what it said last is passed over: of thousands few change."""
         if version < self.version and not whole:
             return  # an old change, told again
         now, named = self.clock(), set()
+        told_last = self.entries
         if whole:
-            self.entries.clear()
+            self.entries = {}
         for entry in entries:
             name, address, zone, kind, cell, condition, came_up, size = entry
+            if told_last.get(name) == entry:
+                self.entries[name] = entry
+                named.add(name)
+                continue
             self.entries[name] = entry
             executor = self.places.get(name)
             if executor is None:
--- a/firwalk/net/listing.py
+++ b/firwalk/net/listing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import NamedTuple
 
 import orjson
@@ -16,6 +17,7 @@
 from firwalk.net.address import parse
 
 LIFECYCLES = {"active": Condition.READY, "leaving": Condition.DRAINING, "left": Condition.GONE}
+ADDRESSES_KEPT = 8192  # of all that were read
 MOST_CELL = 1 << 31
 MOST_STARTED_MS = 1e14  # the year 5138
 LEAST_SIZE, MOST_SIZE = 1.0, 1e6
@@ -67,7 +69,7 @@
         raise Unreadable(f"{name:.60}: hostPort: {address!r:.60}")
     return (
         name,
-        parse(address),
+        _parsed(address),
         _word(instance.get("zone")),
         _word(instance.get("machineType")),
         _cell(instance.get("cell")),
@@ -77,6 +79,12 @@
     )
 
 
+@lru_cache(ADDRESSES_KEPT)
+def _parsed(address: str) -> tuple[str, int]:
+    """ValueError. Whole lists name the same ones again and again."""
+    return parse(address)
+
+
 def _word(value: object) -> str:
     return value if isinstance(value, str) else ""
 
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -54,6 +54,39 @@
         return chores + due[1]
 
 
+def test_a_list_told_again_is_passed_over_and_what_changed_in_it_is_heard():
+    play = Play(executors=3)
+    heard, hear = [], play.desk.node.heard
+
+    def counted(now, executor, condition, came_up):
+        heard.append((executor.ref.name, condition.name))
+        hear(now, executor, condition, came_up)
+
+    play.desk.node.heard = counted
+    ready = [(f"e{number}", Condition.READY) for number in range(3)]
+    play.hear(*ready, whole=True, version=2)
+    assert heard == []
+    play.hear(("e0", Condition.DRAINING), *ready[1:], whole=True, version=3)
+    assert heard == [("e0", "DRAINING")]
+    play.hear(*ready[1:], whole=True, version=4)  # e0 is not named: gone, and new when it is named again
+    play.hear(*ready, whole=True, version=5)
+    assert heard[1:] == [("e0", "GONE"), ("e0", "READY")]
+    play.hear(("e1", Condition.GONE), version=6)
+    play.hear(*ready[1:2], version=7)
+    assert heard[3:] == [("e1", "GONE"), ("e1", "READY")]
+
+
+def test_a_list_told_again_leaves_out_whom_operators_took_out():
+    play = Play(executors=2)
+    play.desk.report_out("e0")
+    for version in (2, 3):
+        play.hear(("e0", Condition.READY), ("e1", Condition.READY), whole=True, version=version)
+        assert play.desk.places["e0"].condition is Condition.DRAINING
+    play.desk.report_back("e0")
+    play.hear(("e0", Condition.READY), ("e1", Condition.READY), whole=True, version=4)
+    assert play.desk.places["e0"].condition is Condition.READY
+
+
 def test_a_warning_travels_by_its_mark_and_what_names_nobody_is_dropped():
     many = {"siblings": 40, "limits": LIMITS}
     told, heard, lone = Play(settings=many), Play(settings=many), Play()
