--- a/firwalk/__main__.py
+++ b/firwalk/__main__.py
@@ -1,4 +1,5 @@
 """Starts one node: reads its configuration, sets up signals, and runs it until it is told to end."""
+
 from __future__ import annotations
 
 from firwalk import early_signals
@@ -27,6 +28,7 @@
 def _operations(path: str, config: dict):
     """Loaded only where there is such a file: without one nothing of it is in memory."""
     from firwalk import operations
+
     told, faults = operations.load(path)
     faults = faults or [f"{path}: {fault}" for fault in operations.misfits(told, config)]
     if faults:
@@ -66,6 +68,7 @@
         def write(line: bytes) -> None:
             with suppress(OSError):
                 os.write(file, line + b"\n")
+
         service.desk.events.write = write
 
 
@@ -109,19 +112,29 @@
 def _told_paths() -> tuple[str | None, str | None]:
     """Imported only where there is something to take apart: two processes of one node share its memory."""
     import argparse
+
     parser = argparse.ArgumentParser(prog="firwalk", description="One node of the dispatcher.")
-    parser.add_argument("--config", default=os.environ.get("BALANCER_CONFIG"),
-                        help="the configuration, a JSON file (default: $BALANCER_CONFIG)")
-    parser.add_argument("--operations", default=os.environ.get("BALANCER_OPERATIONS"),
-                        help="the operators' file, TOML (default: $BALANCER_OPERATIONS)")
+    parser.add_argument(
+        "--config",
+        default=os.environ.get("BALANCER_CONFIG"),
+        help="the configuration, a JSON file (default: $BALANCER_CONFIG)",
+    )
+    parser.add_argument(
+        "--operations",
+        default=os.environ.get("BALANCER_OPERATIONS"),
+        help="the operators' file, TOML (default: $BALANCER_OPERATIONS)",
+    )
     told = parser.parse_args()
     return told.config, told.operations
 
 
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # unhandled it ends a program, also one that still starts
-    path, operations = _told_paths() if len(sys.argv) > 1 else (
-        os.environ.get("BALANCER_CONFIG"), os.environ.get("BALANCER_OPERATIONS"))
+    path, operations = (
+        _told_paths()
+        if len(sys.argv) > 1
+        else (os.environ.get("BALANCER_CONFIG"), os.environ.get("BALANCER_OPERATIONS"))
+    )
     if not path:
         print("firwalk: no configuration: set BALANCER_CONFIG or give --config FILE", file=sys.stderr)
         return 2
--- a/firwalk/agent/__main__.py
+++ b/firwalk/agent/__main__.py
@@ -3,6 +3,7 @@
 It reads its file at its start alone, so that SIGHUP and SIGUSR1 mean nothing to it. What it starts ignores
 both as well, until that has handlers of its own.
 """
+
 from __future__ import annotations
 
 from firwalk import early_signals
--- a/firwalk/agent/keeper.py
+++ b/firwalk/agent/keeper.py
@@ -7,21 +7,22 @@
 A method for each thing that can happen, with the time first; acts through `Host`. Times are seconds on the
 agent's monotonic clock.
 """
+
 from __future__ import annotations
 
 import signal
 from dataclasses import dataclass, field
 from typing import Protocol
 
-READY = 20.0           # seconds in which a new process must be ready
-CONFIRM = 15.0         # and, once it is, follow a plan that wants it
-END = 6.0              # seconds in which one that was told to end does
-HANG = 5.0             # seconds without an answer after which the serving one hangs
-FIRST_WAIT, MOST_WAIT = 0.5, 30.0        # seconds before a lost one is started again, doubled each time
-AGAIN = 5.0            # seconds before what could not be had is tried again, on the way back
-CALM = 60.0            # seconds of service after which losses are forgotten
-FALSE_CHECKS = 3       # in a row, after which the new version is said to answer wrongly
-OUTSIDE = (-signal.SIGKILL, -signal.SIGTERM, -signal.SIGINT)   # ends that say nothing of a version
+READY = 20.0  # seconds in which a new process must be ready
+CONFIRM = 15.0  # and, once it is, follow a plan that wants it
+END = 6.0  # seconds in which one that was told to end does
+HANG = 5.0  # seconds without an answer after which the serving one hangs
+FIRST_WAIT, MOST_WAIT = 0.5, 30.0  # seconds before a lost one is started again, doubled each time
+AGAIN = 5.0  # seconds before what could not be had is tried again, on the way back
+CALM = 60.0  # seconds of service after which losses are forgotten
+FALSE_CHECKS = 3  # in a row, after which the new version is said to answer wrongly
+OUTSIDE = (-signal.SIGKILL, -signal.SIGTERM, -signal.SIGINT)  # ends that say nothing of a version
 
 
 @dataclass
@@ -29,13 +30,13 @@
     """One process of the node. `number`: of the change on trial for which it runs, 0: of none."""
 
     release: str
-    slot: int                    # which of the second addresses it has
+    slot: int  # which of the second addresses it has
     pid: int = 0
     number: int = 0
     started: float = 0.0
-    ready_at: float = 0.0        # 0: not ready yet
-    heard_at: float = 0.0        # when it answered last
-    told_end: float = 0.0        # when it was told to end; 0: it was not
+    ready_at: float = 0.0  # 0: not ready yet
+    heard_at: float = 0.0  # when it answered last
+    told_end: float = 0.0  # when it was told to end; 0: it was not
     killed: bool = False
 
 
@@ -56,9 +57,9 @@
 
     release: str
     tag: str = ""
-    before: str = ""             # the release, or tag, that the change under way goes back to
-    failed: dict[int, str] = field(default_factory=dict)     # by change: why this node could not have it
-    told: list[int] = field(default_factory=list)            # of these, which the coordinator has heard
+    before: str = ""  # the release, or tag, that the change under way goes back to
+    failed: dict[int, str] = field(default_factory=dict)  # by change: why this node could not have it
+    told: list[int] = field(default_factory=list)  # of these, which the coordinator has heard
     serving: Child | None = None
     coming: Child | None = None
     leaving: Child | None = None
@@ -112,7 +113,7 @@
         for child in self.children():
             child.started, child.heard_at = now, now
             child.ready_at = child.ready_at and now
-        if self.kept.leaving is not None:        # told once more: the agent may have died just before
+        if self.kept.leaving is not None:  # told once more: the agent may have died just before
             self.kept.leaving.told_end = now
             self.host.end(self.kept.leaving)
         if self.kept.serving is None and self.kept.coming is not None and self.kept.leaving is None:
@@ -133,8 +134,13 @@
         """The process is gone; `code` as of subprocess, None: nobody knows it."""
         kept = self.kept
         which = "serving" if child is kept.serving else "coming" if child is kept.coming else "leaving"
-        self.host.event("process_ended", release=child.release, pid=child.pid, which=which,
-                        code=code if code is not None else "unknown")
+        self.host.event(
+            "process_ended",
+            release=child.release,
+            pid=child.pid,
+            which=which,
+            code=code if code is not None else "unknown",
+        )
         if child is kept.leaving:
             kept.leaving = None
             self.host.keep(kept)
@@ -166,8 +172,9 @@
 
     def _on_trial(self, child: Child | None) -> bool:
         """It runs a version that a change brings, and there is one before it to go back to."""
-        return bool(child is not None and child.number and self.kept.before
-                    and child.release != self.kept.before)
+        return bool(
+            child is not None and child.number and self.kept.before and child.release != self.kept.before
+        )
 
     def _go_back(self, now: float, child: Child, why: str) -> None:
         """The serving process of a version on trial is no more, or of no use: the one before, at once."""
@@ -199,11 +206,14 @@
         if child is self.kept.coming and child.told_end:
             return
         if child is self.kept.coming:
-            if order is not None and child.ready_at and (
-                    order.kind != "release" or order.what == child.release):
+            if (
+                order is not None
+                and child.ready_at
+                and (order.kind != "release" or order.what == child.release)
+            ):
                 self._confirmed(now, child)
             elif order is not None and child.ready_at:
-                self._let_go(now, child, "")     # it is not wanted any more
+                self._let_go(now, child, "")  # it is not wanted any more
         elif child is self.kept.serving and order is not None:
             if order.kind == "release":
                 self._want(now, order)
@@ -234,7 +244,7 @@
 
     def _start(self, now: float, order: Order) -> None:
         kept = self.kept
-        number = order.number if order.trial else 0      # back: tried until it succeeds
+        number = order.number if order.trial else 0  # back: tried until it succeeds
         child = Child(order.what, 1 - kept.serving.slot, number=number, started=now, heard_at=now)
         kept.coming = child
         self.host.keep(kept)
@@ -266,8 +276,11 @@
                 self.applying = None
                 self.host.event("confirmed", tag=tag)
             return
-        if self.applying is not None and self.applying.number == order.number and (
-                self.applying.what == order.what):
+        if (
+            self.applying is not None
+            and self.applying.number == order.number
+            and (self.applying.what == order.what)
+        ):
             if now >= self.applied_at + self.times.confirm:
                 self._settings_failed(now, order, "the settings were not taken over")
             return
@@ -306,8 +319,14 @@
                 child.killed = True
                 self.host.kill(child)
         serving = kept.serving
-        if serving is not None and serving.ready_at and not serving.told_end and not serving.killed and (
-                now >= serving.heard_at + self.times.hang) and kept.coming is None:
+        if (
+            serving is not None
+            and serving.ready_at
+            and not serving.told_end
+            and not serving.killed
+            and (now >= serving.heard_at + self.times.hang)
+            and kept.coming is None
+        ):
             self._hangs(now, serving)
         for number, why in kept.failed.items():
             if number not in kept.told and serving is not None and serving.ready_at and not serving.killed:
--- a/firwalk/agent/machine.py
+++ b/firwalk/agent/machine.py
@@ -1,4 +1,5 @@
 """The agent's machine: processes, their second addresses, files. Decides nothing (`firwalk.agent.keeper`)."""
+
 from __future__ import annotations
 
 import asyncio
@@ -19,10 +20,10 @@
 from firwalk.cluster.stages import GOING, HELD
 from firwalk.log import say
 
-ANSWER = 1.0           # seconds in which a call must be answered
-CHECK_EVERY = 1.0      # seconds between two runs of the operators' check
-CHECK_TIME = 5.0       # seconds in which one must end
-NONE = "-"             # in place of an empty word
+ANSWER = 1.0  # seconds in which a call must be answered
+CHECK_EVERY = 1.0  # seconds between two runs of the operators' check
+CHECK_TIME = 5.0  # seconds in which one must end
+NONE = "-"  # in place of an empty word
 STATE = "agent.json"
 
 
@@ -56,9 +57,11 @@
     if told is None:
         return None, faults
     folder = Path(path).resolve().parent
-    told = msgspec.structs.replace(told, **{
-        word: str(folder / getattr(told, word)) for word in ("config", "releases", "folder")},
-        operations=str(folder / told.operations) if told.operations else "")
+    told = msgspec.structs.replace(
+        told,
+        **{word: str(folder / getattr(told, word)) for word in ("config", "releases", "folder")},
+        operations=str(folder / told.operations) if told.operations else "",
+    )
     if not os.path.isfile(told.config):
         faults.append(f"{path}: config: there is no file {told.config}")
     if not os.access(os.path.join(told.releases, told.release, "run"), os.X_OK):
@@ -79,7 +82,7 @@
     def __init__(self, told: Settings):
         self.told, self.folder = told, Path(told.folder)
         self.folder.mkdir(parents=True, exist_ok=True)
-        self.processes: dict[int, psutil.Popen | psutil.Process] = {}    # by pid
+        self.processes: dict[int, psutil.Popen | psutil.Process] = {}  # by pid
         self.kept = self._read()
         self.keeper = Keeper(self, self.kept, Times(told.ready, told.confirm, told.hang))
         self.stopping = asyncio.Event()
@@ -146,8 +149,12 @@
         run = Path(self.told.releases) / release / "run"
         try:
             config = self._config(slot, self.kept.tag)
-            env = os.environ | {"BALANCER_CONFIG": str(config), "FIRWALK_RELEASE": release,
-                                "BALANCER_OPERATIONS": self.told.operations, "TMPDIR": str(self.folder)}
+            env = os.environ | {
+                "BALANCER_CONFIG": str(config),
+                "FIRWALK_RELEASE": release,
+                "BALANCER_OPERATIONS": self.told.operations,
+                "TMPDIR": str(self.folder),
+            }
             process = psutil.Popen([str(run)], cwd=run.parent, env=env)
         except (OSError, ValueError) as problem:
             say(f"agent: release {release} cannot be started: {' '.join(str(problem).split())}")
@@ -253,8 +260,12 @@
         now = time.monotonic()
         serving = self.kept.serving
         due = self.told.check and now >= self.checked_at + CHECK_EVERY
-        if due and serving is not None and serving.ready_at and (
-                self.checking is None or self.checking.done()):
+        if (
+            due
+            and serving is not None
+            and serving.ready_at
+            and (self.checking is None or self.checking.done())
+        ):
             self.checked_at = now
             self.checking = asyncio.get_running_loop().create_task(self._run_check())
 
@@ -262,8 +273,11 @@
         good = False
         try:
             process = await asyncio.create_subprocess_exec(
-                *self.told.check, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.DEVNULL,
-                env=os.environ | {"FIRWALK_LISTEN": str(self._base().get("listen", ""))})
+                *self.told.check,
+                stdout=asyncio.subprocess.DEVNULL,
+                stderr=asyncio.subprocess.DEVNULL,
+                env=os.environ | {"FIRWALK_LISTEN": str(self._base().get("listen", ""))},
+            )
             try:
                 async with asyncio.timeout(CHECK_TIME):
                     good = await process.wait() == 0
@@ -272,7 +286,7 @@
                 await process.wait()
         except OSError as problem:
             say(f"agent: the check cannot be run: {' '.join(str(problem).split())}")
-            good = True     # that says nothing of the node
+            good = True  # that says nothing of the node
         self.keeper.checked(time.monotonic(), good)
 
 
--- a/firwalk/broker/contracts.py
+++ b/firwalk/broker/contracts.py
@@ -2,6 +2,7 @@
 
 Work is in seconds at speed 1 times slots, as in a task's estimate; spans are seconds.
 """
+
 from __future__ import annotations
 
 from datetime import datetime
@@ -62,10 +63,14 @@
         for name in names:
             seen[name] = seen.get(name, 0) + 1
         wrong = [f"teams: {name} stands there {count} times" for name, count in seen.items() if count > 1]
-        wrong += [f"teams.{team.name}.guaranteed: more than the budget"
-                  for team in self.teams if team.sure() > 1.0]
-        wrong += [f"teams.{team.name}.budget: less than a millionth of work a second"
-                  for team in self.teams if team.rate() < 1]
+        wrong += [
+            f"teams.{team.name}.guaranteed: more than the budget" for team in self.teams if team.sure() > 1.0
+        ]
+        wrong += [
+            f"teams.{team.name}.budget: less than a millionth of work a second"
+            for team in self.teams
+            if team.rate() < 1
+        ]
         if len(names) > MOST_TEAMS:
             wrong.append(f"teams: {len(names)} teams; the most is {MOST_TEAMS}")
         if self.begins is not None and self.begins.tzinfo is None:
@@ -90,10 +95,17 @@
     """What contracts name and the node's settings do not know, a line each."""
     tenants = {tenant.get("name"): None for tenant in settings.get("tenants", [])}
     offerings = {offering.get("name"): None for offering in settings.get("offerings", [])}
-    wrong = [f"teams: {team.name} is no tenant of the settings" for team in contracts.teams
-             if tenants and team.name not in tenants]
-    return wrong + [f"teams.{team.name}.offerings: there is no offering {name}"
-                    for team in contracts.teams for name in team.offerings if name not in offerings]
+    wrong = [
+        f"teams: {team.name} is no tenant of the settings"
+        for team in contracts.teams
+        if tenants and team.name not in tenants
+    ]
+    return wrong + [
+        f"teams.{team.name}.offerings: there is no offering {name}"
+        for team in contracts.teams
+        for name in team.offerings
+        if name not in offerings
+    ]
 
 
 def differences(old: Contracts, new: Contracts) -> list[str]:
@@ -116,5 +128,7 @@
 def _told(team: Team) -> str:
     to = f" for {', '.join(team.offerings)}" if team.offerings else ""
     sure = f", {team.guaranteed:g} guaranteed" if team.guaranteed is not None else ""
-    return (f"{team.budget:g} work in {team.period:g} s{sure}, burst {team.depth():g}, "
-            f"beyond it {team.beyond}{to}")
+    return (
+        f"{team.budget:g} work in {team.period:g} s{sure}, burst {team.depth():g}, "
+        f"beyond it {team.beyond}{to}"
+    )
--- a/firwalk/broker/ledger.py
+++ b/firwalk/broker/ledger.py
@@ -4,16 +4,17 @@
 Communications Magazine 24 (1986). Work is in seconds at speed 1 times slots; times are seconds on the node's
 own clock. At every moment `granted = free + reserved + settled + returned`.
 """
+
 from __future__ import annotations
 
 from firwalk.broker.contracts import MICRO, Contracts, Team
 
-DEMAND_FOR = 2.0       # seconds over which the demand is smoothed
-FORGET = 1e-3          # work a second, below which a team has no demand here
-FADES = 20.0           # measured tasks over which what estimates miss by is remembered
-LEAST_MISS, MOST_MISS = 0.05, 20.0       # times an estimate that is reserved
-FIRST_OUT, MORE_OUT = 8, 4     # tasks under way at once before any was measured; more for each that was
-NO_PART = 5.0          # seconds that a task of a team without any part here is told to stay away
+DEMAND_FOR = 2.0  # seconds over which the demand is smoothed
+FORGET = 1e-3  # work a second, below which a team has no demand here
+FADES = 20.0  # measured tasks over which what estimates miss by is remembered
+LEAST_MISS, MOST_MISS = 0.05, 20.0  # times an estimate that is reserved
+FIRST_OUT, MORE_OUT = 8, 4  # tasks under way at once before any was measured; more for each that was
+NO_PART = 5.0  # seconds that a task of a team without any part here is told to stay away
 
 
 class Account:
@@ -27,7 +28,7 @@
         self.demand, self.came, self.demand_at = 0.0, 0.0, now
         self.told, self.took = 0.0, 0.0  # estimates of tasks that were measured, and what they took; fading
         self.open, self.measured = 0, 0  # tasks under way, and those that were measured
-        self.sure = 0.0                  # of what is free, how much is guaranteed: a bucket beside the other
+        self.sure = 0.0  # of what is free, how much is guaranteed: a bucket beside the other
 
     # -- what there is -----------------------------------------------------------------------------------
 
@@ -181,7 +182,7 @@
         self.contracts: Contracts | None = None
         self.teams: dict[str, tuple[int, Team]] = {}
         self.accounts: dict[str, Account] = {}
-        self.since = 0.0                     # from when floors fill
+        self.since = 0.0  # from when floors fill
 
     def change(self, now: float, contracts: Contracts | None) -> None:
         """Other contracts are in force, or none that this node has. Accounts begin anew, with the parts that
@@ -189,8 +190,9 @@
         which they were reserved."""
         before = self.accounts
         self.contracts, self.accounts, self.since = contracts, {}, now
-        self.teams = {team.name: (number, team) for number, team in enumerate(contracts.teams)
-                      } if contracts else {}
+        self.teams = (
+            {team.name: (number, team) for number, team in enumerate(contracts.teams)} if contracts else {}
+        )
         for name, account in before.items():
             part, until = account.part, account.until
             account.fill(now)
@@ -214,7 +216,7 @@
             number, team = self.teams[name]
             floor = int(team.rate() * self.part_of_floor) // self.seats
             found = self.accounts[name] = Account(now, team, number, floor)
-            found.at = self.since            # one that was forgotten was full then
+            found.at = self.since  # one that was forgotten was full then
         return found
 
     def idle(self, now: float) -> None:
--- a/firwalk/changes.py
+++ b/firwalk/changes.py
@@ -2,6 +2,7 @@
 
 Keys are told in `docs/stages.md`. The file lies in the folder that the operators' file names, on all nodes.
 """
+
 from __future__ import annotations
 
 import os
@@ -43,8 +44,17 @@
             raise ValueError("most: must not be less than seconds")
 
     def worse(self) -> Worse:
-        return Worse(self.late, self.abandoned, self.bounced, self.bad, self.errors, self.assignments,
-                     self.time, self.false_stop, self.miss)
+        return Worse(
+            self.late,
+            self.abandoned,
+            self.bounced,
+            self.bad,
+            self.errors,
+            self.assignments,
+            self.time,
+            self.false_stop,
+            self.miss,
+        )
 
 
 class Change(Struct, frozen=True):
@@ -68,8 +78,11 @@
             wrong.append(f"before: {self.before} is what the change brings, not what all nodes have now")
         if not self.stages or self.stages[-1] != "all":
             wrong.append('stages: the last one must be "all"')
-        wrong += [f"stages[{number}]: {fault}" for number, stage in enumerate(self.stages)
-                  if (fault := _misfit(stage))]
+        wrong += [
+            f"stages[{number}]: {fault}"
+            for number, stage in enumerate(self.stages)
+            if (fault := _misfit(stage))
+        ]
         if wrong:
             raise ValueError("\n".join(wrong))
 
@@ -115,6 +128,7 @@
 def brought(path: str) -> tuple[Any, list[str]]:
     """The contracts that a change brings, and what is wrong with them."""
     from firwalk.broker import contracts
+
     return contracts.load(path)
 
 
--- a/firwalk/checking.py
+++ b/firwalk/checking.py
@@ -3,6 +3,7 @@
 msgspec itself stops at the first fault; here each field is converted by itself. Nothing is half applied: with
 any fault there is no value.
 """
+
 from __future__ import annotations
 
 import tomllib
@@ -56,8 +57,11 @@
 
 
 def _value(kind: Any, value: Any, where: str) -> tuple[Any, list[str]]:
-    structs = [part for part in (kind, *get_args(kind))
-               if isinstance(part, type) and issubclass(part, msgspec.Struct)]
+    structs = [
+        part
+        for part in (kind, *get_args(kind))
+        if isinstance(part, type) and issubclass(part, msgspec.Struct)
+    ]
     if structs and get_origin(kind) is list:
         if not isinstance(value, list):
             return None, [f"{where}: a list of tables is wanted, not {_shown(value)}"]
@@ -81,5 +85,6 @@
 
 def _unknown(path: str, name: str, known: list[str]) -> str:
     from difflib import get_close_matches
+
     near = get_close_matches(name, known, 1)
     return f"{path}: no such key" + (f"; {near[0]} is meant?" if near else f"; known are {', '.join(known)}")
--- a/firwalk/cli/picture.py
+++ b/firwalk/cli/picture.py
@@ -1,4 +1,5 @@
 """A change by stages as operators see it in the terminal: its stages, and the figures of both versions."""
+
 from __future__ import annotations
 
 import json
@@ -17,13 +18,13 @@
 COLOURS = {GOING: "cyan", HELD: "yellow", BACK: "red", STOPPED: "red", DONE: "green"}
 MARKS = {"worse": "red", "fine": "green", "unsure": "yellow"}
 PARTS = ("late", "abandoned", "bounced", "errors", "bad")
-MOST = 200             # figures that are asked for
+MOST = 200  # figures that are asked for
 
 
 @dataclass
 class Told:
     section: dict[str, Any]
-    figures: list[list[str]] = field(default_factory=list)   # name, offering, new, old, counts, verdict
+    figures: list[list[str]] = field(default_factory=list)  # name, offering, new, old, counts, verdict
 
 
 def read(said: Callable[[str], str]) -> Told:
@@ -47,15 +48,19 @@
     state, stage, count = section["state"], section["stage"], max(section["of"], 1)
     head = Text.assemble(
         f"{section['name']}: {section['kind']} {section['before']} to {section['what']}, ",
-        (state, COLOURS.get(state, "")), f"  {section['why']}" if section["why"] else "")
+        (state, COLOURS.get(state, "")),
+        f"  {section['why']}" if section["why"] else "",
+    )
     boxes = Text()
     for number in range(count):
         full = state == DONE or number < stage and state in (GOING, HELD)
         mark = "■" if full else "▣" if number == stage and state in (GOING, HELD) else "□"
         boxes.append(f" {mark} stage {number + 1} ", COLOURS.get(state, "") if number <= stage else "dim")
     new = seats(section["new"])
-    rest = Text(f" {len(new)} of {len(section['zones'])} nodes are named for {section['what']}: "
-                f"{section['new'] or 'none'}")
+    rest = Text(
+        f" {len(new)} of {len(section['zones'])} nodes are named for {section['what']}: "
+        f"{section['new'] or 'none'}"
+    )
     tables = [_table(told, "this stage, in the same time and zones", told.figures)] if told.figures else []
     if over(told) and section.get("report"):
         rows = [[*map(str, row[:-1]), Verdict(row[-1]).name.lower()] for row in section["report"]]
@@ -67,16 +72,23 @@
     """Rows of one more column have the stage before all, from 0 on."""
     table = Table(title=title)
     named = ("figure", "offering", told.section["what"], told.section["before"], "rests on", "verdict")
-    for name in (("stage", *named) if len(figures[0]) > 7 else named):
+    for name in ("stage", *named) if len(figures[0]) > 7 else named:
         table.add_column(name, justify="left" if name in ("figure", "offering") else "right")
     for *stage, name, offering, new, old, many, few, verdict in figures:
-        table.add_row(*(str(int(one) + 1) for one in stage), name,
-                      "all" if offering == "0" else f"{int(offering):08x}", _shown(name, new),
-                      _shown(name, old), f"{many} and {few}", Text(verdict, MARKS.get(verdict, "")))
+        table.add_row(
+            *(str(int(one) + 1) for one in stage),
+            name,
+            "all" if offering == "0" else f"{int(offering):08x}",
+            _shown(name, new),
+            _shown(name, old),
+            f"{many} and {few}",
+            Text(verdict, MARKS.get(verdict, "")),
+        )
     return table
 
 
 def _shown(name: str, text: str) -> str:
     from math import exp
+
     value = float(text)
     return f"{exp(value):.1f} ms" if name == "time" else f"{value:.2%}" if name in PARTS else f"{value:.3f}"
--- a/firwalk/cluster/budgets.py
+++ b/firwalk/cluster/budgets.py
@@ -6,6 +6,7 @@
 
 No I/O; a method for each thing that can happen, with the time first.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -16,9 +17,9 @@
 from firwalk.cluster.host import Host
 from firwalk.cluster.messages import MOST_ROWS, NOBODY, Ballot, Grant, Want
 
-ASKS, MOST_WAIT = 4, 0.5       # questions in one length, and the seconds between them at most
-LEAST = 0.02           # of the whole: the least want that counts, for a node that just began
-SPARE = 4.0            # times its want that a node gets at most: tasks come in bursts
+ASKS, MOST_WAIT = 4, 0.5  # questions in one length, and the seconds between them at most
+LEAST = 0.02  # of the whole: the least want that counts, for a node that just began
+SPARE = 4.0  # times its want that a node gets at most: tasks come in bursts
 MICRO = 1_000_000
 
 
@@ -62,10 +63,10 @@
         self.purses: Callable[[], list[Purse]] = list
         self.turned: Callable[[float], None] = lambda now: None
         self.mark, self.check, self.ready = 0, 0, 0
-        self.marks: dict[int, float] = {}        # questions that may still be answered, and when they were
-        self.acts_on: dict[int, int] = {}        # by team: the question whose answer it acts on
-        self.asking: dict[int, None] = {}        # teams that were wanted, or had, at the last question
-        self.asked: Ballot = NOBODY              # the office that was asked last
+        self.marks: dict[int, float] = {}  # questions that may still be answered, and when they were
+        self.acts_on: dict[int, int] = {}  # by team: the question whose answer it acts on
+        self.asking: dict[int, None] = {}  # teams that were wanted, or had, at the last question
+        self.asked: Ballot = NOBODY  # the office that was asked last
         self.good = terms.length * (1 - terms.drift) / (1 + terms.drift)
 
     def start(self, now: float) -> None:
@@ -84,10 +85,12 @@
 
     def ask(self, now: float) -> None:
         self.marks = {mark: at for mark, at in self.marks.items() if at + self.good > now}
-        rows = [(purse.number, int(purse.wants(now) * MICRO), purse.holds(now))
-                for purse in self.purses()] if self.check else []
-        self._tell(now, [(team, want, has) for team, want, has in rows
-                         if want or has or team in self.asking])
+        rows = (
+            [(purse.number, int(purse.wants(now) * MICRO), purse.holds(now)) for purse in self.purses()]
+            if self.check
+            else []
+        )
+        self._tell(now, [(team, want, has) for team, want, has in rows if want or has or team in self.asking])
 
     def _tell(self, now: float, rows: list[tuple[int, int, int]]) -> None:
         """One without rows tells which contracts it has. Who wants nothing and has nothing closes all earlier
@@ -101,7 +104,7 @@
         for at in range(0, len(rows) or 1, MOST_ROWS):
             self.mark += 1
             self.marks[self.mark], told = now, []
-            for team, want, has in rows[at:at + MOST_ROWS]:
+            for team, want, has in rows[at : at + MOST_ROWS]:
                 self.asking[team] = None
                 if not want and not has:
                     del self.asking[team]
@@ -112,8 +115,7 @@
     def grant_came(self, now: float, sender: int, got: Grant) -> None:
         """Counted from the question, and never instead of the answer to a later one."""
         since = self.marks.get(got.mark)
-        if (since is None or got.check != self.check or sender != self.asked[1]
-                or self.office() != self.asked):
+        if since is None or got.check != self.check or sender != self.asked[1] or self.office() != self.asked:
             return
         until = since + min(got.length / 1e3, self.terms.length) / self.terms.length * self.good
         purses = {purse.number: purse for purse in self.purses()}
@@ -180,8 +182,13 @@
             return
         held.grants = {mark: one for mark, one in held.grants.items() if one[0] > now}
         live = held.live(now)
-        wanted = 0 if not held.grants else max(held.want, least) if least and held.want else (
-            held.wanted if held.want else 0)
+        wanted = (
+            0
+            if not held.grants
+            else max(held.want, least)
+            if least and held.want
+            else (held.wanted if held.want else 0)
+        )
         self.live += live - held.counted
         self.wants += wanted - held.wanted
         held.counted, held.wanted = live, wanted
@@ -193,21 +200,27 @@
     its part of the whole of its own contracts, and all together never more than the larger whole: a budget
     that is far too small shows at the nodes on it alone, and is compared there."""
 
-    def __init__(self, now: float, terms: Terms, offer: Offer, seats: Callable[[], list[int]],
-                 beside: Offer | None = None):
+    def __init__(
+        self,
+        now: float,
+        terms: Terms,
+        offer: Offer,
+        seats: Callable[[], list[int]],
+        beside: Offer | None = None,
+    ):
         self.terms, self.seats = terms, seats
         self._take(offer, beside)
         self.books: dict[int, Book] = {}
         self.renews_until = 0.0
-        self.renews: dict[str, None] | None = None       # the teams that are only renewed; None: all
-        self.turns: dict[int, tuple[int, int, dict[int, None]]] = {}     # by seat: life, first mark, marks
-        self.told: dict[int, None] = {}          # seats that told all that they have
+        self.renews: dict[str, None] | None = None  # the teams that are only renewed; None: all
+        self.turns: dict[int, tuple[int, int, dict[int, None]]] = {}  # by seat: life, first mark, marks
+        self.told: dict[int, None] = {}  # seats that told all that they have
         self._begin(now)
 
     def _take(self, offer: Offer, beside: Offer | None) -> None:
         self.sides = {one.check: one for one in (offer, beside) if one is not None}
         names = dict.fromkeys(name for one in self.sides.values() for name in one.names)
-        self.numbers = {name: number for number, name in enumerate(names)}     # of the books
+        self.numbers = {name: number for number, name in enumerate(names)}  # of the books
         self.wholes = dict.fromkeys(names, 0)
         for one in self.sides.values():
             for name, whole in zip(one.names, one.wholes, strict=True):
@@ -224,8 +237,11 @@
         gone and comes again may have parts out that no book knows: nothing new until those are over."""
         before, books = self.numbers, self.books
         self._take(offer, beside)
-        self.books = {self.numbers[name]: books[number] for name, number in before.items()
-                      if name in self.numbers and number in books}
+        self.books = {
+            self.numbers[name]: books[number]
+            for name, number in before.items()
+            if name in self.numbers and number in books
+        }
         if now >= self.renews_until or self.renews is not None:
             # By name: those that still wait from a change just before have other numbers by now.
             waiting = self.renews if now < self.renews_until else {}
@@ -252,16 +268,25 @@
         rows = []
         for team, want, ago, has in got.rows:
             if team < len(side.wholes):
-                part = self._deal(now, (seat, life), got.mark, side.names[team], side.wholes[team], want,
-                                  got.mark - ago, has)
+                part = self._deal(
+                    now,
+                    (seat, life),
+                    got.mark,
+                    side.names[team],
+                    side.wholes[team],
+                    want,
+                    got.mark - ago,
+                    has,
+                )
                 if part is not None:
                     rows.append((team, part))
         if now < self.renews_until:
             self._heard(seat, life, got)
         return Grant(got.mark, got.check, int(self.terms.length * 1e3), rows) if rows else None
 
-    def _deal(self, now: float, key: Key, mark: int, name: str, whole: int, want: int, acts_on: int, has: int
-              ) -> int | None:
+    def _deal(
+        self, now: float, key: Key, mark: int, name: str, whole: int, want: int, acts_on: int, has: int
+    ) -> int | None:
         """`whole`: by the contracts that this node goes by."""
         team = self.numbers[name]
         book = self.books.setdefault(team, Book())
--- a/firwalk/cluster/chance.py
+++ b/firwalk/cluster/chance.py
@@ -1,4 +1,5 @@
 """Chance in decisions: the same for the same seed and count, on every machine."""
+
 from __future__ import annotations
 
 from zlib import crc32
--- a/firwalk/cluster/changing.py
+++ b/firwalk/cluster/changing.py
@@ -3,6 +3,7 @@
 
 No I/O. Acts on a desk (`firwalk.facade.Desk`), which is handed in. Times are seconds.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -15,9 +16,9 @@
 from firwalk.cluster.spans import read
 from firwalk.cluster.stages import BACK, CONTRACTS, DONE, GOING, HELD, STOPPED, Roll, Terms
 
-SELDOM = 10            # reports between two tellings while nothing is changed
+SELDOM = 10  # reports between two tellings while nothing is changed
 MILLI = 1e3
-MOST_TIMES = 2**48     # of a sum that is told
+MOST_TIMES = 2**48  # of a sum that is told
 
 
 class Tally:
@@ -53,21 +54,41 @@
         self.of(offering).errors += 1
 
     def rows(self) -> list[tuple[int, ...]]:
-        return [(c.offering, c.tasks, c.late, c.abandoned, c.bounced, c.errors, c.assignments,
-                 c.finished, min(int(c.times * MILLI), MOST_TIMES), min(int(c.squares * MILLI), MOST_TIMES))
-                for _, c in sorted(self.offerings.items())]
+        return [
+            (
+                c.offering,
+                c.tasks,
+                c.late,
+                c.abandoned,
+                c.bounced,
+                c.errors,
+                c.assignments,
+                c.finished,
+                min(int(c.times * MILLI), MOST_TIMES),
+                min(int(c.squares * MILLI), MOST_TIMES),
+            )
+            for _, c in sorted(self.offerings.items())
+        ]
 
 
 class Changing:
     """One life of a seat. `release` and `tag`: what this process runs, and its configuration's tag; `zone`:
     the node's; `memory()` in bytes; `named(name)` gives a change, its file's checksum, and its faults."""
 
-    def __init__(self, seat: Any, tally: Tally, release: str, tag: Callable[[], str], zone: int,
-                 memory: Callable[[], float], terms: Terms,
-                 named: Callable[[str], tuple[Any, int, list[str]]]):
+    def __init__(
+        self,
+        seat: Any,
+        tally: Tally,
+        release: str,
+        tag: Callable[[], str],
+        zone: int,
+        memory: Callable[[], float],
+        terms: Terms,
+        named: Callable[[str], tuple[Any, int, list[str]]],
+    ):
         self.seat, self.tally, self.release, self.tag, self.zone = seat, tally, release, tag, zone
         self.memory, self.turn, self.was, self.told_to = memory, 0, ("", 0), m.NOBODY
-        self.contracts_version: Callable[[], int] = lambda: 0    # of those that this node goes by
+        self.contracts_version: Callable[[], int] = lambda: 0  # of those that this node goes by
         self.roll: Roll | None = None
         if seat.writer is not None:
             self.roll = Roll(terms, seat.candidate.voters, seat.seats, named, seat.host.event)
@@ -98,7 +119,7 @@
             new = self.seat.seat in read(section["new"])
             what = section["what"] if new else section["before"]
             if section["kind"] == CONTRACTS:
-                return "nothing"     # the node itself goes over; its agent has no part in that
+                return "nothing"  # the node itself goes over; its agent has no part in that
             return f"{section['number']} {section['kind']} {what} {section['state']}"
         except (KeyError, TypeError, ValueError):
             return "nothing"
@@ -109,10 +130,10 @@
         report, office = self.seat.follower.report, self.seat.follower.office
         if (self.tag(), self.contracts_version()) != self.was:
             self._runs()
-            self.turn = SELDOM       # what the coordinator knows of this node holds no more
+            self.turn = SELDOM  # what the coordinator knows of this node holds no more
         self.turn += 1
         if office != m.NOBODY and (self._busy(now) or self.turn >= SELDOM or office != self.told_to):
-            self.turn, self.told_to = 0, office      # a new coordinator is told at once
+            self.turn, self.told_to = 0, office  # a new coordinator is told at once
             for message in self.figures(now):
                 self.seat.host.tell(office[1], message)
         self.seat.host.set_timer(now + report, self._tell, None)
@@ -123,7 +144,7 @@
 
     def figures(self, now: float) -> list[m.Figures]:
         rows = self.tally.rows()
-        parts = [rows[at:at + m.MOST_COUNTED] for at in range(0, len(rows), m.MOST_COUNTED)] or [[]]
+        parts = [rows[at : at + m.MOST_COUNTED] for at in range(0, len(rows), m.MOST_COUNTED)] or [[]]
         number = (self.section(now) or {}).get("number", 0)
         memory = min(int(self.memory() / 1e5), 65535)
         runs = crc32(self.release.encode()), crc32(self.was[0].encode())
@@ -150,8 +171,18 @@
     def look(self, now: float, up: list[int]) -> dict[str, Any]:
         """What the plan is to say of changes."""
         zones = self.seat.zones
-        unfit = next((f"zone {zone.number} is not open" for zone in zones.all
-                      if zone.mode or zone.drained or zone.filed), "") if zones is not None else ""
+        unfit = (
+            next(
+                (
+                    f"zone {zone.number} is not open"
+                    for zone in zones.all
+                    if zone.mode or zone.drained or zone.filed
+                ),
+                "",
+            )
+            if zones is not None
+            else ""
+        )
         section = self.roll.look(now, up, unfit)
         return {"stages": section} if section else {}
 
@@ -166,9 +197,12 @@
             page = int(got.text) if got.text.isdecimal() else 0
             return roll.dry(now, got.name, got.check, up, page)
         acts: dict[str, Callable[[], str]] = {
-            "start": lambda: roll.start(now, got.name, got.check, up), "hold": lambda: roll.hold(now),
-            "resume": lambda: roll.resume(now), "back": lambda: roll.back(now),
-            "failed": lambda: roll.failed(now, seat, got.check, got.text)}
+            "start": lambda: roll.start(now, got.name, got.check, up),
+            "hold": lambda: roll.hold(now),
+            "resume": lambda: roll.resume(now),
+            "back": lambda: roll.back(now),
+            "failed": lambda: roll.failed(now, seat, got.check, got.text),
+        }
         if got.word not in acts:
             return False, "no such word"
         reason = acts[got.word]()
--- a/firwalk/cluster/comparing.py
+++ b/firwalk/cluster/comparing.py
@@ -6,6 +6,7 @@
 
 No I/O. Parts are parts of 1; times are compared by their natural logarithms.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -13,16 +14,23 @@
 from math import log
 
 LATE, ABANDONED, BOUNCED, ERRORS, ASSIGNMENTS, BAD, TIME = (
-    "late", "abandoned", "bounced", "errors", "assignments", "bad", "time")
-ALL = 0                # in place of an offering: over all of them
-FURTHER = (1.0, 4.0)   # times the stated difference (first) that are tried: plain harm shows with few tasks
-LEAST = 5              # tasks of a node, with fewer its spread says nothing
-PRIOR = 4.0            # degrees of freedom by which the dispersion is held towards 1
-PAST = 50              # of what a node counted before, for its own past to tell anything
-OWN = 3.0              # times the spread by chance that its past must stand off its zone's to be its own
-NEARLY = 0.999         # the largest part that is looked for
-
-Key = tuple[str, int]                    # a figure, and the checksum of an offering's name
+    "late",
+    "abandoned",
+    "bounced",
+    "errors",
+    "assignments",
+    "bad",
+    "time",
+)
+ALL = 0  # in place of an offering: over all of them
+FURTHER = (1.0, 4.0)  # times the stated difference (first) that are tried: plain harm shows with few tasks
+LEAST = 5  # tasks of a node, with fewer its spread says nothing
+PRIOR = 4.0  # degrees of freedom by which the dispersion is held towards 1
+PAST = 50  # of what a node counted before, for its own past to tell anything
+OWN = 3.0  # times the spread by chance that its past must stand off its zone's to be its own
+NEARLY = 0.999  # the largest part that is looked for
+
+Key = tuple[str, int]  # a figure, and the checksum of an offering's name
 
 
 class Verdict(IntEnum):
@@ -69,13 +77,15 @@
 
     def figures(self) -> dict[Key, tuple[float, float, float]]:
         bad = self.late + self.abandoned + self.bounced
-        return {(LATE, ALL): (self.tasks, self.late, 0.0),
-                (ABANDONED, ALL): (self.tasks, self.abandoned, 0.0),
-                (BOUNCED, ALL): (self.tasks, self.bounced, 0.0),
-                (ERRORS, ALL): (self.assignments, self.errors, 0.0),
-                (ASSIGNMENTS, ALL): (self.tasks, max(self.assignments - self.tasks, 0), 0.0),
-                (BAD, self.offering): (self.tasks, bad, 0.0),
-                (TIME, self.offering): (self.finished, self.times, self.squares)}
+        return {
+            (LATE, ALL): (self.tasks, self.late, 0.0),
+            (ABANDONED, ALL): (self.tasks, self.abandoned, 0.0),
+            (BOUNCED, ALL): (self.tasks, self.bounced, 0.0),
+            (ERRORS, ALL): (self.assignments, self.errors, 0.0),
+            (ASSIGNMENTS, ALL): (self.tasks, max(self.assignments - self.tasks, 0), 0.0),
+            (BAD, self.offering): (self.tasks, bad, 0.0),
+            (TIME, self.offering): (self.finished, self.times, self.squares),
+        }
 
 
 COUNTS = ("tasks", "late", "abandoned", "bounced", "errors", "assignments", "finished", "times", "squares")
@@ -100,7 +110,7 @@
         return log(self.time) if name == TIME else getattr(self, name)
 
 
-Found = tuple[float, float, float]       # the evidence by the exact law, by the normal one, and as cautiously
+Found = tuple[float, float, float]  # the evidence by the exact law, by the normal one, and as cautiously
 
 
 def _normal(new: Sums, old: Sums, step: float, variance: float) -> float:
@@ -207,7 +217,7 @@
     def __init__(self, worse: Worse, stages: int, past: Pasts | None = None):
         self.worse, self.stages, self.past = worse, max(stages, 1), past or Pasts()
         self.zones: dict[Key, dict[int, Side]] = {}
-        self.fine: dict[Key, None] = {}      # found so at some look: a sequential test ends at its bound
+        self.fine: dict[Key, None] = {}  # found so at some look: a sequential test ends at its bound
 
     def add(self, zone: int, seat: int, new: bool, row: Row) -> None:
         """What a node counted in a time in which the other side of its zone counted as well."""
--- a/firwalk/cluster/evidence.py
+++ b/firwalk/cluster/evidence.py
@@ -2,6 +2,7 @@
 
 No I/O; a method for each thing that can happen. Times are seconds; work is in seconds at speed 1.
 """
+
 from __future__ import annotations
 
 import math
@@ -11,10 +12,10 @@
 from firwalk.cluster.messages import MOST_ZONES, Evidence
 from firwalk.cluster.zones import LEAST_TRIES, View
 
-ASKS_REPORTS = 6.0     # reports over which what the clients ask is averaged
+ASKS_REPORTS = 6.0  # reports over which what the clients ask is averaged
 MILLI = 1e3
-MOST_STARTS = 65       # of a zone that are kept for the median
-CARRY = 6              # reports over which too few tries for a voice add up, before they are forgotten
+MOST_STARTS = 65  # of a zone that are kept for the median
+CARRY = 6  # reports over which too few tries for a voice add up, before they are forgotten
 
 
 class Watch:
@@ -23,13 +24,13 @@
     def __init__(self, zone: int, zones: int, now: float, report: float = 0.5):
         self.zone, self.zones, self.since, self.asks = zone, zones, now, 0.0
         self.horizon = ASKS_REPORTS * report
-        self.work = self.span = 0.0      # that arrived, and the time for it: both fade over the horizon
-        self.heard_at = [-math.inf] * zones     # when somebody in the zone answered last
+        self.work = self.span = 0.0  # that arrived, and the time for it: both fade over the horizon
+        self.heard_at = [-math.inf] * zones  # when somebody in the zone answered last
         self.views = [View() for _ in range(zones)]
         self.starts, self.carried = [[] for _ in range(zones)], [0] * zones
-        self.last = list(self.views)     # of each zone, as it was told last
-        self.spoke_against = [False] * zones     # by what was told last, whatever came since
-        self.alarm: Callable[[], None] = lambda: None    # a zone turned bad since then
+        self.last = list(self.views)  # of each zone, as it was told last
+        self.spoke_against = [False] * zones  # by what was told last, whatever came since
+        self.alarm: Callable[[], None] = lambda: None  # a zone turned bad since then
 
     def arrived(self, work: float) -> None:
         self.work += work
@@ -69,8 +70,14 @@
         return Evidence(self.zone, int(self.asks * MILLI), rows, True)
 
     def _row(self, number: int, view: View, bears: list[float]) -> tuple[int, ...]:
-        return (number, view.tried, view.missed, view.erred, int(view.start * MILLI),
-                int(bears[number] * MILLI))
+        return (
+            number,
+            view.tried,
+            view.missed,
+            view.erred,
+            int(view.start * MILLI),
+            int(bears[number] * MILLI),
+        )
 
     def told(self, now: float, bears: list[float]) -> Evidence:
         """What the next report says. Tries in a zone add up until there are enough for a voice. `bears`: what
@@ -102,4 +109,5 @@
     """What it asks, and its view of each zone."""
     return message.asks / MILLI, {
         number: View(tried, missed, erred, start / MILLI, bears / MILLI)
-        for number, tried, missed, erred, start, bears in message.views}
+        for number, tried, missed, erred, start, bears in message.views
+    }
--- a/firwalk/cluster/host.py
+++ b/firwalk/cluster/host.py
@@ -1,5 +1,6 @@
 """What the cluster's parts need from whoever runs them: sockets in `firwalk.net.cluster`, virtual time in
 `firwalk.lab.virtual`. Times are seconds on the node's own monotonic clock."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/firwalk/cluster/lease.py
+++ b/firwalk/cluster/lease.py
@@ -6,6 +6,7 @@
 
 No I/O; a method for each thing that can happen, with the time first; acts through `cluster.host.Host`.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -14,12 +15,12 @@
 from firwalk.cluster.host import Host
 from firwalk.cluster.messages import NOBODY, Accept, Ballot, Prepare, Promise, Propose, Refuse, Release
 
-RENEWALS = 3           # in one length
-TURN = 0.1             # of a length: how far the first tries after a lease's end are spread
-BACK_OFF = 0.15        # of a length: after a try that came to nothing, twice as much each time
-MOST_BACK_OFF = 1.0    # of a length
-ROUND = 0.25           # of a length: in which a try must have come to its end
-MOST_AHEAD = 2**32     # counts that a stranger's ballot may be ahead: a wild one must not use them all up
+RENEWALS = 3  # in one length
+TURN = 0.1  # of a length: how far the first tries after a lease's end are spread
+BACK_OFF = 0.15  # of a length: after a try that came to nothing, twice as much each time
+MOST_BACK_OFF = 1.0  # of a length
+ROUND = 0.25  # of a length: in which a try must have come to its end
+MOST_AHEAD = 2**32  # counts that a stranger's ballot may be ahead: a wild one must not use them all up
 
 
 class Voter:
@@ -47,8 +48,13 @@
         """A promise is this life's only; a ballot accepted once is not accepted again, however often it
         arrives; a length beyond the own one would outlive the silence after a restart."""
         ballot = message.ballot
-        if (now < self.quiet_until or message.life != self.life or ballot < self.promised
-                or ballot <= self.last or message.length > self.length * 1e3):
+        if (
+            now < self.quiet_until
+            or message.life != self.life
+            or ballot < self.promised
+            or ballot <= self.last
+            or message.length > self.length * 1e3
+        ):
             self.host.tell(sender, Refuse(ballot, max(self.promised, self.last)))
             return
         self.promised = self.accepted = self.last = ballot
@@ -64,18 +70,28 @@
     """The side that wants the lease, holds it and renews it. `until` is on the own clock and on the safe
     side; whoever acts as holder asks `holds` at that very moment, since a process may have slept."""
 
-    def __init__(self, host: Host, seat: int, life: int, voters: list[int], voter: Voter, chance: Chance, *,
-                 length: float, drift: float):
+    def __init__(
+        self,
+        host: Host,
+        seat: int,
+        life: int,
+        voters: list[int],
+        voter: Voter,
+        chance: Chance,
+        *,
+        length: float,
+        drift: float,
+    ):
         self.host, self.seat, self.life, self.voters, self.voter = host, seat, life, voters, voter
         self.chance, self.length = chance, length
         self.own = length * (1 - drift) / (1 + drift)
         self.count = 0
-        self.ballot: Ballot = NOBODY             # of the try under way, or the last one
-        self.open: dict[int, None] = {}          # voters that have nothing against it
+        self.ballot: Ballot = NOBODY  # of the try under way, or the last one
+        self.open: dict[int, None] = {}  # voters that have nothing against it
         self.granted: dict[int, None] = {}
         self.proposing, self.began, self.until = False, 0.0, 0.0
-        self.held: Ballot = NOBODY               # the last one that a majority accepted
-        self.term: Ballot = NOBODY               # the one that this holding, or its office, began with
+        self.held: Ballot = NOBODY  # the last one that a majority accepted
+        self.term: Ballot = NOBODY  # the one that this holding, or its office, began with
         self.tries, self.active = 0, True
         self.won: Callable[[float], None] = lambda now: None
         self.lost: Callable[[float], None] = lambda now: None
@@ -112,8 +128,9 @@
             else:
                 self._try(now)
                 self.tries += 1
-                again = now + self.length * (ROUND + min(
-                    BACK_OFF * 2 ** min(self.tries, 8), MOST_BACK_OFF) * self.chance.part())
+                again = now + self.length * (
+                    ROUND + min(BACK_OFF * 2 ** min(self.tries, 8), MOST_BACK_OFF) * self.chance.part()
+                )
         self.host.set_timer(max(again, now + self.length / 100), self._look, None)
         if self.holds(now):
             self.host.set_timer(self.until, self._end, self.until)
--- a/firwalk/cluster/members.py
+++ b/firwalk/cluster/members.py
@@ -6,6 +6,7 @@
 
 No I/O; a method for each thing that can happen, with the time first; acts through `cluster.host.Host`.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -15,13 +16,13 @@
 from firwalk.cluster.host import Host, State
 from firwalk.cluster.messages import MOST_NEWS, NOBODY, Ack, Ask, Ballot, Nack, News, Ping
 
-HELPERS = 3            # others that are asked to ask one that does not answer
-SUSPECT_TIMES = 4.0    # periods, times the logarithm of the fleet, that a suspected one has at least
-SUSPECT_MOST = 6.0     # times that, while no other node suspects it too
-CONFIRM = 3            # further nodes whose suspicion brings it down to the least
-SPREAD = 3             # times the logarithm of the fleet that each piece of news is sent on
-WORST_HEALTH = 8       # steps by which a node that is itself slow waits longer
-AGAIN_EVERY = 4        # one in so many rounds asks somebody who is down or has left
+HELPERS = 3  # others that are asked to ask one that does not answer
+SUSPECT_TIMES = 4.0  # periods, times the logarithm of the fleet, that a suspected one has at least
+SUSPECT_MOST = 6.0  # times that, while no other node suspects it too
+CONFIRM = 3  # further nodes whose suspicion brings it down to the least
+SPREAD = 3  # times the logarithm of the fleet that each piece of news is sent on
+WORST_HEALTH = 8  # steps by which a node that is itself slow waits longer
+AGAIN_EVERY = 4  # one in so many rounds asks somebody who is down or has left
 
 
 class Member:
@@ -29,7 +30,7 @@
 
     def __init__(self, seat: int):
         self.seat, self.state, self.incarnation, self.life = seat, State.DOWN, 0, 0
-        self.met = False                     # anything was heard of it at all
+        self.met = False  # anything was heard of it at all
         self.suspected_at, self.suspecters = 0.0, {}
 
     def word(self) -> News:
@@ -47,18 +48,19 @@
 class Members:
     """`period`: seconds between questions; `answer`: seconds in which one is answered directly."""
 
-    def __init__(self, host: Host, seat: int, seats: int, life: int, chance: Chance, *, period: float,
-                 answer: float):
+    def __init__(
+        self, host: Host, seat: int, seats: int, life: int, chance: Chance, *, period: float, answer: float
+    ):
         self.host, self.chance, self.period, self.answer = host, chance, period, answer
         self.all = [Member(number) for number in range(seats)]
         self.me = self.all[seat]
         self.me.state, self.me.life, self.me.met = State.UP, life, True
         self.health, self.number, self.rounds, self.turn = 0, 0, 0, 0
         self.order: list[Member] = []
-        self.entry = seat                    # where the next entries of the table are taken from
+        self.entry = seat  # where the next entries of the table are taken from
         self.probes: dict[int, Probe] = {}
-        self.fresh: dict[Member, int] = {}   # news, and how often each is still to be sent on
-        self.grace_until = 0.0               # a node that woke late believes no silence before that
+        self.fresh: dict[Member, int] = {}  # news, and how often each is still to be sent on
+        self.grace_until = 0.0  # a node that woke late believes no silence before that
         self.leaving = False
         self.office: Callable[[], Ballot] = lambda: NOBODY
 
@@ -130,8 +132,10 @@
         """Others may reach it where this node cannot."""
         if probe.answered or probe.member.state >= State.DOWN:
             return
-        helpers = self.chance.some([m for m in self.all if m.state is State.UP and m is not self.me
-                                    and m is not probe.member], HELPERS)
+        helpers = self.chance.some(
+            [m for m in self.all if m.state is State.UP and m is not self.me and m is not probe.member],
+            HELPERS,
+        )
         probe.helpers = len(helpers)
         for helper in helpers:
             self.host.tell(helper.seat, Ask(probe.number, probe.member.seat, self._news(helper)))
@@ -181,8 +185,9 @@
         """Any datagram's head. False: it comes from before what is known of the seat."""
         member = self.all[seat]
         known = member.met and member.incarnation
-        if member.met and (incarnation < known or incarnation == known and member.state >= State.DOWN
-                           and life == member.life):
+        if member.met and (
+            incarnation < known or incarnation == known and member.state >= State.DOWN and life == member.life
+        ):
             return False  # it is told so by the answer, and goes above that
         if member.met and incarnation == known and life == member.life:
             return True  # a suspicion is its own to answer
@@ -236,8 +241,9 @@
             if seat < len(self.all):
                 self._news_of(now, self.all[seat], incarnation, life, State(state), sender)
 
-    def _news_of(self, now: float, member: Member, incarnation: int, life: int, state: State,
-                 sender: int) -> None:
+    def _news_of(
+        self, now: float, member: Member, incarnation: int, life: int, state: State, sender: int
+    ) -> None:
         if member is self.me:
             self._news_of_me(now, incarnation, life, state)
             return
@@ -262,8 +268,12 @@
     def _news_of_me(self, now: float, incarnation: int, life: int, state: State) -> None:
         """What others think of this node; a former life's word counts as well, and is gone above."""
         mine = life == self.me.life
-        if self.leaving or incarnation < self.me.incarnation or mine and (
-                state is State.UP or incarnation > self.me.incarnation):
+        if (
+            self.leaving
+            or incarnation < self.me.incarnation
+            or mine
+            and (state is State.UP or incarnation > self.me.incarnation)
+        ):
             return
         self.me.incarnation = incarnation + 1
         self._note(self.me)
--- a/firwalk/cluster/messages.py
+++ b/firwalk/cluster/messages.py
@@ -4,6 +4,7 @@
 message in MessagePack (https://github.com/msgpack/msgpack/blob/master/spec.md): an array of a tag and the
 fields in order. A newer version adds fields at the end, and those are passed over here.
 """
+
 from __future__ import annotations
 
 from struct import Struct as Layout
@@ -14,23 +15,23 @@
 from msgspec import Meta, Struct
 
 VERSION = 1
-LONGEST = 256          # bytes of a datagram
+LONGEST = 256  # bytes of a datagram
 HEAD = Layout(">BIHII")
-MOST_NEWS = 16         # entries beside one message
-MOST_PIECES = 62      # of a plan: a mask of them is a whole number of 64 bits
-MOST_TEXT = 180        # letters of what is said to an operator
-MOST_ZONES = 8         # that are told of
-MOST_ROWS = 8          # teams in one question for parts of budgets
-MOST_COUNTED = 3       # offerings in one message of figures
-MOST_NAME = 40         # letters of a change's name
-PIECE = 176            # bytes of a plan in one of them
+MOST_NEWS = 16  # entries beside one message
+MOST_PIECES = 62  # of a plan: a mask of them is a whole number of 64 bits
+MOST_TEXT = 180  # letters of what is said to an operator
+MOST_ZONES = 8  # that are told of
+MOST_ROWS = 8  # teams in one question for parts of budgets
+MOST_COUNTED = 3  # offerings in one message of figures
+MOST_NAME = 40  # letters of a change's name
+PIECE = 176  # bytes of a plan in one of them
 
 Seat = Annotated[int, Meta(ge=0, le=65535)]
 Count = Annotated[int, Meta(ge=0, le=2**48)]
 Life = Annotated[int, Meta(ge=0, le=2**32 - 1)]
 State = Annotated[int, Meta(ge=0, le=3)]
-Ballot = tuple[Count, Seat, Life]            # compared in this order
-News = tuple[Seat, Count, Life, State]       # a seat, its incarnation, its life, how it is
+Ballot = tuple[Count, Seat, Life]  # compared in this order
+News = tuple[Seat, Count, Life, State]  # a seat, its incarnation, its life, how it is
 NOBODY: Ballot = (0, 0, 0)
 
 
@@ -40,7 +41,7 @@
 
 class Ping(Struct, array_like=True, tag=1):
     number: Count
-    office: Ballot = NOBODY      # the term of the newest coordinator that the sender knows of
+    office: Ballot = NOBODY  # the term of the newest coordinator that the sender knows of
     news: list[News] = []
 
 
@@ -122,7 +123,7 @@
     version: Count
     number: Annotated[int, Meta(ge=0, lt=MOST_PIECES)]
     count: Annotated[int, Meta(ge=1, le=MOST_PIECES)]
-    check: Life                  # CRC of the whole
+    check: Life  # CRC of the whole
     data: Annotated[bytes, Meta(max_length=PIECE)]
 
 
@@ -164,7 +165,7 @@
     text: Annotated[str, Meta(max_length=MOST_TEXT)]
 
 
-Micro = Annotated[int, Meta(ge=0, le=2**48)]     # millionths of work a second
+Micro = Annotated[int, Meta(ge=0, le=2**48)]  # millionths of work a second
 
 
 class Want(Struct, array_like=True, tag=18):
@@ -201,8 +202,10 @@
     tag: Life
     zone: Small
     memory: Small
-    rows: Annotated[list[tuple[Life, Count, Count, Count, Count, Count, Count, Count, Count, Count]],
-                    Meta(max_length=MOST_COUNTED)]
+    rows: Annotated[
+        list[tuple[Life, Count, Count, Count, Count, Count, Count, Count, Count, Count]],
+        Meta(max_length=MOST_COUNTED),
+    ]
     contracts: Life = 0
 
 
@@ -217,9 +220,30 @@
     text: Annotated[str, Meta(max_length=100)] = ""
 
 
-Message = (Ping | Ack | Ask | Nack | Prepare | Promise | Refuse | Propose | Accept | Release | Report | Answer
-           | Piece | Fetch | Evidence | Wish | Said | Want | Grant | Figures | Word)
-NEWS = (Ping, Ack, Ask)          # the kinds that carry news
+Message = (
+    Ping
+    | Ack
+    | Ask
+    | Nack
+    | Prepare
+    | Promise
+    | Refuse
+    | Propose
+    | Accept
+    | Release
+    | Report
+    | Answer
+    | Piece
+    | Fetch
+    | Evidence
+    | Wish
+    | Said
+    | Want
+    | Grant
+    | Figures
+    | Word
+)
+NEWS = (Ping, Ack, Ask)  # the kinds that carry news
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
@@ -252,7 +276,7 @@
     if mark != fleet:
         raise Unreadable("another fleet")
     try:
-        message = _decoder.decode(memoryview(data)[HEAD.size:])
+        message = _decoder.decode(memoryview(data)[HEAD.size :])
     except (msgspec.DecodeError, RecursionError):
         raise Unreadable("garbage") from None
     if isinstance(message, NEWS) and len(message.news) > MOST_NEWS:
--- a/firwalk/cluster/plan.py
+++ b/firwalk/cluster/plan.py
@@ -7,6 +7,7 @@
 
 No I/O; a method for each thing that can happen, with the time first; acts through `cluster.host.Host`.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -22,11 +23,11 @@
 
 Stamp = tuple[Ballot, int]
 NONE: Stamp = (NOBODY, 0)
-MARKS = 32             # questions whose time is kept
-GATHER = 2.0           # reports that a new coordinator waits for what others follow, at least
-GATHER_MOST = 6.0      # and at most
-AT_A_TIME = 16         # followers that a change is sent to, then a pause
-PAUSE = 0.005          # seconds
+MARKS = 32  # questions whose time is kept
+GATHER = 2.0  # reports that a new coordinator waits for what others follow, at least
+GATHER_MOST = 6.0  # and at most
+AT_A_TIME = 16  # followers that a change is sent to, then a pause
+PAUSE = 0.005  # seconds
 
 
 class TooLong(Exception):
@@ -42,7 +43,7 @@
 
 
 def pieces(stamp: Stamp, text: bytes) -> list[Piece]:
-    parts = [text[at:at + PIECE] for at in range(0, len(text), PIECE)] or [b""]
+    parts = [text[at : at + PIECE] for at in range(0, len(text), PIECE)] or [b""]
     return [Piece(*stamp, number, len(parts), crc32(text), part) for number, part in enumerate(parts)]
 
 
@@ -75,11 +76,11 @@
         self.stamp: Stamp = NONE
         self.text, self.sections = b"{}", {}
         self.until, self.taken_at, self.over = 0.0, 0.0, True
-        self.office: Ballot = NOBODY     # the newest coordinator's term that was heard of
+        self.office: Ballot = NOBODY  # the newest coordinator's term that was heard of
         self.parts: Parts | None = None
         self.mark, self.marks = chance.whole(), {}
         self.good_from: dict[Stamp, float] = {}  # plans that were in force then, by the coordinator's answer
-        self.hurried: Stamp = NONE       # the plan for which it asked out of turn
+        self.hurried: Stamp = NONE  # the plan for which it asked out of turn
         self.changed: Callable[[float], None] = lambda now: None
 
     def start(self, now: float) -> None:
@@ -111,8 +112,13 @@
 
     def _tell(self, now: float) -> None:
         """The sum is of what is followed, not of the bytes that came: checked against what was written."""
-        self.host.event("plan", term=self.stamp[0], version=self.stamp[1],
-                        check=crc32(encoded(self.sections)), left=self.until - now)
+        self.host.event(
+            "plan",
+            term=self.stamp[0],
+            version=self.stamp[1],
+            check=crc32(encoded(self.sections)),
+            left=self.until - now,
+        )
         self._watch(now)
         self.changed(now)
 
@@ -154,8 +160,10 @@
         self.marks[self.mark] = now
         self.marks.pop(self.mark - MARKS, None)
         parts = self.parts
-        self.host.tell(self.office[1], Report(
-            self.mark, *self.stamp, *(parts.stamp if parts else NONE), parts.mask() if parts else 0))
+        self.host.tell(
+            self.office[1],
+            Report(self.mark, *self.stamp, *(parts.stamp if parts else NONE), parts.mask() if parts else 0),
+        )
 
     def answer_came(self, now: float, sender: int, message: Answer) -> None:
         if message.term[1] != sender:
@@ -202,17 +210,23 @@
 class Writer:
     """The coordinator's side; idle at all nodes but the one that holds the lease."""
 
-    def __init__(self, host: Host, candidate: Candidate, follower: Follower, chance: Chance,
-                 up: Callable[[], list[int]]):
+    def __init__(
+        self,
+        host: Host,
+        candidate: Candidate,
+        follower: Follower,
+        chance: Chance,
+        up: Callable[[], list[int]],
+    ):
         self.host, self.candidate, self.follower, self.chance, self.up = host, candidate, follower, chance, up
-        self.version = 0                     # 0: not written anything yet
+        self.version = 0  # 0: not written anything yet
         self.sections: dict[str, Any] = {}
         self.text = b"{}"
-        self.newest: Stamp = NONE            # of what others follow
+        self.newest: Stamp = NONE  # of what others follow
         self.fetched: tuple[Stamp, bytes] | None = None
         self.parts: Parts | None = None
         self.began_at = 0.0
-        self.asked: dict[str, Any] = {}      # changes that wait for the first plan
+        self.asked: dict[str, Any] = {}  # changes that wait for the first plan
         self.follows: dict[int, Stamp] = {}  # by seat, as last reported
         self.opened: Callable[[float], None] = lambda now: None
 
--- a/firwalk/cluster/seat.py
+++ b/firwalk/cluster/seat.py
@@ -2,6 +2,7 @@
 
 No I/O: datagrams are handed in as bytes or messages, and go out through a host that gets them whole.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -18,8 +19,8 @@
 from firwalk.cluster.spans import spelled
 from firwalk.cluster.zones import Terms, Zones
 
-FEW = 400              # seats; with more the reports are spread, so that a coordinator gets so many a second
-GLANCE = 0.1           # seconds from a node's word against a zone to the coordinator's glance at it
+FEW = 400  # seats; with more the reports are spread, so that a coordinator gets so many a second
+GLANCE = 0.1  # seconds from a node's word against a zone to the coordinator's glance at it
 ASKS, ASK_AGAIN = 6, 0.25  # times that a wish is told to the coordinator, and the seconds between
 
 
@@ -27,10 +28,24 @@
     """`life`: a number by chance, another one with each start. `zones`, `budgets_by`: the operators' terms
     for them, where there are any."""
 
-    def __init__(self, host: Host, seat: int, seats: int, life: int, now: float, *, voters: list[int],
-                 length: float = 2.0, drift: float = 0.01, period: float = 0.5, answer: float = 0.15,
-                 report: float = 0.5, hold: float = 3.0,
-                 zones: Terms | None = None, budgets_by: budgets.Terms | None = None):
+    def __init__(
+        self,
+        host: Host,
+        seat: int,
+        seats: int,
+        life: int,
+        now: float,
+        *,
+        voters: list[int],
+        length: float = 2.0,
+        drift: float = 0.01,
+        period: float = 0.5,
+        answer: float = 0.15,
+        report: float = 0.5,
+        hold: float = 3.0,
+        zones: Terms | None = None,
+        budgets_by: budgets.Terms | None = None,
+    ):
         self.host, self.seat, self.seats, self.life = host, seat, seats, life
         chance = Chance(life ^ seat)
         report, hold = self._spread(report, hold)
@@ -40,24 +55,25 @@
         self.candidate, self.writer = None, None
         self.members.office = lambda: self.follower.office
         if self.voter is not None:
-            self.candidate = Candidate(host, seat, life, voters, self.voter, chance, length=length,
-                                       drift=drift)
+            self.candidate = Candidate(
+                host, seat, life, voters, self.voter, chance, length=length, drift=drift
+            )
             self.writer = Writer(host, self.candidate, self.follower, chance, self.members.up)
             self.candidate.won, self.candidate.lost = self.writer.won, self.writer.lost
             self.writer.opened = self._opened
         self.terms, self.zones, self.zone_of = zones, None, {}
         self.refused: dict[int, str] = {}
-        self.evidence: Callable[[float], m.Evidence] | None = None    # what this node tells of zones
-        self.early: Callable[[], m.Evidence] | None = None            # the same, out of turn
+        self.evidence: Callable[[float], m.Evidence] | None = None  # what this node tells of zones
+        self.early: Callable[[], m.Evidence] | None = None  # the same, out of turn
         self.early_at, self.glancing = float("-inf"), False
-        self.wished, self.wishes = 0, {}     # operators' wishes that wait for the coordinator
-        self.changing: Any = None            # its part in changes by stages (`firwalk.cluster.changing`)
+        self.wished, self.wishes = 0, {}  # operators' wishes that wait for the coordinator
+        self.changing: Any = None  # its part in changes by stages (`firwalk.cluster.changing`)
         self.holder = budgets.Holder(host, budgets_by, lambda: self.follower.office) if budgets_by else None
         self.dealer: budgets.Dealer | None = None
-        self.offer: budgets.Offer | None = None          # the newest contracts that this node has
-        self.offers: dict[int, budgets.Offer] = {}       # all that it has, by their checksums
-        self.find_offer: Callable[[int], budgets.Offer | None] = lambda version: None    # by a version's file
-        self.ready: dict[int, int] = {}      # by seat: the newest contracts that it has, as it told
+        self.offer: budgets.Offer | None = None  # the newest contracts that this node has
+        self.offers: dict[int, budgets.Offer] = {}  # all that it has, by their checksums
+        self.find_offer: Callable[[int], budgets.Offer | None] = lambda version: None  # by a version's file
+        self.ready: dict[int, int] = {}  # by seat: the newest contracts that it has, as it told
         self.waits_for = ""
         self._acts: dict[type, Callable[[float, int, int, Any], None]] = self._by_kind()
 
@@ -77,8 +93,10 @@
         self.writer.keep(now)
         if self.writer.in_office(now):
             up = self.members.up()
-            changes = {"seats": {"up": spelled(up), "count": len(up)},
-                       "voters": {"up": [seat for seat in self.candidate.voters if seat in up]}}
+            changes = {
+                "seats": {"up": spelled(up), "count": len(up)},
+                "voters": {"up": [seat for seat in self.candidate.voters if seat in up]},
+            }
             if self.zones is not None and self.writer.version:
                 self._told(now)
                 before = [(zone.mode, zone.step) for zone in self.zones.all]
@@ -96,8 +114,9 @@
     def _moved(self, before: list[tuple]) -> None:
         for zone, was in zip(self.zones.all, before, strict=True):
             if (zone.mode, zone.step) != was:
-                self.host.event("zone", number=zone.number, mode=zone.mode.name.lower(),
-                                keeps=self.zones.keeps(zone))
+                self.host.event(
+                    "zone", number=zone.number, mode=zone.mode.name.lower(), keeps=self.zones.keeps(zone)
+                )
 
     def _filed(self, now: float) -> None:
         """What the file wants out; a reason why not is told once."""
@@ -154,9 +173,15 @@
         else:
             self.dealer.changed(now, offer, beside)
         for one in self.dealer.sides.values():
-            self.host.event("contracts", version=one.version, check=one.check, names=list(one.names),
-                            wholes=list(one.wholes), length=self.holder.terms.length,
-                            together=list(self.dealer.sides))
+            self.host.event(
+                "contracts",
+                version=one.version,
+                check=one.check,
+                names=list(one.names),
+                wholes=list(one.wholes),
+                length=self.holder.terms.length,
+                together=list(self.dealer.sides),
+            )
 
     def _contracts(self, now: float, up: list[int]) -> dict[str, Any]:
         """Newer ones are named when their day has begun and all that are up have them; a dealer for those
@@ -199,8 +224,9 @@
         known = [offer for offer in self.offers.values() if offer.version == version]
         return known[-1] if known else self.find_offer(version)
 
-    def _change(self, now: float, offer: budgets.Offer, beside: budgets.Offer | None = None
-                ) -> dict[str, Any]:
+    def _change(
+        self, now: float, offer: budgets.Offer, beside: budgets.Offer | None = None
+    ) -> dict[str, Any]:
         self.waits_for = ""
         for one in (offer, beside):
             if one is not None:
@@ -269,16 +295,18 @@
         else:
             self._wish_it(now, done, lambda number: m.Wish(number, word, zone))
 
-    def word(self, now: float, word: str, name: str, check: int, text: str,
-             done: Callable[[bool, str], None]) -> None:
+    def word(
+        self, now: float, word: str, name: str, check: int, text: str, done: Callable[[bool, str], None]
+    ) -> None:
         """The same on a change."""
         if self.coordinates(now):
             done(*self.changing.word_came(now, self.seat, m.Word(0, word, name, check, text)))
         else:
             self._wish_it(now, done, lambda number: m.Word(number, word, name, check, text))
 
-    def _wish_it(self, now: float, done: Callable[[bool, str], None],
-                 made: Callable[[int], m.Wish | m.Word]) -> None:
+    def _wish_it(
+        self, now: float, done: Callable[[bool, str], None], made: Callable[[int], m.Wish | m.Word]
+    ) -> None:
         self.wished += 1
         self.wishes[self.wished] = done
         self._ask_wish(now, (made(self.wished), ASKS))
@@ -297,12 +325,12 @@
     def _wish_came(self, now: float, seat: int, got: m.Wish) -> None:
         if self.coordinates(now):
             granted, text = self._grant(now, got.word, got.zone)
-            self.host.tell(seat, m.Said(got.number, granted, text[:m.MOST_TEXT]))
+            self.host.tell(seat, m.Said(got.number, granted, text[: m.MOST_TEXT]))
 
     def _word_came(self, now: float, seat: int, got: m.Word) -> None:
         if self.coordinates(now) and self.changing is not None:
             done, text = self.changing.word_came(now, seat, got)
-            self.host.tell(seat, m.Said(got.number, done, text[:m.MOST_TEXT]))
+            self.host.tell(seat, m.Said(got.number, done, text[: m.MOST_TEXT]))
 
     def _figures_came(self, now: float, seat: int, life: int, got: m.Figures) -> None:
         if self.changing is not None:
@@ -339,7 +367,12 @@
 
     def _by_kind(self) -> dict:
         members, follower, voter, candidate, writer = (
-            self.members, self.follower, self.voter, self.candidate, self.writer)
+            self.members,
+            self.follower,
+            self.voter,
+            self.candidate,
+            self.writer,
+        )
         acts = {
             m.Ping: lambda now, seat, life, got: members.ping_came(now, seat, got),
             m.Ack: lambda now, seat, life, got: members.ack_came(now, seat, got),
@@ -349,7 +382,8 @@
             m.Piece: lambda now, seat, life, got: follower.piece_came(now, got),
             m.Said: lambda now, seat, life, got: self._said(got),
             m.Grant: lambda now, seat, life, got: self._grant_came(now, seat, got),
-            m.Fetch: lambda now, seat, life, got: follower.fetch_came(now, seat, got)}
+            m.Fetch: lambda now, seat, life, got: follower.fetch_came(now, seat, got),
+        }
         if voter is not None:
             acts |= {
                 m.Prepare: lambda now, seat, life, got: voter.prepare_came(now, seat, got.ballot),
@@ -364,7 +398,8 @@
                 m.Want: self._want_came,
                 m.Figures: self._figures_came,
                 m.Word: lambda now, seat, life, got: self._word_came(now, seat, got),
-                m.Piece: self._piece}
+                m.Piece: self._piece,
+            }
         return acts
 
     def _piece(self, now: float, seat: int, life: int, got: m.Piece) -> None:
@@ -391,8 +426,9 @@
     def set_section(self, now: float, name: str, section: Any) -> bool:
         return self.writer is not None and self.writer.set(now, name, section)
 
-    def retuned(self, *, period: float, answer: float, report: float, hold: float,
-                zones: Terms | None = None) -> None:
+    def retuned(
+        self, *, period: float, answer: float, report: float, hold: float, zones: Terms | None = None
+    ) -> None:
         """Other lengths from now on; the lease's own stay for as long as the seat lives. Other terms for the
         same zones, where there are any."""
         if zones is not None and self.terms is not None:
--- a/firwalk/cluster/spans.py
+++ b/firwalk/cluster/spans.py
@@ -1,4 +1,5 @@
 """Seats in few bytes, as the plan and the log have them: "0-4,7,9-11"."""
+
 from __future__ import annotations
 
 
--- a/firwalk/cluster/spending.py
+++ b/firwalk/cluster/spending.py
@@ -2,6 +2,7 @@
 
 No I/O. The contracts in force are those that the plan names; times are seconds on the own clock.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -13,17 +14,22 @@
 from firwalk.cluster.seat import Seat
 from firwalk.cluster.spans import read
 
-KEPT = 4               # contracts that a node keeps: those in force, and what may come after
+KEPT = 4  # contracts that a node keeps: those in force, and what may come after
 DAY = 86400.0
-LOG_EVERY = 60.0       # seconds between two lines of a team's spending in the log
-MOST_LOGGED = 10       # teams of which there are such lines
+LOG_EVERY = 60.0  # seconds between two lines of a team's spending in the log
+MOST_LOGGED = 10  # teams of which there are such lines
 
 
 def offered(contracts: Contracts, seats: int, floor: float, unix: Callable[[], float]) -> Offer:
     """What a coordinator leases: each whole but for the floors that all nodes have for good."""
     wholes = [team.rate() - int(team.rate() * floor) // seats * seats for team in contracts.teams]
-    return Offer(contracts.version, contracts.check(), tuple(team.name for team in contracts.teams),
-                 tuple(wholes), lambda: contracts.begun(unix()))
+    return Offer(
+        contracts.version,
+        contracts.check(),
+        tuple(team.name for team in contracts.teams),
+        tuple(wholes),
+        lambda: contracts.begun(unix()),
+    )
 
 
 class Charge:
@@ -42,8 +48,13 @@
     """`clock`: the seat's; `unix`: the wall clock, by which alone a coordinator tells whether contracts have
     begun; `find`: contracts of a version that a change brings, by their file, if it is there."""
 
-    def __init__(self, seat: Seat, clock: Callable[[], float], unix: Callable[[], float],
-                 find: Callable[[int], Contracts | None] = lambda version: None):
+    def __init__(
+        self,
+        seat: Seat,
+        clock: Callable[[], float],
+        unix: Callable[[], float],
+        find: Callable[[int], Contracts | None] = lambda version: None,
+    ):
         self.seat, self.clock, self.unix, self.find = seat, clock, unix, find
         seat.find_offer = self._found
         self.floor = seat.holder.terms.floor
@@ -106,15 +117,21 @@
         contracts = self.known.get(check)
         kept = {team.name for team in contracts.teams} if contracts else ()
         for name, account in self.ledger.accounts.items():
-            if name not in kept and account.holds(now):      # told: whoever counts parts would count it on
+            if name not in kept and account.holds(now):  # told: whoever counts parts would count it on
                 self.seat.host.event("part", team=account.number, check=self.check, part=0, left=0.0)
         self.check = check
         self.ledger.change(now, contracts)
         after = {name: number for name, (number, _) in self.ledger.teams.items()}
-        self.seat.holder.changed(check if contracts else 0, {
-            number: after[name] for name, number in before.items() if name in after})
-        self.seat.host.event("follows_contracts", version=contracts.version if contracts else 0, check=check,
-                             known=contracts is not None)
+        self.seat.holder.changed(
+            check if contracts else 0,
+            {number: after[name] for name, number in before.items() if name in after},
+        )
+        self.seat.host.event(
+            "follows_contracts",
+            version=contracts.version if contracts else 0,
+            check=check,
+            known=contracts is not None,
+        )
 
     def terms(self, task: Any, offering: str, team: str) -> float:
         """Times its value; 0: it is beyond its budget and is told when to come again. Reserves its estimate
@@ -144,9 +161,13 @@
         """For whoever checks from outside, and nothing here that nobody asks for."""
         for name, account in self.ledger.accounts.items():
             account.fill(now)
-            self.seat.host.event("account", team=name, check=self.check, began=account.began,
-                                 sums=[account.granted, account.free, account.reserved, account.settled,
-                                       account.returned])
+            self.seat.host.event(
+                "account",
+                team=name,
+                check=self.check,
+                began=account.began,
+                sums=[account.granted, account.free, account.reserved, account.settled, account.returned],
+            )
         if now >= self.logged_at + LOG_EVERY:
             self.logged_at = now
             self._log(now)
@@ -156,16 +177,23 @@
         """Spending by team, those that spent or were turned away most."""
         accounts = sorted(self.ledger.accounts.items(), key=lambda one: -one[1].settled - one[1].beyond)
         for name, account in accounts[:MOST_LOGGED]:
-            self.seat.host.event("spent", team=name, settled=round(account.settled, 3),
-                                 reserved=round(account.reserved, 3), beyond=round(account.beyond, 3),
-                                 part=account.rate(now))
+            self.seat.host.event(
+                "spent",
+                team=name,
+                settled=round(account.settled, 3),
+                reserved=round(account.reserved, 3),
+                beyond=round(account.beyond, 3),
+                part=account.rate(now),
+            )
 
     def shown(self, now: float) -> list[str]:
         """For operators, a team each."""
         found = []
         for name, account in sorted(self.ledger.accounts.items()):
             account.fill(now)
-            found.append(f"{name} part={account.rate(now):.3f} free={account.free:.2f} "
-                         f"reserved={account.reserved:.2f} settled={account.settled:.2f} "
-                         f"beyond={account.beyond:.2f}")
+            found.append(
+                f"{name} part={account.rate(now):.3f} free={account.free:.2f} "
+                f"reserved={account.reserved:.2f} settled={account.settled:.2f} "
+                f"beyond={account.beyond:.2f}"
+            )
         return found
--- a/firwalk/cluster/stages.py
+++ b/firwalk/cluster/stages.py
@@ -4,6 +4,7 @@
 Design, states and ways not taken: `docs/stages.md`. No I/O; a method for each thing that can happen, with the
 time first. Times are seconds on the own clock; what the plan says has none.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -17,21 +18,34 @@
 from firwalk.cluster.messages import Figures
 from firwalk.cluster.spans import read, spelled
 
-KEYS = ("number", "name", "check", "kind", "what", "before", "state", "stage", "of", "new", "why", "by",
-        "zones")       # of the plan's section
+KEYS = (
+    "number",
+    "name",
+    "check",
+    "kind",
+    "what",
+    "before",
+    "state",
+    "stage",
+    "of",
+    "new",
+    "why",
+    "by",
+    "zones",
+)  # of the plan's section
 GOING, HELD, BACK, STOPPED, DONE = "going", "held", "back", "stopped", "done"
-RELEASE, SETTINGS, CONTRACTS = "release", "settings", "contracts"      # kinds of changes
-OPERATOR, ITSELF, LITTLE = "operator", "itself", "little"    # by whom, or for what, a change is held
-OLD = 4.0              # reports after which what a node told counts no more
-PATIENCE = 20.0        # seconds in which a node goes over, before the stage is held for it
-BACK_PATIENCE = 10.0   # in which it goes back, before the next batch is not held up by it
-TOLD, MOST_TOLD = 2, 24        # figures of a stage that the plan keeps, the worst ones; of all stages
-PAST_SPAN = 300.0      # seconds: so long at least, and twice at most, a node's own past goes back
-LEAK_LOOKS = 12        # in a row in which the new nodes' memory is too large
-LEAK_LEAST = 80        # tenths of a megabyte that it must be more
-LONE = 0.5             # part of a zone's nodes that are down: nothing is changed anywhere then
+RELEASE, SETTINGS, CONTRACTS = "release", "settings", "contracts"  # kinds of changes
+OPERATOR, ITSELF, LITTLE = "operator", "itself", "little"  # by whom, or for what, a change is held
+OLD = 4.0  # reports after which what a node told counts no more
+PATIENCE = 20.0  # seconds in which a node goes over, before the stage is held for it
+BACK_PATIENCE = 10.0  # in which it goes back, before the next batch is not held up by it
+TOLD, MOST_TOLD = 2, 24  # figures of a stage that the plan keeps, the worst ones; of all stages
+PAST_SPAN = 300.0  # seconds: so long at least, and twice at most, a node's own past goes back
+LEAK_LOOKS = 12  # in a row in which the new nodes' memory is too large
+LEAK_LEAST = 80  # tenths of a megabyte that it must be more
+LONE = 0.5  # part of a zone's nodes that are down: nothing is changed anywhere then
 MILLI = 1e3
-FIRST = ord("A")       # the letter of the first zone
+FIRST = ord("A")  # the letter of the first zone
 
 
 class Wanted(Protocol):
@@ -69,8 +83,8 @@
     zone: int
     memory: int
     rows: dict[int, Row] = field(default_factory=dict)
-    since: float = 0.0           # from when it has told from this life and version
-    seen: dict[int, Row] = field(default_factory=dict)       # of its rows, what was compared already
+    since: float = 0.0  # from when it has told from this life and version
+    seen: dict[int, Row] = field(default_factory=dict)  # of its rows, what was compared already
     marks: list[tuple[float, dict[int, Row]]] = field(default_factory=list)  # when, and its rows then
 
     def mark(self, now: float) -> None:
@@ -100,8 +114,9 @@
     return order, controls
 
 
-def sets(stages: list[Any], zone_of: dict[int, int], voters: list[int], names: tuple[str, ...]
-         ) -> list[list[int]]:
+def sets(
+    stages: list[Any], zone_of: dict[int, int], voters: list[int], names: tuple[str, ...]
+) -> list[list[int]]:
     """The seats of each stage, those before included; one that adds nobody is left out. ValueError."""
     order, controls = in_turn(zone_of, voters)
     found: list[list[int]] = []
@@ -140,28 +155,40 @@
 class Roll:
     """The coordinator's side. `section`: what the plan says of the change, {} before the first one."""
 
-    def __init__(self, terms: Terms, voters: list[int], seats: int,
-                 named: Callable[[str], tuple[Wanted | None, int, list[str]]],
-                 event: Callable[..., None] = lambda what, **about: None):
+    def __init__(
+        self,
+        terms: Terms,
+        voters: list[int],
+        seats: int,
+        named: Callable[[str], tuple[Wanted | None, int, list[str]]],
+        event: Callable[..., None] = lambda what, **about: None,
+    ):
         self.terms, self.voters, self.seats, self.named, self.event = terms, voters, seats, named, event
         self.section: dict[str, Any] = {}
         self.told: dict[int, Told] = {}
         self.change: Wanted | None = None
         self.comparison, self.whole, self.past = Comparison(Worse(), 1), Comparison(Worse(), 1), Pasts()
         self.stages: list[list[int]] = []
-        self.ordered_at: dict[int, float] = {}   # by seat, when the plan named it, or named it no more
-        self.stage_at: float | None = None       # when all of the stage were on the new version
-        self.leaks: dict[int, int] = {}          # by seat, looks in a row in which it has too much
-        self.passed = -1                         # the stage that an operator let pass
+        self.ordered_at: dict[int, float] = {}  # by seat, when the plan named it, or named it no more
+        self.stage_at: float | None = None  # when all of the stage were on the new version
+        self.leaks: dict[int, int] = {}  # by seat, looks in a row in which it has too much
+        self.passed = -1  # the stage that an operator let pass
 
     # -- what comes ----------------------------------------------------------------------------------------
 
     def figures_came(self, now: float, seat: int, life: int, got: Figures) -> None:
         before = self.told.get(seat)
         same = before is not None and (before.life, before.release, before.tag, before.contracts) == (
-            life, got.release, got.tag, got.contracts)
-        told = before if same else Told(now, life, got.release, got.tag, got.contracts, got.zone, got.memory,
-                                        since=now)
+            life,
+            got.release,
+            got.tag,
+            got.contracts,
+        )
+        told = (
+            before
+            if same
+            else Told(now, life, got.release, got.tag, got.contracts, got.zone, got.memory, since=now)
+        )
         told.at, told.zone, told.memory = now, got.zone, got.memory
         for offering, *counts, times, squares in got.rows:
             told.rows[offering] = Row(offering, *counts, times / MILLI, squares / MILLI)
@@ -175,7 +202,9 @@
         if self._on():
             return f"change {self.section['name']} is {self.section['state']}; it has to end first"
         if self.section.get("state") == STOPPED and (name, check) == (
-                self.section["name"], self.section["check"]):
+            self.section["name"],
+            self.section["check"],
+        ):
             return f"{name} was stopped: {self.section['why']}; resume it, or change the file"
         change, mine, faults = self.named(name)
         if change is None or mine != check:
@@ -201,10 +230,22 @@
         return ""
 
     def _begin(self, now: float, change: Wanted, name: str, check: int) -> None:
-        self.section = {"number": self.section.get("number", 0) + 1, "name": name, "check": check,
-                        "kind": change.kind(), "what": change.what(), "before": change.before, "state": GOING,
-                        "stage": 0, "of": 0, "new": "", "why": "", "by": "", "zones": self._map(),
-                        "report": []}
+        self.section = {
+            "number": self.section.get("number", 0) + 1,
+            "name": name,
+            "check": check,
+            "kind": change.kind(),
+            "what": change.what(),
+            "before": change.before,
+            "state": GOING,
+            "stage": 0,
+            "of": 0,
+            "new": "",
+            "why": "",
+            "by": "",
+            "zones": self._map(),
+            "report": [],
+        }
         self.ordered_at, self.passed = {}, -1
         self._with(now, change)
         self._changed()
@@ -215,7 +256,7 @@
         self.stages = sets(change.stages, self._zones(), self.voters, self.terms.names)
         self.section["of"] = len(self.stages)
         self.past = Pasts()
-        if not read(self.section["new"]):    # of those that went over a new coordinator knows no past
+        if not read(self.section["new"]):  # of those that went over a new coordinator knows no past
             for seat, told in self.told.items():
                 for row in told.past():
                     self.past.add(told.zone, seat, row)
@@ -354,17 +395,22 @@
     def _fresh(self, now: float, seat: int) -> bool:
         told = self.told.get(seat)
         return told is not None and now - told.at <= max(OLD * self.terms.report, 1.0) * (
-            1.0 if self._on() else 8.0)
+            1.0 if self._on() else 8.0
+        )
 
     def _map(self) -> str:
         """The zone of each seat, a letter each; of those that never told, the first zone. It is in the plan,
         so that each coordinator of a change has the same stages."""
-        return "".join(chr(FIRST + self.told[seat].zone) if seat in self.told else chr(FIRST)
-                       for seat in range(self.seats))
+        return "".join(
+            chr(FIRST + self.told[seat].zone) if seat in self.told else chr(FIRST)
+            for seat in range(self.seats)
+        )
 
     def _zones(self) -> dict[int, int]:
-        return {seat: ord(letter) - FIRST
-                for seat, letter in enumerate(self.section["zones"] if self._on() else self._map())}
+        return {
+            seat: ord(letter) - FIRST
+            for seat, letter in enumerate(self.section["zones"] if self._on() else self._map())
+        }
 
     def _runs(self, seat: int, change: Wanted | None, name: str) -> bool:
         told = self.told.get(seat)
@@ -397,16 +443,22 @@
         return ""
 
     def _lag(self, now: float, new: list[int]) -> str:
-        late = [seat for seat in new if now >= self.ordered_at.get(seat, now) + PATIENCE
-                and not self._settled(now, seat)]
+        late = [
+            seat
+            for seat in new
+            if now >= self.ordered_at.get(seat, now) + PATIENCE and not self._settled(now, seat)
+        ]
         return f"seats {spelled(late)} do not go over" if late else ""
 
     def _hold_for(self, reason: str) -> None:
-        if reason and self.section["state"] == GOING or (
-                reason and self.section["by"] in (ITSELF, LITTLE) and reason != self.section["why"]):
+        if (
+            reason
+            and self.section["state"] == GOING
+            or (reason and self.section["by"] in (ITSELF, LITTLE) and reason != self.section["why"])
+        ):
             self._state(HELD, reason, ITSELF)
         elif not reason and self.section["state"] == HELD and self.section["by"] == ITSELF:
-            self._compare_anew()         # what came meanwhile is not like what comes now
+            self._compare_anew()  # what came meanwhile is not like what comes now
             self._state(GOING, "", "")
 
     def _batch(self, left: list[int], up: list[int], part: float) -> list[int]:
@@ -440,10 +492,20 @@
 
     def _changed(self) -> None:
         section = self.section
-        self.event("stage", number=section["number"], name=section["name"], state=section["state"],
-                   stage=section["stage"], of=section["of"], new=section["new"], brings=section["what"],
-                   before=section["before"], kind=section["kind"], why=section["why"],
-                   most=self._most())
+        self.event(
+            "stage",
+            number=section["number"],
+            name=section["name"],
+            state=section["state"],
+            stage=section["stage"],
+            of=section["of"],
+            new=section["new"],
+            brings=section["what"],
+            before=section["before"],
+            kind=section["kind"],
+            why=section["why"],
+            most=self._most(),
+        )
 
     def _most(self) -> int:
         """Nodes that the stage allows."""
@@ -466,7 +528,8 @@
         # Of the nodes that joined at this stage: those before would hide what shows on some alone; and of all
         # that are new, for what shows late. Two looks share the chance of a false stop.
         self.comparison, self.whole = (
-            Comparison(self.change.compare.worse(), 2 * len(self.stages), self.past) for _ in range(2))
+            Comparison(self.change.compare.worse(), 2 * len(self.stages), self.past) for _ in range(2)
+        )
         for told in self.told.values():
             told.seen = dict(told.rows)
 
@@ -507,17 +570,23 @@
     def _leaks(self, now: float, new: list[int]) -> str:
         """One new node is enough, for so long more than any old one has: the middle of them hid those that
         had joined last."""
-        others = [told.memory for seat, told in self.told.items()
-                  if self._fresh(now, seat) and self._old(now, seat)]
+        others = [
+            told.memory for seat, told in self.told.items() if self._fresh(now, seat) and self._old(now, seat)
+        ]
         if not others:
             return ""
         most = max(median(others) * self.change.compare.memory, median(others) + LEAK_LEAST, max(others))
-        self.leaks = {seat: self.leaks.get(seat, 0) + 1 for seat in new
-                      if self._settled(now, seat) and self.told[seat].memory > most}
+        self.leaks = {
+            seat: self.leaks.get(seat, 0) + 1
+            for seat in new
+            if self._settled(now, seat) and self.told[seat].memory > most
+        }
         for seat, looks in self.leaks.items():
             if looks >= LEAK_LOOKS:
-                return (f"memory {self.told[seat].memory / 10:.0f} MB of seat {seat} against "
-                        f"{median(others) / 10:.0f} with the old version")
+                return (
+                    f"memory {self.told[seat].memory / 10:.0f} MB of seat {seat} against "
+                    f"{median(others) / 10:.0f} with the old version"
+                )
         return ""
 
     # -- for people ----------------------------------------------------------------------------------------
@@ -538,8 +607,11 @@
             before = stage
         zones = self._zones()
         lone = [seat for seat in up if not [o for o in up if o != seat and zones[o] == zones[seat]]]
-        lines += [f"seats {spelled(lone)} are alone in their zones: nobody is beside them while they go over"
-                  ] if lone else []
+        lines += (
+            [f"seats {spelled(lone)} are alone in their zones: nobody is beside them while they go over"]
+            if lone
+            else []
+        )
         return True, lines[page] if page < len(lines) else "end"
 
     def _report(self) -> None:
@@ -549,12 +621,21 @@
         for key in sorted(self.comparison.zones):
             new, old, many, few = self.comparison.shown(key)
             verdict = self.comparison.verdict(key)
-            self.event("figure", number=self.section["number"], stage=stage, figure=key[0],
-                       offering=key[1], new=round(new, 4), old=round(old, 4), of=[int(many), int(few)],
-                       verdict=verdict.name.lower())
+            self.event(
+                "figure",
+                number=self.section["number"],
+                stage=stage,
+                figure=key[0],
+                offering=key[1],
+                new=round(new, 4),
+                old=round(old, 4),
+                of=[int(many), int(few)],
+                verdict=verdict.name.lower(),
+            )
             rank = verdict is not Verdict.WORSE, -self.comparison.evidence(key)[0]
-            found.append((rank, [stage, *key, round(new, 4), round(old, 4), int(many), int(few),
-                                 int(verdict)]))
+            found.append(
+                (rank, [stage, *key, round(new, 4), round(old, 4), int(many), int(few), int(verdict)])
+            )
         worst = [row for _, row in sorted(found)[:TOLD]]
         self.section = {**self.section, "report": [*self.section.get("report", []), *worst][-MOST_TOLD:]}
 
--- a/firwalk/cluster/steering.py
+++ b/firwalk/cluster/steering.py
@@ -4,6 +4,7 @@
 No I/O, and little is decided here that the plan does not say. Acts on a desk (`firwalk.facade.Desk`), which
 is handed in. Work is in seconds at speed 1.
 """
+
 from __future__ import annotations
 
 from typing import Any, Protocol
@@ -13,9 +14,9 @@
 from firwalk.cluster.seat import Seat
 from firwalk.cluster.zones import Mode, followed
 
-MIX = 200.0            # tasks over which the mix is remembered
-HOMES, TURNS = 1009, 7919      # make further draws of a task's one: for its home, for being turned away
-COME_BACK = 2.0        # reports after which one that was turned away may come again, on the mean
+MIX = 200.0  # tasks over which the mix is remembered
+HOMES, TURNS = 1009, 7919  # make further draws of a task's one: for its home, for being turned away
+COME_BACK = 2.0  # reports after which one that was turned away may come again, on the mean
 
 
 class Steered(Protocol):
@@ -61,7 +62,7 @@
     def __init__(self, seat: Seat, desk: Steered, zone: int, zones: int, now: float, spending: Any = None):
         self.seat, self.desk, self.zone, self.zones, self.spending = seat, desk, zone, zones, spending
         self.parts, self.away, self.out, self.mix = [(1.0, zone)], 0.0, [], Mix()
-        self.reached = [True] * zones       # by what this node met itself
+        self.reached = [True] * zones  # by what this node met itself
         desk.terms_of, seat.follower.changed = self.terms, self.follow
         if zones:
             desk.seen, seat.evidence = Watch(zone, zones, now, seat.follower.report), self._tells
@@ -97,9 +98,15 @@
         section = (self.seat.follower.now_in_force(now) or {}).get("zones")
         self.parts, self.away = followed(section, self.zone, self.zones)
         try:
-            self.out = [] if section["panic"] else [
-                (number, bool(drained)) for number, (mode, _, drained, _) in enumerate(section["modes"])
-                if number < self.zones and (drained or mode == Mode.AWAY)]
+            self.out = (
+                []
+                if section["panic"]
+                else [
+                    (number, bool(drained))
+                    for number, (mode, _, drained, _) in enumerate(section["modes"])
+                    if number < self.zones and (drained or mode == Mode.AWAY)
+                ]
+            )
         except (KeyError, TypeError, ValueError):
             self.out = []
         self._shun()
--- a/firwalk/cluster/zones.py
+++ b/firwalk/cluster/zones.py
@@ -6,6 +6,7 @@
 
 No I/O; a method for each thing that can happen, with the time first.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -13,26 +14,26 @@
 from statistics import median_low
 from typing import Any
 
-OLD = 4.0              # looks after which what a node told counts no more
-BAD_PART = 0.5         # of a node's tries in a zone that found nobody: it says that the zone is bad
-LEAN_PART = 0.2        # that found nobody or erred, over all nodes: the zone leans
-LEAST_TRIES = 3        # of one node in a look: with fewer it has no voice
-LEAST_VOICES = 2       # nodes that must say that a zone is bad
-MANY_VOICES = 12       # nodes that speak of a zone, with which one try each will do
-LOOKS_BAD = 2          # looks in a row after which a bad zone is away
-PLAIN_VOICES, PLAIN_PART = 6, 0.75   # so many nodes, nearly all against it: plain, one look will do
-POOLED = 6             # looks over which what leans a zone is gathered, since its last move
-LEAN_TRIES = 12        # over all nodes in these looks: with fewer, chance alone made a zone lean
-LOOKS_SOUND = 3        # and a sound one goes a step on
-SLOW_TIMES = 4.0       # times the median zone's starts: slow
-SLOW_LEAST = 0.05      # seconds that a start takes at least to be slow
-STEPS = (0.1, 0.25, 0.5, 0.75, 1.0)      # of its own traffic that a returning zone gets
-LEAN = 0.5             # of its own traffic that a leaning zone keeps
-CALM = 60.0            # seconds without a loss after which one is forgotten; the longest wait
-MOST_FLAPS = 8         # losses that are counted
-REGION = 1000          # added to a region's number where one of a zone might stand
-FIRST_WAIT = 2.0       # seconds for which a lost zone must be sound before its first step
-PANIC = 0.5            # of what is asked: if what can be borne elsewhere is less, all goes near
+OLD = 4.0  # looks after which what a node told counts no more
+BAD_PART = 0.5  # of a node's tries in a zone that found nobody: it says that the zone is bad
+LEAN_PART = 0.2  # that found nobody or erred, over all nodes: the zone leans
+LEAST_TRIES = 3  # of one node in a look: with fewer it has no voice
+LEAST_VOICES = 2  # nodes that must say that a zone is bad
+MANY_VOICES = 12  # nodes that speak of a zone, with which one try each will do
+LOOKS_BAD = 2  # looks in a row after which a bad zone is away
+PLAIN_VOICES, PLAIN_PART = 6, 0.75  # so many nodes, nearly all against it: plain, one look will do
+POOLED = 6  # looks over which what leans a zone is gathered, since its last move
+LEAN_TRIES = 12  # over all nodes in these looks: with fewer, chance alone made a zone lean
+LOOKS_SOUND = 3  # and a sound one goes a step on
+SLOW_TIMES = 4.0  # times the median zone's starts: slow
+SLOW_LEAST = 0.05  # seconds that a start takes at least to be slow
+STEPS = (0.1, 0.25, 0.5, 0.75, 1.0)  # of its own traffic that a returning zone gets
+LEAN = 0.5  # of its own traffic that a leaning zone keeps
+CALM = 60.0  # seconds without a loss after which one is forgotten; the longest wait
+MOST_FLAPS = 8  # losses that are counted
+REGION = 1000  # added to a region's number where one of a zone might stand
+FIRST_WAIT = 2.0  # seconds for which a lost zone must be sound before its first step
+PANIC = 0.5  # of what is asked: if what can be borne elsewhere is less, all goes near
 EVEN = 1e-9
 
 
@@ -48,10 +49,10 @@
     """What one node met in one zone since it told last. `bears` and `asks` in work a second."""
 
     tried: int = 0
-    missed: int = 0              # found nobody: no connection, silence, a break
+    missed: int = 0  # found nobody: no connection, silence, a break
     erred: int = 0
-    start: float = 0.0           # median seconds from sending to the start
-    bears: float = 0.0           # all executors of the zone, warm, by the node's own list
+    start: float = 0.0  # median seconds from sending to the start
+    bears: float = 0.0  # all executors of the zone, warm, by the node's own list
 
     def bad(self) -> bool:
         """Most of what was tried there found nobody."""
@@ -61,8 +62,8 @@
 @dataclass
 class Told:
     at: float
-    zone: int                    # the node's own
-    asks: float                  # work a second that its clients bring
+    zone: int  # the node's own
+    asks: float  # work a second that its clients bring
     views: dict[int, View]
 
 
@@ -74,14 +75,14 @@
     region: int = 0
     mode: Mode = Mode.OPEN
     step: int = 0
-    bad: int = 0                 # looks in a row
+    bad: int = 0  # looks in a row
     sound: int = 0
     since: float = -CALM
     sound_since: float = 0.0
-    flaps: int = 0               # losses; one less for each long while without any
-    drained: bool = False        # by operators' calls
-    filed: bool = False          # by the operators' file
-    moves: int = 0               # changes of its mode or step
+    flaps: int = 0  # losses; one less for each long while without any
+    drained: bool = False  # by operators' calls
+    filed: bool = False  # by the operators' file
+    moves: int = 0  # changes of its mode or step
     bears: float = 0.0
     asks: float = 0.0
 
@@ -125,20 +126,29 @@
         self.terms = terms
         self.all = [Zone(number, region) for number, region in enumerate(terms.regions)]
         self.told: dict[int, Told] = {}
-        self.early: dict[int, Told] = {}             # told out of turn; a look takes no part in it
-        self.recent: list[dict[int, Told]] = []      # what was new in the looks before this one
+        self.early: dict[int, Told] = {}  # told out of turn; a look takes no part in it
+        self.recent: list[dict[int, Told]] = []  # what was new in the looks before this one
         self.looked_at = 0.0
         self.division = self.divide()
 
     # -- what comes --------------------------------------------------------------------------------------
 
-    def told_by(self, now: float, seat: int, zone: int, asks: float, views: dict[int, View],
-                early: bool = False) -> None:
+    def told_by(
+        self, now: float, seat: int, zone: int, asks: float, views: dict[int, View], early: bool = False
+    ) -> None:
         """One node's evidence; figures that cannot be are passed over with all that came beside them.
         `early`: out of turn, and told once more in turn."""
-        fits = 0 <= zone < len(self.all) and 0.0 <= asks < 1e9 and all(
-            0 <= number < len(self.all) and 0 <= view.missed + view.erred <= view.tried
-            and view.start >= 0.0 and 0.0 <= view.bears < 1e9 for number, view in views.items())
+        fits = (
+            0 <= zone < len(self.all)
+            and 0.0 <= asks < 1e9
+            and all(
+                0 <= number < len(self.all)
+                and 0 <= view.missed + view.erred <= view.tried
+                and view.start >= 0.0
+                and 0.0 <= view.bears < 1e9
+                for number, view in views.items()
+            )
+        )
         if fits:
             (self.early if early else self.told)[seat] = Told(now, zone, asks, views)
             if not early:
@@ -235,8 +245,9 @@
         pooled = [self._pooled(zone) if new else [] for zone in self.all]
         starts = self._starts(pooled)
         found = [self._bad(zone, new, up, zone_of) for zone in self.all]
-        losing = [zone for zone, (bad, _) in zip(self.all, found, strict=True)
-                  if bad and zone.mode is not Mode.AWAY]
+        losing = [
+            zone for zone, (bad, _) in zip(self.all, found, strict=True) if bad and zone.mode is not Mode.AWAY
+        ]
         for zone, (bad, plain) in zip(self.all, found, strict=True):
             self._weigh(zone, fresh)
             heard = len(self._voices(zone, new)) >= LEAST_VOICES
@@ -251,7 +262,8 @@
         """Whether what that node told last speaks against a zone that is in use."""
         told = self.early.get(seat) or self.told.get(seat)
         return told is not None and any(
-            view.bad() and self.all[number].mode is not Mode.AWAY for number, view in told.views.items())
+            view.bad() and self.all[number].mode is not Mode.AWAY for number, view in told.views.items()
+        )
 
     def glance(self, now: float, span: float, up: list[int], zone_of: dict[int, int]) -> bool:
         """Between two looks, once a node spoke against a zone: only what is plain by what came in the last
@@ -259,8 +271,11 @@
         if not self.looked_at:
             return False  # new in office: what zones ask and bear is not known, and all would go to one
         fresh = {seat: told for seat, told in (self.told | self.early).items() if now - told.at <= span}
-        lost = [zone for zone in self.all
-                if zone.mode is not Mode.AWAY and self._bad(zone, fresh, up, zone_of, 1)[1]]
+        lost = [
+            zone
+            for zone in self.all
+            if zone.mode is not Mode.AWAY and self._bad(zone, fresh, up, zone_of, 1)[1]
+        ]
         for zone in lost:
             self._lost(now, zone)
         if lost:
@@ -279,13 +294,22 @@
         """By seat: whether the zone is bad for it. One voice a node, whatever it says to have tried; where
         many speak, a single try will do: with a task a second, each had its three tries too late. The same
         where nothing but what is plain counts, which many nodes have to say."""
-        views = {seat: told.views[zone.number] for seat, told in fresh.items()
-                 if zone.number in told.views and told.views[zone.number].tried}
+        views = {
+            seat: told.views[zone.number]
+            for seat, told in fresh.items()
+            if zone.number in told.views and told.views[zone.number].tried
+        }
         least = 1 if len(views) >= MANY_VOICES else tries
         return {seat: view.bad() for seat, view in views.items() if view.tried >= least}
 
-    def _bad(self, zone: Zone, fresh: dict[int, Told], up: list[int], zone_of: dict[int, int],
-             tries: int = LEAST_TRIES) -> tuple[bool, bool]:
+    def _bad(
+        self,
+        zone: Zone,
+        fresh: dict[int, Told],
+        up: list[int],
+        zone_of: dict[int, int],
+        tries: int = LEAST_TRIES,
+    ) -> tuple[bool, bool]:
         """Whether it is bad by this look, and whether so plainly that no further one is needed."""
         voices = self._voices(zone, fresh, tries)
         against = [seat for seat, bad in voices.items() if bad]
@@ -327,8 +351,9 @@
 
     def _starts(self, pooled: list[list[View]]) -> dict[int, float]:
         """The median start of each zone, over the nodes that speak of it."""
-        return {number: median_low(view.start for view in speak)
-                for number, speak in enumerate(pooled) if speak}
+        return {
+            number: median_low(view.start for view in speak) for number, speak in enumerate(pooled) if speak
+        }
 
     def _filling(self, zone: Zone, losing: list[Zone]) -> bool:
         """It takes traffic of others, by the plan or because another zone is `losing`, and is slower for
@@ -336,7 +361,9 @@
         slowness there is shows in what it bears."""
         return any(other is not zone for other in losing) or any(
             parts.get(zone.number, 0.0) > EVEN and self.all[number].asks > 0.0
-            for number, parts in self.division.shares.items() if number != zone.number)
+            for number, parts in self.division.shares.items()
+            if number != zone.number
+        )
 
     def _slow(self, zone: Zone, starts: dict[int, float]) -> bool:
         """Against the others, so that what all share moves nothing."""
@@ -386,8 +413,11 @@
         elif zone.mode is Mode.OPEN and leaning:
             zone.flaps = min(zone.flaps + 1, MOST_FLAPS)
             self._to(now, zone, Mode.LEANING)
-        elif (zone.mode is Mode.LEANING and zone.sound >= LOOKS_SOUND
-              and now >= zone.sound_since + self._wait(zone)):
+        elif (
+            zone.mode is Mode.LEANING
+            and zone.sound >= LOOKS_SOUND
+            and now >= zone.sound_since + self._wait(zone)
+        ):
             self._to(now, zone, Mode.OPEN)
 
     def keeps(self, zone: Zone) -> float:
@@ -405,14 +435,25 @@
         asked = sum(zone.asks for zone in self.all)
         usable = sum(zone.bears * keeps[zone.number] for zone in self.all)
         if asked and usable < PANIC * asked or all(not keep for keep in keeps.values()):
-            return Division({zone.number: {zone.number: 1.0} for zone in self.all},
-                            {zone.number: 0.0 for zone in self.all}, True)
-        room = {zone.number: max(zone.bears * self.terms.head_room - zone.asks, 0.0)
-                if keeps[zone.number] == 1.0 else 0.0 for zone in self.all}
+            return Division(
+                {zone.number: {zone.number: 1.0} for zone in self.all},
+                {zone.number: 0.0 for zone in self.all},
+                True,
+            )
+        room = {
+            zone.number: max(zone.bears * self.terms.head_room - zone.asks, 0.0)
+            if keeps[zone.number] == 1.0
+            else 0.0
+            for zone in self.all
+        }
         # So little that its parts cannot be told: as nothing (a share of 5e-324 is none, or all).
         asking = {zone.number: zone.asks > EVEN for zone in self.all}
-        shares = {zone.number: {zone.number: keeps[zone.number] if asking[zone.number] else
-                                float(keeps[zone.number] > 0.0)} for zone in self.all}
+        shares = {
+            zone.number: {
+                zone.number: keeps[zone.number] if asking[zone.number] else float(keeps[zone.number] > 0.0)
+            }
+            for zone in self.all
+        }
         leaving = {zone.number: zone.asks * (1.0 - keeps[zone.number]) for zone in self.all}
         for tier in range(1 + len({zone.region for zone in self.all})):
             self._place(tier, leaving, room, shares)
@@ -429,8 +470,11 @@
 
     def _nominal(self, zone: Zone, room: dict[int, float], shares: dict, turned_away: dict) -> None:
         """A zone that asks for nothing now: should a task come, it goes where there is most room."""
-        best = max((n for n in room if room[n] > 0.0 and self._may(zone, self.all[n])),
-                   key=lambda n: room[n], default=None)
+        best = max(
+            (n for n in room if room[n] > 0.0 and self._may(zone, self.all[n])),
+            key=lambda n: room[n],
+            default=None,
+        )
         shares[zone.number] = {zone.number: 0.0} | ({best: 1.0} if best is not None else {})
         turned_away[zone.number] = 0.0 if best is not None else 1.0
 
@@ -445,16 +489,27 @@
         rest = [r for r in dict.fromkeys(z.region for z in self.all) if r != zone.region and r not in order]
         return 1 + [*order, *rest].index(other.region)
 
-    def _place(self, tier: int, leaving: dict[int, float], room: dict[int, float],
-               shares: dict[int, dict[int, float]]) -> None:
+    def _place(
+        self,
+        tier: int,
+        leaving: dict[int, float],
+        room: dict[int, float],
+        shares: dict[int, dict[int, float]],
+    ) -> None:
         """What leaves goes to the zones of this tier in proportion to their room; where several zones want
         the same room, each gets its part by what it has to place."""
         wants: dict[int, dict[int, float]] = {}
         for zone in self.all:
             if leaving[zone.number] <= EVEN:
                 continue
-            targets = [o.number for o in self.all if o is not zone and room[o.number] > EVEN
-                       and self._may(zone, o) and self._tier(zone, o) == tier]
+            targets = [
+                o.number
+                for o in self.all
+                if o is not zone
+                and room[o.number] > EVEN
+                and self._may(zone, o)
+                and self._tier(zone, o) == tier
+            ]
             there = sum(room[n] for n in targets)
             for n in targets:
                 wants.setdefault(n, {})[zone.number] = leaving[zone.number] * room[n] / there
@@ -473,20 +528,27 @@
     def section(self) -> dict[str, Any]:
         """What nodes need to follow it, and a new coordinator to go on."""
         return {
-            "shares": {str(a): {str(b): round(part, 4) for b, part in parts.items() if part > 1e-4}
-                       for a, parts in self.division.shares.items()},
+            "shares": {
+                str(a): {str(b): round(part, 4) for b, part in parts.items() if part > 1e-4}
+                for a, parts in self.division.shares.items()
+            },
             "away": {str(a): round(part, 4) for a, part in self.division.turned_away.items() if part > 1e-4},
             "modes": [[int(z.mode), z.step, z.drained + 2 * z.filed, z.flaps] for z in self.all],
-            "panic": self.division.panic}
+            "panic": self.division.panic,
+        }
 
     def figures(self) -> dict[str, Any]:
         """What a division was made by, for whoever checks it from outside."""
         division = self.division
-        return {"asks": [zone.asks for zone in self.all], "bears": [zone.bears for zone in self.all],
-                "keeps": [self.keeps(zone) for zone in self.all], "head_room": self.terms.head_room,
-                "shares": [[division.shares[a.number].get(b.number, 0.0) for b in self.all]
-                           for a in self.all],
-                "away": [division.turned_away[zone.number] for zone in self.all], "panic": division.panic}
+        return {
+            "asks": [zone.asks for zone in self.all],
+            "bears": [zone.bears for zone in self.all],
+            "keeps": [self.keeps(zone) for zone in self.all],
+            "head_room": self.terms.head_room,
+            "shares": [[division.shares[a.number].get(b.number, 0.0) for b in self.all] for a in self.all],
+            "away": [division.turned_away[zone.number] for zone in self.all],
+            "panic": division.panic,
+        }
 
     def resume(self, now: float, section: Any) -> None:
         """Goes on from what the coordinator before wrote; what cannot be read begins open."""
--- a/firwalk/facade.py
+++ b/firwalk/facade.py
@@ -4,6 +4,7 @@
 reports; `tick` runs due timers and hands out the standing work that belongs to no task. The network sees
 errands, places and steps, never the module's own calls. Times are seconds on the clock that is handed in.
 """
+
 from __future__ import annotations
 
 from asyncio import Future, get_running_loop
@@ -23,35 +24,35 @@
 from firwalk.monitor import Monitor, RequestRecord
 from firwalk.settings import REPORT_WORDS, build_node, retune
 
-WAY_BACK = 0.02        # seconds kept for an answer's way to the client: at its expiry it would be too late
-FOR_GOOD = float("inf")   # until it is said otherwise
-LEAST_LEFT = 0.001     # seconds: what an executor is told of its time has no smaller part
-MOST_LOAD = 1e6        # figures of a load report beyond it (an infinite one, too) tell nothing
-LAST_WORD = 0.01       # seconds past a task's expiry, after its time-out
-LAST = (Outcome.FINISHED, Outcome.UNFIT)    # outcomes that end the task itself
+WAY_BACK = 0.02  # seconds kept for an answer's way to the client: at its expiry it would be too late
+FOR_GOOD = float("inf")  # until it is said otherwise
+LEAST_LEFT = 0.001  # seconds: what an executor is told of its time has no smaller part
+MOST_LOAD = 1e6  # figures of a load report beyond it (an infinite one, too) tell nothing
+LAST_WORD = 0.01  # seconds past a task's expiry, after its time-out
+LAST = (Outcome.FINISHED, Outcome.UNFIT)  # outcomes that end the task itself
 MISSED = (Outcome.NO_CONNECTION, Outcome.BROKEN, Outcome.TIMED_OUT, Outcome.CANCELLED)  # nobody was found
 
 
 class Step(IntEnum):
     """What is to be done next for a task."""
 
-    SEND = 0        # number of the assignment, place, when it must have ended, whether it can never repeat
-    CALL_OFF = 1    # number of the assignment
-    FINISHED = 2    # the result
-    BOUNCED = 3     # seconds to stay away (0: no advice)
+    SEND = 0  # number of the assignment, place, when it must have ended, whether it can never repeat
+    CALL_OFF = 1  # number of the assignment
+    FINISHED = 2  # the result
+    BOUNCED = 3  # seconds to stay away (0: no advice)
     ABANDONED = 4
-    UNFIT = 5       # an executor says that the task itself is bad
+    UNFIT = 5  # an executor says that the task itself is bad
 
 
 class Chore(IntEnum):
     """Standing work, of no task."""
 
-    PROBE = 0       # place, seconds that it may take
+    PROBE = 0  # place, seconds that it may take
     CLOSE_IDLE = 1  # place
-    WATCH = 2       # whether to, the list's version
+    WATCH = 2  # whether to, the list's version
     ASK_LIST = 3
-    TELL = 4        # content, for all peers
-    NOTE = 5        # a line
+    TELL = 4  # content, for all peers
+    NOTE = 5  # a line
 
 
 class Place:
@@ -68,16 +69,16 @@
         self.task: Task | None = None
         self.steps: deque[tuple] = deque()
         self.waiter: Future | None = None
-        self.begun: set[int] = set()    # assignments whose last byte may have been written
-        self.expiry = 0.0               # its own, also when the node must be gone before
-        self.began = 0.0                # when it came
-        self.advice = 0.0               # seconds that a bounce asks its client to stay away at least
-        self.about = ("", "")           # names of its offering and tenant
-        self.charge: Any = None         # what is reserved for it of its team's budget
-        self.measured = 0.0             # work of the assignment that finished
-        self.record: RequestRecord | None = None        # what the checks at run time keep of it
-        self.refusal = Refusal.NO_EXECUTOR              # why it was given up, once it was
-        self.left: Callable[[], bool] = lambda: False   # whether its client has gone, read or not
+        self.begun: set[int] = set()  # assignments whose last byte may have been written
+        self.expiry = 0.0  # its own, also when the node must be gone before
+        self.began = 0.0  # when it came
+        self.advice = 0.0  # seconds that a bounce asks its client to stay away at least
+        self.about = ("", "")  # names of its offering and tenant
+        self.charge: Any = None  # what is reserved for it of its team's budget
+        self.measured = 0.0  # work of the assignment that finished
+        self.record: RequestRecord | None = None  # what the checks at run time keep of it
+        self.refusal = Refusal.NO_EXECUTOR  # why it was given up, once it was
+        self.left: Callable[[], bool] = lambda: False  # whether its client has gone, read or not
 
     def stir(self) -> None:
         if self.waiter is not None and not self.waiter.done():
@@ -106,14 +107,14 @@
         self.closing_at = float("inf")
         self.places: dict[str, Executor] = {}
         self.maintenance = Maintenance()
-        self.entries: dict[str, tuple] = {}     # the list as it was told last
-        self.list_at = 0.0              # when a list came last
+        self.entries: dict[str, tuple] = {}  # the list as it was told last
+        self.list_at = 0.0  # when a list came last
         self.marks = hearsay.Marks()
-        self.seen: Any = None           # counts what is met in each zone, where the fleet decides on zones
-        self.tally: Any = None          # counts final answers, where changes go by stages
-        self.terms_of: Callable[[Task], float] | None = None    # what is decided in common on a task
+        self.seen: Any = None  # counts what is met in each zone, where the fleet decides on zones
+        self.tally: Any = None  # counts final answers, where changes go by stages
+        self.terms_of: Callable[[Task], float] | None = None  # what is decided in common on a task
         self.version = 0
-        self.settings, self.vanished = settings, {}      # offerings that there are no more
+        self.settings, self.vanished = settings, {}  # offerings that there are no more
         self._name(settings)
         self.zones = {name: n for n, name in enumerate(settings.get("azs", []))}
         self.kinds = {name: n for n, name in enumerate(settings.get("kinds", []))}
@@ -172,9 +173,20 @@
 
     # -- report: what came -----------------------------------------------------------------------------
 
-    def report_task(self, offering: str, tenant: str, budget: float | None, cost: float, slots: float,
-                    memory: float, again: bool, marked: bool = True, waited: float = 0.0,
-                    key: bytes = b"", request_id: str = "") -> Errand | None:
+    def report_task(
+        self,
+        offering: str,
+        tenant: str,
+        budget: float | None,
+        cost: float,
+        slots: float,
+        memory: float,
+        again: bool,
+        marked: bool = True,
+        waited: float = 0.0,
+        key: bytes = b"",
+        request_id: str = "",
+    ) -> Errand | None:
         """A task was taken, some seconds ago; None where no such offering exists, or a fingerprint is needed
         and it is not `marked` by one. Its offering's budget is the most that it can have."""
         number = self.offerings.get(offering)
@@ -186,7 +198,8 @@
         errand.began = now - waited
         budget = max(min(budget, self.closing_at - now) - WAY_BACK, 0.0)
         errand.task = self.node.task_arrived(
-            now, errand, number, self.tenants.get(tenant, -1), budget, cost, slots, memory, again, key)
+            now, errand, number, self.tenants.get(tenant, -1), budget, cost, slots, memory, again, key
+        )
         errand.record = self.monitor.taken(request_id, errand.task, errand.expiry + WAY_BACK)
         if self.seen is not None and not again:  # what is turned away and comes again is asked for once
             self.seen.arrived(errand.task.work)
@@ -212,8 +225,9 @@
             assignment.executor.strikes = 0  # it works
             self._settle(now)
 
-    def report_outcome(self, errand: Errand, number: int, how: Outcome, load: dict | None = None,
-                       result: bytes = b"") -> None:
+    def report_outcome(
+        self, errand: Errand, number: int, how: Outcome, load: dict | None = None, result: bytes = b""
+    ) -> None:
         """How an assignment ended; one that was called off has had its outcome already."""
         assignment = errand.task.assignments[number]
         if not assignment.out:
@@ -223,8 +237,9 @@
         if wins and how is Outcome.FINISHED:
             errand.add(Step.FINISHED, result)
             if self.tally is not None:
-                self.tally.finished(errand.about[0], len(errand.task.assignments), now - errand.began,
-                                    now > errand.task.due)
+                self.tally.finished(
+                    errand.about[0], len(errand.task.assignments), now - errand.began, now > errand.task.due
+                )
         elif wins:  # sent on, it would be turned away everywhere, and count against each in turn
             errand.add(Step.UNFIT)
         self._settle(now)
@@ -334,8 +349,13 @@
                 if condition is Condition.GONE:
                     continue
                 executor = self.places[name] = self.node.new_executor(
-                    Place(name, address), self.kinds.get(kind, -1), self.zones.get(zone, -1), cell, size,
-                    crc32(name.encode()))
+                    Place(name, address),
+                    self.kinds.get(kind, -1),
+                    self.zones.get(zone, -1),
+                    cell,
+                    size,
+                    crc32(name.encode()),
+                )
                 self.marks.add(name.encode(), executor)
             if condition is Condition.GONE or address != executor.ref.address:
                 self.close_idle(executor)
@@ -344,8 +364,7 @@
             self.node.heard(now, executor, *self.maintenance.hear(name, condition, came_up))
         for name, executor in self.places.items() if whole else ():
             if name not in named and executor.condition is not Condition.GONE:
-                self.node.heard(
-                    now, executor, *self.maintenance.hear(name, Condition.GONE, executor.came_up))
+                self.node.heard(now, executor, *self.maintenance.hear(name, Condition.GONE, executor.came_up))
                 self.close_idle(executor)
         self.version, self.list_at = version, now
         self.node.list_heard(now)
@@ -489,8 +508,11 @@
     def _words(self, load: dict | None) -> dict[str, float] | None:
         if not isinstance(load, dict):
             return None
-        return {REPORT_WORDS.get(name, name): float(value) for name, value in load.items()
-                if isinstance(value, int | float) and abs(value) < MOST_LOAD}
+        return {
+            REPORT_WORDS.get(name, name): float(value)
+            for name, value in load.items()
+            if isinstance(value, int | float) and abs(value) < MOST_LOAD
+        }
 
     def _time_out(self, now: float, assignment: Assignment) -> None:
         if assignment.out:
@@ -511,8 +533,9 @@
     def send(self, task: Task, executor: Executor, limit: float) -> None:
         assignment = task.assignments[-1]
         end = min(task.expiry, assignment.sent + limit) if limit else task.expiry
-        task.ref.add(Step.SEND, assignment.number, executor.ref, end,
-                     task.offering.effect is Effect.SIDE_EFFECTING)
+        task.ref.add(
+            Step.SEND, assignment.number, executor.ref, end, task.offering.effect is Effect.SIDE_EFFECTING
+        )
         self.set_timer(end, self._time_out, assignment)
 
     def terms(self, task: Task) -> float:
--- a/firwalk/hearsay.py
+++ b/firwalk/hearsay.py
@@ -3,6 +3,7 @@
 Bytes between nodes have a price, so marks are short. Two executors may share one: what is told of them is
 dropped, as is what names nobody.
 """
+
 from __future__ import annotations
 
 from typing import Any
--- a/firwalk/host.py
+++ b/firwalk/host.py
@@ -3,6 +3,7 @@
 A host turns its own protocol into calls of `firwalk.logic.Node` and carries out what the node asks of it
 through this interface. Nothing here decides anything. Times are seconds as floats, on the host's clock.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/firwalk/lab/check.py
+++ b/firwalk/lab/check.py
@@ -1,5 +1,6 @@
 """An operators' check for the rig's agents: `python -m firwalk.lab.check OFFERING` sends a few tasks
 to the node at `$FIRWALK_LISTEN` and wants the results that the stand-in executors make of them."""
+
 from __future__ import annotations
 
 import asyncio
@@ -8,7 +9,7 @@
 
 from firwalk.lab.standins import read_message
 
-TRIES = 4              # of which each must be answered rightly, or not be answered for want of room
+TRIES = 4  # of which each must be answered rightly, or not be answered for want of room
 ROOM = (429, 503)
 
 
@@ -16,9 +17,11 @@
     host, _, port = os.environ["FIRWALK_LISTEN"].rpartition(":")
     name, body = f"c{os.getpid():08x}{number:07x}", b'{"cost":0.001,"node":0}'
     reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write(f"POST /{offering}/check HTTP/1.1\r\nHost: c\r\nX-Request-Id: {name}\r\n"
-                 f"X-Deadline: 1000m\r\nX-Cost-Hint: 1000\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-                 + body)
+    writer.write(
+        f"POST /{offering}/check HTTP/1.1\r\nHost: c\r\nX-Request-Id: {name}\r\n"
+        f"X-Deadline: 1000m\r\nX-Cost-Hint: 1000\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
     answer = await read_message(reader)
     writer.close()
     if answer is None:
--- a/firwalk/lab/fleet.py
+++ b/firwalk/lab/fleet.py
@@ -5,6 +5,7 @@
 loop (Schroeder, Wierman, Harchol-Balter, NSDI 2006). Times are seconds of the world's clock; work is in
 seconds at speed 1. What the network does beside latency, cuts and broken connections is not emulated.
 """
+
 from __future__ import annotations
 
 import random
@@ -24,15 +25,23 @@
 from firwalk.lab.virtual import Fault as WorldFault
 from firwalk.lab.virtual import Process, Schedule, World
 
-NEAR, FAR = 0.0005, 0.002      # seconds one way within a zone and between zones
-CONNECT = 0.25         # seconds after which a connection that does not come up is given up
-LIST_DELAY = (0.05, 0.5)       # seconds until a node has a change of the list
-SPEEDS = 0.15          # spread of executors' speeds (of the logarithm)
-UNEVEN = 0.5           # spread of nodes' shares of a zone's tasks (of the logarithm)
-LAST_SECONDS = 3.0     # after the last task, for what is still out
-KINDS = ("cut", "loss", "delay", "kill", "executor-slow", "executor-errors", "executor-drain",
-         "executor-restart")     # faults that there are here
-REFUSED_AGAIN = 0.05   # seconds after which a client whose node is not there comes again
+NEAR, FAR = 0.0005, 0.002  # seconds one way within a zone and between zones
+CONNECT = 0.25  # seconds after which a connection that does not come up is given up
+LIST_DELAY = (0.05, 0.5)  # seconds until a node has a change of the list
+SPEEDS = 0.15  # spread of executors' speeds (of the logarithm)
+UNEVEN = 0.5  # spread of nodes' shares of a zone's tasks (of the logarithm)
+LAST_SECONDS = 3.0  # after the last task, for what is still out
+KINDS = (
+    "cut",
+    "loss",
+    "delay",
+    "kill",
+    "executor-slow",
+    "executor-errors",
+    "executor-drain",
+    "executor-restart",
+)  # faults that there are here
+REFUSED_AGAIN = 0.05  # seconds after which a client whose node is not there comes again
 
 
 @dataclass
@@ -237,11 +246,18 @@
         self.workers = [Worker(self, number) for number in range(told.executors)]
         self.weights = [exp(self.chance.gauss(0.0, UNEVEN)) for _ in range(told.nodes)]
         cluster = scenario.cluster
-        lengths = ({word: getattr(cluster, word) for word in
-                    ("length", "drift", "period", "answer", "report", "hold")} if cluster else {})
+        lengths = (
+            {
+                word: getattr(cluster, word)
+                for word in ("length", "drift", "period", "answer", "report", "hold")
+            }
+            if cluster
+            else {}
+        )
         self.judge = Judge()
-        self.world = World(Schedule(seed, told.nodes, cluster.voters if cluster else [0], 0.0,
-                                    settings=lengths), self._begin)
+        self.world = World(
+            Schedule(seed, told.nodes, cluster.voters if cluster else [0], 0.0, settings=lengths), self._begin
+        )
         self.world.watchers.append(Watch(self.judge))
 
     def now(self) -> float:
@@ -433,9 +449,20 @@
     # -- the list, warnings ------------------------------------------------------------------------------
 
     def entries(self) -> list[tuple]:
-        return [(w.name, ("127.0.0.1", 1000 + w.number), zone_name(w.zone), "m", w.number,
-                 Condition.DRAINING if w.draining else Condition.READY, w.began_at, float(w.slots))
-                for w in self.workers if w.up]
+        return [
+            (
+                w.name,
+                ("127.0.0.1", 1000 + w.number),
+                zone_name(w.zone),
+                "m",
+                w.number,
+                Condition.DRAINING if w.draining else Condition.READY,
+                w.began_at,
+                float(w.slots),
+            )
+            for w in self.workers
+            if w.up
+        ]
 
     def list_later(self, node: Node) -> None:
         self.world.later(self.now() + self.chance.uniform(*LIST_DELAY), self._listed, node)
@@ -471,8 +498,13 @@
             raise ValueError(f"virtual time has no fault {fault.kind}")
 
     def _ends(self, names: list[str]) -> list[tuple[str, int]]:
-        return [end for name in names for end in endpoints(self.scenario, name, self.world.coordinator()
-                                                           if self.scenario.cluster else None)]
+        return [
+            end
+            for name in names
+            for end in endpoints(
+                self.scenario, name, self.world.coordinator() if self.scenario.cluster else None
+            )
+        ]
 
     def _cut_off(self, fault: Fault, on: list, to: list) -> None:
         pairs = [(a, b) for a in on for b in to if a != b]
--- a/firwalk/lab/fleets.py
+++ b/firwalk/lab/fleets.py
@@ -3,6 +3,7 @@
 Each figure is of the same arrivals and faults, so the two sides differ by the part alone. The fleet is
 that of `firwalk.lab.fleet`.
 """
+
 from __future__ import annotations
 
 from multiprocessing import Pool
@@ -13,8 +14,8 @@
 from firwalk.lab.fleet import KINDS, Fleet, Job
 from firwalk.lab.scenario import Scenario
 
-SETTLE = 6.0           # seconds before the first task
-AFTER = 10.0           # seconds from a fault, and from its end, that are looked at
+SETTLE = 6.0  # seconds before the first task
+AFTER = 10.0  # seconds from a fault, and from its end, that are looked at
 SIDES = ("with", "without")
 
 
@@ -23,7 +24,7 @@
 
     tasks: int = 0
     in_time: int = 0
-    worth: float = 0.0           # importance of all
+    worth: float = 0.0  # importance of all
     worth_in_time: float = 0.0
 
     def add(self, jobs: list[Job]) -> None:
@@ -44,17 +45,20 @@
     fault: Spell
     back: Spell
     whole: Spell
-    crossed: float               # part of the assignments
-    most_used: float             # part of a zone's slots in use over a second, while another one was away
-    moves: int                   # changes of a zone's state or step
-    follow: float                # seconds from the fault until the fleet decided; 0: it did not
+    crossed: float  # part of the assignments
+    most_used: float  # part of a zone's slots in use over a second, while another one was away
+    moves: int  # changes of a zone's state or step
+    follow: float  # seconds from the fault until the fleet decided; 0: it did not
     breaks: list[str]
 
 
 def misfits(scenario: Scenario) -> list[str]:
     """What of it virtual time does not have, a line each."""
-    wrong = [f"faults[{number}].kind: virtual time has no {fault.kind}; it has {', '.join(KINDS)}"
-             for number, fault in enumerate(scenario.faults) if fault.kind not in KINDS]
+    wrong = [
+        f"faults[{number}].kind: virtual time has no {fault.kind}; it has {', '.join(KINDS)}"
+        for number, fault in enumerate(scenario.faults)
+        if fault.kind not in KINDS
+    ]
     if scenario.cluster is None or not scenario.cluster.regions:
         wrong.append("cluster.regions: is missing: the part for zones is what is compared")
     return wrong
@@ -85,9 +89,16 @@
     zoned = [(when - SETTLE, about) for when, _, _, what, about in fleet.world.history if what == "zone"]
     away = [when for when, about in zoned if about["mode"] == "away"]
     counts = fleet.counts
-    return Shown(seed, side, *spells, counts["crossed"] / max(counts["sent"], 1),
-                 _most_used(fleet, at, end) if faults else 0.0, len(zoned), away[0] - at if away else 0.0,
-                 fleet.breaks)
+    return Shown(
+        seed,
+        side,
+        *spells,
+        counts["crossed"] / max(counts["sent"], 1),
+        _most_used(fleet, at, end) if faults else 0.0,
+        len(zoned),
+        away[0] - at if away else 0.0,
+        fleet.breaks,
+    )
 
 
 def _most_used(fleet: Fleet, since: float, until: float) -> float:
@@ -97,8 +108,9 @@
     first, last = int(since) + 2, int(until)
     if last <= first:
         return 0.0
-    return max((fleet.used[last][zone] - fleet.used[first][zone]) / (last - first) / slots[zone]
-               for zone in zones)
+    return max(
+        (fleet.used[last][zone] - fleet.used[first][zone]) / (last - first) / slots[zone] for zone in zones
+    )
 
 
 def compared(scenario: Scenario, nodes: int, seeds: range, workers: int) -> list[Shown]:
@@ -109,25 +121,37 @@
 
 def lines(found: list[Shown], nodes: int) -> list[str]:
     by = {side: [one for one in found if one.side == side] for side in SIDES}
-    told = [f"{nodes} nodes, {len(by['with'])} seeds, virtual time; lost: part of the importance that was "
-            "not finished in time"]
-    for word, name in (("fault", f"{AFTER:.0f} s from the fault"), ("back", f"{AFTER:.0f} s from its end"),
-                       ("whole", "the whole run")):
-        lost = [sum(getattr(one, word).worth - getattr(one, word).worth_in_time for one in by[side])
-                for side in SIDES]
+    told = [
+        f"{nodes} nodes, {len(by['with'])} seeds, virtual time; lost: part of the importance that was "
+        "not finished in time"
+    ]
+    for word, name in (
+        ("fault", f"{AFTER:.0f} s from the fault"),
+        ("back", f"{AFTER:.0f} s from its end"),
+        ("whole", "the whole run"),
+    ):
+        lost = [
+            sum(getattr(one, word).worth - getattr(one, word).worth_in_time for one in by[side])
+            for side in SIDES
+        ]
         all_ = sum(getattr(one, word).worth for one in by["with"])
         kept = f"; of what is lost without, {1 - lost[0] / lost[1]:.2f} is kept" if lost[1] else ""
-        tasks = [sum(getattr(one, word).tasks - getattr(one, word).in_time for one in by[side])
-                 for side in SIDES]
+        tasks = [
+            sum(getattr(one, word).tasks - getattr(one, word).in_time for one in by[side]) for side in SIDES
+        ]
         counted = f" ({1 - tasks[0] / tasks[1]:.2f} of the tasks)" if tasks[1] else ""
-        told.append(f"{name}: lost {lost[0] / max(all_, 1e-9):.5f} with the part, "
-                    f"{lost[1] / max(all_, 1e-9):.5f} without{kept}; tasks lost {tasks[0]} and {tasks[1]} of "
-                    f"{sum(getattr(one, word).tasks for one in by['with'])}{counted}")
+        told.append(
+            f"{name}: lost {lost[0] / max(all_, 1e-9):.5f} with the part, "
+            f"{lost[1] / max(all_, 1e-9):.5f} without{kept}; tasks lost {tasks[0]} and {tasks[1]} of "
+            f"{sum(getattr(one, word).tasks for one in by['with'])}{counted}"
+        )
     for side in SIDES:
         mine = by[side]
-        told.append(f"{side}: crossed {sum(o.crossed for o in mine) / len(mine):.4f}, the most used zone "
-                    f"{max(o.most_used for o in mine):.3f}, moves {max(o.moves for o in mine)} at most, "
-                    f"decided after {sum(o.follow for o in mine) / len(mine):.2f} s, "
-                    f"breaks {sum(len(o.breaks) for o in mine)}")
+        told.append(
+            f"{side}: crossed {sum(o.crossed for o in mine) / len(mine):.4f}, the most used zone "
+            f"{max(o.most_used for o in mine):.3f}, moves {max(o.moves for o in mine)} at most, "
+            f"decided after {sum(o.follow for o in mine) / len(mine):.2f} s, "
+            f"breaks {sum(len(o.breaks) for o in mine)}"
+        )
     told += [f"seed {one.seed} {one.side}: BROKEN {one.breaks[0]}" for one in found if one.breaks]
     return told
--- a/firwalk/lab/hard.py
+++ b/firwalk/lab/hard.py
@@ -3,6 +3,7 @@
 
 Times are seconds; the cluster's are shorter than an operator's would be, so that a day is.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -14,18 +15,27 @@
 from firwalk.lab.report import kept
 from firwalk.lab.scenario import Cluster, Fault, Fleet, Load, Offering, Roll, Run, Scenario
 
-SIX = 6                # nodes that the rates are meant for
-FIRST = 10.0           # seconds from a fault on that are compared
-BEGUN = 3.0            # when an operator starts a change: all have told what they run
-ZONED = Cluster([0, 1, 2], length=0.8, period=0.3, answer=0.1, report=0.25, hold=1.2,
-                regions=[["a", "b", "c"]])
+SIX = 6  # nodes that the rates are meant for
+FIRST = 10.0  # seconds from a fault on that are compared
+BEGUN = 3.0  # when an operator starts a change: all have told what they run
+ZONED = Cluster(
+    [0, 1, 2], length=0.8, period=0.3, answer=0.1, report=0.25, hold=1.2, regions=[["a", "b", "c"]]
+)
 STAGED = Cluster([0, 1, 2], length=0.8, period=0.3, answer=0.1, report=0.2, hold=1.2)
-GOES, COMES_BACK = 60.0, 24.0    # seconds of a day
+GOES, COMES_BACK = 60.0, 24.0  # seconds of a day
 VERSIONS = ("good", "errors", "slow", "wrong", "dies", "leak")
 
 
-def fault(at: float, kind: str, on: str | list[str], lasts: float = 0.0, to: str | list[str] = (),
-          value: float = 0.0, one_way: bool = False, message: str = "") -> Fault:
+def fault(
+    at: float,
+    kind: str,
+    on: str | list[str],
+    lasts: float = 0.0,
+    to: str | list[str] = (),
+    value: float = 0.0,
+    one_way: bool = False,
+    message: str = "",
+) -> Fault:
     names, others = ([one] if isinstance(one, str) else list(one) for one in (on, to))
     return Fault(at, kind, lasts, names, others, value, one_way, message)
 
@@ -36,51 +46,77 @@
 def zones(nodes: int = SIX) -> dict[str, Scenario]:
     """By name. Three zones, three executors a zone for each six nodes."""
     times = nodes / SIX
-    load = [Offering("read", rate=120 * times, cost=0.05, due=0.6, expiry=1.5),
-            Offering("send", "side-effecting", rate=40 * times, cost=0.05, due=0.6, expiry=1.5)]
-
-    def day(*faults: Fault, seconds: float = 12.0, part: float = 1.0, regions: list | None = None
-            ) -> Scenario:
-        return Scenario(Fleet(nodes=nodes, zones=3, executors=round(9 * times)),
-                        [replace(one, rate=one.rate * part) for one in load],
-                        run=Run(seconds=seconds, seed=1), load=Load(),
-                        cluster=replace(ZONED, regions=regions or ZONED.regions), faults=list(faults))
+    load = [
+        Offering("read", rate=120 * times, cost=0.05, due=0.6, expiry=1.5),
+        Offering("send", "side-effecting", rate=40 * times, cost=0.05, due=0.6, expiry=1.5),
+    ]
+
+    def day(
+        *faults: Fault, seconds: float = 12.0, part: float = 1.0, regions: list | None = None
+    ) -> Scenario:
+        return Scenario(
+            Fleet(nodes=nodes, zones=3, executors=round(9 * times)),
+            [replace(one, rate=one.rate * part) for one in load],
+            run=Run(seconds=seconds, seed=1),
+            load=Load(),
+            cluster=replace(ZONED, regions=regions or ZONED.regions),
+            faults=list(faults),
+        )
+
     cut = fault(4.0, "cut", "executors:c", 4.0, to="nodes")
     return {
         "lost whole": day(cut, seconds=18.0),
         "answers lost": day(replace(cut, one_way=True)),
-        "the coordinator's own": day(fault(4.0, "cut", "executors:a", 5.0, to="nodes"),
-                                     fault(6.5, "kill", "coordinator", 0.3), seconds=13.0),
+        "the coordinator's own": day(
+            fault(4.0, "cut", "executors:a", 5.0, to="nodes"),
+            fault(6.5, "kill", "coordinator", 0.3),
+            seconds=13.0,
+        ),
         "all are slow": day(fault(4.0, "executor-slow", "executors", 5.0, value=3.0)),
         "seen from one node alone": day(fault(4.0, "cut", "executors:c", 5.0, to="node:0")),
         "seen from one zone alone": day(fault(4.0, "cut", "executors:c", 5.0, to="nodes:a")),
         "nothing happens": day(seconds=8.0),
         "lost in part": day(fault(4.0, "cut", ["executor:2", "executor:5"], 5.0, to="nodes")),
-        "latency grows": day(fault(3.0, "delay", "executors:c", 8.0, to="nodes", value=0.02),
-                             fault(5.0, "delay", "executors:c", 6.0, to="nodes", value=0.2)),
+        "latency grows": day(
+            fault(3.0, "delay", "executors:c", 8.0, to="nodes", value=0.02),
+            fault(5.0, "delay", "executors:c", 6.0, to="nodes", value=0.2),
+        ),
         "grey": day(fault(4.0, "executor-slow", "executors:c", 6.0, value=8.0), seconds=14.0),
         "two zones, one after the other": day(
             fault(3.0, "cut", "executors:c", 8.0, to="nodes"),
-            fault(6.0, "cut", "executors:b", 5.0, to="nodes"), seconds=15.0, part=1 / 3),
+            fault(6.0, "cut", "executors:b", 5.0, to="nodes"),
+            seconds=15.0,
+            part=1 / 3,
+        ),
         "regions cut off and slow": day(
             fault(3.0, "cut", ["zone:a", "zone:b"], 3.0, to="zone:c"),
             fault(7.0, "delay", ["zone:a", "zone:b"], 3.0, to="zone:c", value=0.15),
-            seconds=13.0, regions=[["a", "b"], ["c"]]),
+            seconds=13.0,
+            regions=[["a", "b"], ["c"]],
+        ),
         # A node is back after some 3 s, and a voter grants a lease later: never two voters out at once,
         # or the fleet has no coordinator while the zone is lost (none for 4 s where all went 1.6 s apart).
         "loss while nodes restart in turn": day(
             fault(2.0, "loss", "nodes", 10.0, to="nodes", value=0.1),
-            *(fault(at, "term", f"node:{n}", 0.2)
-              for n, at in ((2, 2.0), (3, 3.6), (4, 5.2), (5, 6.8), (0, 9.0), (1, 13.4))),
-            fault(5.0, "cut", "executors:c", 4.0, to="nodes"), seconds=16.0),
+            *(
+                fault(at, "term", f"node:{n}", 0.2)
+                for n, at in ((2, 2.0), (3, 3.6), (4, 5.2), (5, 6.8), (0, 9.0), (1, 13.4))
+            ),
+            fault(5.0, "cut", "executors:c", 4.0, to="nodes"),
+            seconds=16.0,
+        ),
         "back cold": day(cut, fault(7.5, "executor-restart", "executors:c", 0.6), seconds=15.0),
     }
 
 
 def lost_from(report: dict, since: float, seconds: float = FIRST) -> tuple[int, int]:
     """Tasks wanted in that time, and those of them that were not finished in time."""
-    spells = [one for told in report["service"].values() for one in told["windows"]
-              if since <= one["at"] < since + seconds]
+    spells = [
+        one
+        for told in report["service"].values()
+        for one in told["windows"]
+        if since <= one["at"] < since + seconds
+    ]
     tasks = sum(one["tasks"] for one in spells)
     return tasks, tasks - sum(one["in_time"] for one in spells)
 
@@ -92,13 +128,18 @@
     for side in (with_, without):
         pairs = [lost_from(report, since) for report in side]
         sums.append(sum(lost for _, lost in pairs) / max(sum(tasks for tasks, _ in pairs), 1))
-    crossed = [sum(report["counts"]["crossed"] for report in side)
-               / max(sum(report["counts"]["assignments"] for report in side), 1) for side in (with_, without)]
+    crossed = [
+        sum(report["counts"]["crossed"] for report in side)
+        / max(sum(report["counts"]["assignments"] for report in side), 1)
+        for side in (with_, without)
+    ]
     moves = [report["moves"] for report in with_]
     kept_part = f"{1 - sums[0] / sums[1]:.2f} kept" if sums[1] else "nothing lost without"
-    return (f"{name}: not in time {sums[0]:.4f} with the part, {sums[1]:.4f} without ({kept_part}); crossed "
-            f"{crossed[0]:.4f} and {crossed[1]:.4f}; moves {min(moves)} to {max(moves)}; all kept in "
-            f"{sum(map(kept, with_))} and {sum(map(kept, without))} of {len(with_)}")
+    return (
+        f"{name}: not in time {sums[0]:.4f} with the part, {sums[1]:.4f} without ({kept_part}); crossed "
+        f"{crossed[0]:.4f} and {crossed[1]:.4f}; moves {min(moves)} to {max(moves)}; all kept in "
+        f"{sum(map(kept, with_))} and {sum(map(kept, without))} of {len(with_)}"
+    )
 
 
 # -- changes by stages ---------------------------------------------------------------------------------------
@@ -108,15 +149,25 @@
     """A change to each version, good and bad; three zones, agents start all. A good one goes through all
     stages, which takes longer."""
     times = nodes / 4
-    load = [Offering("read", rate=60 * times, cost=0.03), Offering("send", "side-effecting", rate=40 * times,
-                                                                   cost=0.03)]
+    load = [
+        Offering("read", rate=60 * times, cost=0.03),
+        Offering("send", "side-effecting", rate=40 * times, cost=0.03),
+    ]
     fleet = Fleet(nodes=nodes, zones=3, executors=round(6 * times), slots=4)
-    return {new: Scenario(
-        fleet, load, run=Run(seconds=GOES if new == "good" else COMES_BACK, seed=1), load=Load(),
-        cluster=STAGED,
-        faults=[fault(BEGUN, "roll", "node:3", message="start")],
-        roll=Roll(new=new, stages=["one", "zone", "all"], compare={"seconds": 1.0, "most": 30.0},
-                  confirm=4.0)) for new in VERSIONS}
+    return {
+        new: Scenario(
+            fleet,
+            load,
+            run=Run(seconds=GOES if new == "good" else COMES_BACK, seed=1),
+            load=Load(),
+            cluster=STAGED,
+            faults=[fault(BEGUN, "roll", "node:3", message="start")],
+            roll=Roll(
+                new=new, stages=["one", "zone", "all"], compare={"seconds": 1.0, "most": 30.0}, confirm=4.0
+            ),
+        )
+        for new in VERSIONS
+    }
 
 
 def roll_line(name: str, told: Scenario, reports: list[dict], _: list[dict]) -> str:
@@ -131,12 +182,16 @@
     went = [change for change in changes if change]
     if not went:
         return line
-    line += (f"; at most {max(change['most on it'] for change in went)} nodes on it, "
-             f"{max(change['tasks met it'] for change in went):.4f} of the tasks at the most")
+    line += (
+        f"; at most {max(change['most on it'] for change in went)} nodes on it, "
+        f"{max(change['tasks met it'] for change in went):.4f} of the tasks at the most"
+    )
     orders = [_spans(change) for change in went if change["state"] == "stopped"]
     if orders:
-        line += (f"; ordered back after {median(a for a, _ in orders):.1f} s ({max(a for a, _ in orders):.1f}"
-                 f" at most), all back {max(b for _, b in orders):.1f} s later at the most")
+        line += (
+            f"; ordered back after {median(a for a, _ in orders):.1f} s ({max(a for a, _ in orders):.1f}"
+            f" at most), all back {max(b for _, b in orders):.1f} s later at the most"
+        )
     return line
 
 
@@ -155,19 +210,25 @@
 
 Line = Callable[[str, Scenario, list[dict], list[dict]], str]
 KINDS: dict[str, tuple[Callable[[int], dict[str, Scenario]], Line, bool]] = {
-    "zones": (zones, zone_line, True), "rolls": (rolls, roll_line, False)}
+    "zones": (zones, zone_line, True),
+    "rolls": (rolls, roll_line, False),
+}
 
 
-def played(kind: str, nodes: int, seeds: Iterable[int], at_once: int, cases: list[str],
-           tell: Callable[[str], None]) -> bool:
+def played(
+    kind: str, nodes: int, seeds: Iterable[int], at_once: int, cases: list[str], tell: Callable[[str], None]
+) -> bool:
     """Each case over the seeds, a line each as it ends; whether all rules and invariants were kept."""
     made, line, beside = KINDS[kind]
     sound, seeds = True, list(seeds)
     for name, told in made(nodes).items():
         if cases and name not in cases:
             continue
-        with_, without = several.both(told, _without(told), seeds, at_once) if beside else (
-            several.runs(told, seeds, at_once), [])
+        with_, without = (
+            several.both(told, _without(told), seeds, at_once)
+            if beside
+            else (several.runs(told, seeds, at_once), [])
+        )
         tell(line(name, told, with_, without))
         for report in [*with_, *without]:
             sound = sound and kept(report)
--- a/firwalk/lab/invariants.py
+++ b/firwalk/lab/invariants.py
@@ -4,6 +4,7 @@
 The same judge serves virtual time and real processes: it is fed events in the order of one clock, the rig's.
 It never asks a node whether all is well.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -31,9 +32,9 @@
     until: float
 
 
-WAITS_OUT = 1.1        # lengths in which what was granted of a larger whole is over by any clock
-PLAN_OLD = 8.0         # seconds in which a node may have begun what an older plan named it for
-EXACT = 0.001          # seconds: claims are told by the holders' own clocks, and compared without slack
+WAITS_OUT = 1.1  # lengths in which what was granted of a larger whole is over by any clock
+PLAN_OLD = 8.0  # seconds in which a node may have begun what an older plan named it for
+EXACT = 0.001  # seconds: claims are told by the holders' own clocks, and compared without slack
 
 
 class Judge:
@@ -43,18 +44,18 @@
     def __init__(self, slack: float = 0.0):
         self.slack = slack
         self.breaks: list[Break] = []
-        self.claims: dict[tuple[int, int], Claim] = {}       # by seat and life
-        self.written: dict[tuple, int] = {}                  # the checksum of each plan, by stamp
+        self.claims: dict[tuple[int, int], Claim] = {}  # by seat and life
+        self.written: dict[tuple, int] = {}  # the checksum of each plan, by stamp
         self.followed: dict[tuple[int, int], tuple] = {}
         self.lines: list[str] = []
-        self.contracts: dict[int, dict] = {}                 # as they came into force, by their checksums
-        self.wholes: dict[str, list[tuple[float, int]]] = {}         # by team: from when, how much
-        self.parts: dict[str, dict[tuple[int, int], tuple[float, int]]] = {}    # by team: until, how much
-        self.most_out: dict[str, float] = {}                 # the largest sum of live parts over the whole
-        self.accounts: dict[tuple, list[float]] = {}         # the last word of each, by seat, life and team
-        self.stage: dict = {}                                # what the last coordinator told of a change
-        self.ordered: list[tuple[float, dict[int, None]]] = []     # who was named for it, since when
-        self.runs: dict[int, dict[str, str]] = {}            # what each seat runs, by the kind of a change
+        self.contracts: dict[int, dict] = {}  # as they came into force, by their checksums
+        self.wholes: dict[str, list[tuple[float, int]]] = {}  # by team: from when, how much
+        self.parts: dict[str, dict[tuple[int, int], tuple[float, int]]] = {}  # by team: until, how much
+        self.most_out: dict[str, float] = {}  # the largest sum of live parts over the whole
+        self.accounts: dict[tuple, list[float]] = {}  # the last word of each, by seat, life and team
+        self.stage: dict = {}  # what the last coordinator told of a change
+        self.ordered: list[tuple[float, dict[int, None]]] = []  # who was named for it, since when
+        self.runs: dict[int, dict[str, str]] = {}  # what each seat runs, by the kind of a change
 
     def _break(self, name: str, at: float, text: str) -> None:
         self.breaks.append(Break(name, at, text, self.lines[-40:]))
@@ -63,10 +64,21 @@
 
     def seen(self, at: float, seat: int, life: int, what: str, about: dict, rate: float = 1.0) -> None:
         """One structured line of a node. `rate`: how fast its clock runs, which the rig set."""
-        if what in ("lease", "lease_lost", "coordinator", "plan", "plan_over", "wrote", "began", "killed",
-                    "ended"):
-            self.lines.append(f"{at:9.3f} seat {seat} life {life:08x} {what} "
-                              + " ".join(f"{word}={value}" for word, value in about.items()))
+        if what in (
+            "lease",
+            "lease_lost",
+            "coordinator",
+            "plan",
+            "plan_over",
+            "wrote",
+            "began",
+            "killed",
+            "ended",
+        ):
+            self.lines.append(
+                f"{at:9.3f} seat {seat} life {life:08x} {what} "
+                + " ".join(f"{word}={value}" for word, value in about.items())
+            )
         act = getattr(self, f"_{what}", None)
         if act is not None:
             act(at, seat, life, about, rate)
@@ -77,8 +89,12 @@
             if other.until + self.slack <= at:
                 del self.claims[key]
             elif key != (seat, life) and other.until > at + EXACT:
-                self._break("I1", at, f"seat {seat} has the lease by {claim.ballot} until {claim.until:.3f}, "
-                                      f"seat {other.seat} by {other.ballot} until {other.until:.3f}")
+                self._break(
+                    "I1",
+                    at,
+                    f"seat {seat} has the lease by {claim.ballot} until {claim.until:.3f}, "
+                    f"seat {other.seat} by {other.ballot} until {other.until:.3f}",
+                )
         self.claims[seat, life] = claim
 
     def _lease_lost(self, at: float, seat: int, life: int, about: dict, rate: float) -> None:
@@ -120,8 +136,12 @@
             given = sum(about["asks"][a] * about["shares"][a][b] for a in zones if a != b)
             room = max(about["bears"][b] * about["head_room"] - about["asks"][b], 0.0)
             if given > (room if about["keeps"][b] == 1.0 else 0.0) + 1e-6:
-                self._break("I4", at, f"seat {seat} gives zone {b} {given:.2f} work a second of others; it "
-                                      f"has room for {room:.2f} and keeps {about['keeps'][b]:.2f} of its own")
+                self._break(
+                    "I4",
+                    at,
+                    f"seat {seat} gives zone {b} {given:.2f} work a second of others; it "
+                    f"has room for {room:.2f} and keeps {about['keeps'][b]:.2f} of its own",
+                )
             whole = sum(about["shares"][b]) + about["away"][b]
             if abs(whole - 1.0) > 1e-6:
                 self._break("I4", at, f"seat {seat} divides {whole:.4f} of zone {b}'s tasks")
@@ -155,13 +175,20 @@
                 del live[key]
         out = sum(part for _, part in live.values())
         wholes = self.wholes[name]
-        allowed = max(whole for number, (_, whole) in enumerate(wholes)
-                      if number == len(wholes) - 1
-                      or wholes[number + 1][0] + told["length"] * WAITS_OUT + self.slack > at)
+        allowed = max(
+            whole
+            for number, (_, whole) in enumerate(wholes)
+            if number == len(wholes) - 1
+            or wholes[number + 1][0] + told["length"] * WAITS_OUT + self.slack > at
+        )
         self.most_out[name] = max(self.most_out.get(name, 0.0), out / max(allowed, 1))
         if out > allowed:
-            self._break("I2", at, f"{out} of {allowed} millionths of {name} are out: " + ", ".join(
-                f"seat {key[0]} {part} until {until:.3f}" for key, (until, part) in live.items()))
+            self._break(
+                "I2",
+                at,
+                f"{out} of {allowed} millionths of {name} are out: "
+                + ", ".join(f"seat {key[0]} {part} until {until:.3f}" for key, (until, part) in live.items()),
+            )
 
     # -- I5 ------------------------------------------------------------------------------------------------
 
@@ -171,12 +198,16 @@
         self.ordered.append((at, dict.fromkeys(read(about["new"]))))
         named = len(self.ordered[-1][1])
         if about["state"] in ("going", "held") and named > about["most"]:
-            self._break("I5", at, f"{named} nodes are to be on {about['brings']}, the stage allows "
-                                  f"{about['most']}")
+            self._break(
+                "I5", at, f"{named} nodes are to be on {about['brings']}, the stage allows {about['most']}"
+            )
 
     def _runs(self, at: float, seat: int, life: int, about: dict, rate: float) -> None:
-        self.runs[seat] = {"release": about["release"], "settings": about["tag"],
-                           "contracts": str(about.get("contracts", 0))}
+        self.runs[seat] = {
+            "release": about["release"],
+            "settings": about["tag"],
+            "contracts": str(about.get("contracts", 0)),
+        }
         if not self.stage or not self._new(seat):
             return
         lately = [named for when, named in self.ordered if when + PLAN_OLD + self.slack > at]
@@ -184,8 +215,11 @@
             self._break("I5", at, f"seat {seat} is on {self.stage['brings']} and was not named for it")
         on = [one for one in self.runs if self._new(one)]
         if self.stage["state"] in ("going", "held") and len(on) > self.stage["most"]:
-            self._break("I5", at, f"{len(on)} nodes are on {self.stage['brings']}, the stage allows "
-                                  f"{self.stage['most']}")
+            self._break(
+                "I5",
+                at,
+                f"{len(on)} nodes are on {self.stage['brings']}, the stage allows {self.stage['most']}",
+            )
 
     def _new(self, seat: int) -> bool:
         return self.runs[seat][self.stage["kind"]] == self.stage["brings"]
@@ -196,19 +230,24 @@
             wanted = self.stage["brings" if self.stage["state"] == "done" else "before"]
             others = [seat for seat in self.runs if self.runs[seat][self.stage["kind"]] != wanted]
             if others:
-                self._break("I5", at, f"the change is {self.stage['state']}, and seats {others} are not on "
-                                      f"{wanted}")
+                self._break(
+                    "I5", at, f"the change is {self.stage['state']}, and seats {others} are not on {wanted}"
+                )
 
     def _account(self, at: float, seat: int, life: int, about: dict, rate: float) -> None:
         """A ledger adds up, and nothing of it goes back."""
         granted, free, reserved, settled, returned = about["sums"]
         if abs(granted - free - reserved - settled - returned) > 1e-5 * max(granted, 1.0):
-            self._break("I2", at, f"seat {seat}: the account of {about['team']} does not add up: "
-                                  f"{about['sums']}")
+            self._break(
+                "I2", at, f"seat {seat}: the account of {about['team']} does not add up: {about['sums']}"
+            )
         before = self.accounts.get((seat, life, about["check"], about["team"], about["began"]), [0.0] * 5)
         if granted < before[0] - 1e-9 or settled < before[3] - 1e-9 or returned < before[4] - 1e-9:
-            self._break("I2", at, f"seat {seat}: the account of {about['team']} went back, "
-                                  f"{before} to {about['sums']}")
+            self._break(
+                "I2",
+                at,
+                f"seat {seat}: the account of {about['team']} went back, {before} to {about['sums']}",
+            )
         if reserved < -1e-6:
             self._break("I2", at, f"seat {seat}: {about['team']} settled more than was reserved: {reserved}")
         self.accounts[seat, life, about["check"], about["team"], about["began"]] = about["sums"]
--- a/firwalk/lab/links.py
+++ b/firwalk/lab/links.py
@@ -3,6 +3,7 @@
 Every datagram between two nodes and every connection from a node to an executor passes here. All chance is by
 the seed. What the relay itself adds is measured: `own_delay` is told in the report.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -16,12 +17,12 @@
 
 from firwalk.lab.pace import Pace
 
-End = tuple[str, int]                # ("node", 3), ("executor", 5)
-RETRANSMITTED = 0.2    # seconds that a lost piece of a connection is late: the machine sends it again
-FLICKER = (1.0, 0.2)   # seconds that a flickering link is cut, and heals
-LOOK = 0.01            # seconds between looks whether a cut has healed
+End = tuple[str, int]  # ("node", 3), ("executor", 5)
+RETRANSMITTED = 0.2  # seconds that a lost piece of a connection is late: the machine sends it again
+FLICKER = (1.0, 0.2)  # seconds that a flickering link is cut, and heals
+LOOK = 0.01  # seconds between looks whether a cut has healed
 CHUNK = 65536
-DUMMIES = 3            # connections that fill a listener's queue while it must not be reached
+DUMMIES = 3  # connections that fill a listener's queue while it must not be reached
 
 
 class Conditions:
@@ -30,7 +31,7 @@
     def __init__(self) -> None:
         self.cuts, self.flickers = 0, 0
         self.loss = self.delay = self.jitter = self.double = self.reorder = 0.0
-        self.rate = 0.0              # bytes a second; 0: no bound
+        self.rate = 0.0  # bytes a second; 0: no bound
         self.free_at = 0.0
 
     def cut(self, now: float) -> bool:
@@ -41,12 +42,18 @@
     def __init__(self, seed: int):
         self.chance, self.pace = random.Random(seed), Pace()
         self.all: dict[tuple[End, End], Conditions] = {}
-        self.counts = {"datagrams": 0, "datagram bytes": 0, "datagrams lost": 0, "datagrams doubled": 0,
-                       "connections": 0}
+        self.counts = {
+            "datagrams": 0,
+            "datagram bytes": 0,
+            "datagrams lost": 0,
+            "datagrams doubled": 0,
+            "connections": 0,
+        }
         self.listeners: list[Listener] = []
         self.watch: Callable[[float, int, int, bytes], None] = lambda at, sender, to, data: None
         self.sends: Callable[[float, float, int, int, bytes], None] = (
-            lambda at, read_at, node, executor, data: None)
+            lambda at, read_at, node, executor, data: None
+        )
 
     def between(self, a: End, b: End) -> Conditions:
         found = self.all.get((a, b))
@@ -96,8 +103,9 @@
 class DatagramRelay:
     """For nodes 0 to n - 1. `known(i, j)` is the address by which node i knows node j."""
 
-    def __init__(self, links: Links, real: list[tuple[str, int]],
-                 known: Callable[[int, int], tuple[str, int]]):
+    def __init__(
+        self, links: Links, real: list[tuple[str, int]], known: Callable[[int, int], tuple[str, int]]
+    ):
         self.links, self.real, self.known = links, real, known
         self.ends: dict[tuple[int, int], Datagrams] = {}
         self.to_all: dict[int, Datagrams] = {}
@@ -110,7 +118,8 @@
         for i in range(count):
             for j in [*(j for j in range(count) if j != i), -1]:
                 _, end = await self.loop.create_datagram_endpoint(
-                    lambda i=i, j=j: Datagrams(self, i, j), local_addr=self.known(i, j))
+                    lambda i=i, j=j: Datagrams(self, i, j), local_addr=self.known(i, j)
+                )
                 self.ends[i, j] = end
 
     def came(self, sender: int, to: int, data: bytes) -> None:
@@ -165,8 +174,13 @@
 class Half(asyncio.Protocol):
     """One side of a connection; what it reads goes to the other side, by the link's conditions."""
 
-    def __init__(self, links: Links, link: Conditions,
-                 seen: Callable[[float, bytes], None] | None = None, opened_after: float | None = None):
+    def __init__(
+        self,
+        links: Links,
+        link: Conditions,
+        seen: Callable[[float, bytes], None] | None = None,
+        opened_after: float | None = None,
+    ):
         """`seen(at, data)`: told of what is read, with the earliest time at which it can have come; what is
         read first can be as old as the connection, `opened_after`."""
         self.links, self.link, self.seen, self.opened_after = links, link, seen, opened_after
@@ -223,8 +237,9 @@
     """The address by which one node knows one executor. While the way there is cut no connection comes up:
     its queue is filled up and not attended, so that the machine drops what would open one."""
 
-    def __init__(self, links: Links, node: int, executor: int, address: tuple[str, int],
-                 real: tuple[str, int]):
+    def __init__(
+        self, links: Links, node: int, executor: int, address: tuple[str, int], real: tuple[str, int]
+    ):
         self.links, self.node, self.executor, self.address, self.real = links, node, executor, address, real
         self.there = links.between(("node", node), ("executor", executor))
         self.back = links.between(("executor", executor), ("node", node))
--- a/firwalk/lab/load.py
+++ b/firwalk/lab/load.py
@@ -4,6 +4,7 @@
 does not wait for what is answered. A front deals connections among the nodes of a zone that answered its
 health call; it notices after a second that one has died.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -16,9 +17,9 @@
 from firwalk.lab.scenario import Offering, Scenario
 from firwalk.lab.standins import is_healthy, read_message
 
-HEALTH_EVERY = 0.5     # seconds between the front's health calls
-NOTICED = 2            # calls without an answer after which a node counts as dead
-LAST_WAIT = 1.0        # seconds past its expiry that a client waits, to see what comes late
+HEALTH_EVERY = 0.5  # seconds between the front's health calls
+NOTICED = 2  # calls without an answer after which a node counts as dead
+LAST_WAIT = 1.0  # seconds past its expiry that a client waits, to see what comes late
 
 
 @dataclass
@@ -85,7 +86,7 @@
         self.chance = random.Random(seed)
         self.jobs: list[Job] = []
         self.idle: dict[int, list[tuple]] = {}
-        self.names, self.late = 0, 0.0       # late: the rig's own, at sending
+        self.names, self.late = 0, 0.0  # late: the rig's own, at sending
 
     def arrivals(self, seconds: float) -> list[tuple[float, Offering, int]]:
         """When which offering is wanted in which zone, as a Poisson process of each offering's rate."""
@@ -136,7 +137,7 @@
     async def _try(self, job: Job, node: int, left: float, again: int) -> float:
         """One task; seconds of advice to stay away."""
         self.names += 1
-        name = f"{self.seed & 0xffff:04x}{self.names:012x}"
+        name = f"{self.seed & 0xFFFF:04x}{self.names:012x}"
         one = Try(name, node, time.monotonic(), time.monotonic() + left, again=again)
         job.tries.append(one)
         pair = None
@@ -150,7 +151,9 @@
             writer.write(
                 f"POST /{job.offering.name}/{job.key} HTTP/1.1\r\nHost: b\r\nX-Request-Id: {name}\r\n"
                 f"X-Deadline: {int(left * 1e6)}u\r\nX-Cost-Hint: {hint}\r\n{marked}"
-                f"Idempotency-Key: {job.key}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+                f"Idempotency-Key: {job.key}\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+                + body
+            )
             one.sent = time.monotonic()
             one.expiry = one.sent + left
             async with asyncio.timeout(left + LAST_WAIT):
--- a/firwalk/lab/processes.py
+++ b/firwalk/lab/processes.py
@@ -2,6 +2,7 @@
 
 None stays: each dies with the rig (PR_SET_PDEATHSIG, prctl(2)), also when that one is killed.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -23,10 +24,10 @@
 
 PR_SET_PDEATHSIG = 1
 CLUSTER = b"firwalk: cluster {"
-CALL_TIME = 5.0        # seconds in which an operator's call is answered
-AGENT_END = 12.0       # seconds in which an agent and its node end
-MISSED = 1.0           # seconds that an agent may be late at seeing that a process is gone
-READY_TIME = 15.0      # seconds in which a process must listen
+CALL_TIME = 5.0  # seconds in which an operator's call is answered
+AGENT_END = 12.0  # seconds in which an agent and its node end
+MISSED = 1.0  # seconds that an agent may be late at seeing that a process is gone
+READY_TIME = 15.0  # seconds in which a process must listen
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
@@ -34,14 +35,22 @@
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-async def start_worker(module: str, told: msgspec.Struct, told_file: Path, output: Path,
-                       **streams: object) -> asyncio.subprocess.Process:
+async def start_worker(
+    module: str, told: msgspec.Struct, told_file: Path, output: Path, **streams: object
+) -> asyncio.subprocess.Process:
     """A process of the laboratory's own: it reads what it is told from one file, and writes what it saw to
     another."""
     told_file.write_bytes(msgspec.json.encode(told))
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", module, str(told_file), str(output), stdin=asyncio.subprocess.DEVNULL,
-        preexec_fn=die_with_parent, **streams)
+        sys.executable,
+        "-m",
+        module,
+        str(told_file),
+        str(output),
+        stdin=asyncio.subprocess.DEVNULL,
+        preexec_fn=die_with_parent,
+        **streams,
+    )
 
 
 class Program:
@@ -56,15 +65,20 @@
 
     async def start(self, command: list[str], env: dict[str, str]) -> None:
         self.process = await asyncio.create_subprocess_exec(
-            *command, stdin=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE, env=env,
-            preexec_fn=die_with_parent, limit=1 << 20)
+            *command,
+            stdin=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+            env=env,
+            preexec_fn=die_with_parent,
+            limit=1 << 20,
+        )
         self.reading = asyncio.ensure_future(self._read())
 
     async def _read(self) -> None:
         while line := await self.process.stderr.readline():
             if line.startswith(CLUSTER):
                 try:
-                    event = orjson.loads(line[len(CLUSTER) - 1:])
+                    event = orjson.loads(line[len(CLUSTER) - 1 :])
                 except orjson.JSONDecodeError:
                     continue
                 self.node.events.append(event)
@@ -125,19 +139,20 @@
         self.programs: list[Program] = []
         self.events: list[dict] = []
         self.lines: list[tuple[float, int, str]] = []
-        self.down: list[list[float]] = []        # [from, to] in which it was killed, stopped or not started
-        self.stopped: list[list[float]] = []     # [from, to] in which it was gone behind a stop in good order
+        self.down: list[list[float]] = []  # [from, to] in which it was killed, stopped or not started
+        self.stopped: list[list[float]] = []  # [from, to] in which it was gone behind a stop in good order
         self.heard: Callable[[dict], None] = lambda event: None
         self.rate, self.skewed = 1.0, False
         self.crashes: list[str] = []
-        self.agent: dict[str, Any] | None = None     # what its agent is told, if it has one
+        self.agent: dict[str, Any] | None = None  # what its agent is told, if it has one
         folder.mkdir(parents=True, exist_ok=True)
         self.clock_file = folder / "clock"
 
     def command(self) -> list[str]:
         if self.agent is not None:
-            (self.folder / "agent.toml").write_text("".join(
-                f"{word} = {orjson.dumps(value).decode()}\n" for word, value in self.agent.items()))
+            (self.folder / "agent.toml").write_text(
+                "".join(f"{word} = {orjson.dumps(value).decode()}\n" for word, value in self.agent.items())
+            )
             return [sys.executable, "-m", "firwalk.agent", str(self.folder / "agent.toml")]
         words = self.program
         if self.skewed and words == ["-m", "firwalk"]:
@@ -230,8 +245,9 @@
         """What a process had in hand is lost with it, when it crashes or hangs: from when it may have begun
         until the node takes clients again."""
         if event["event"] == "agent_process_ended" and event["code"] not in (0, "unknown"):
-            self.down.append([event["at"] - MISSED, float("inf") if event["which"] == "serving"
-                              else event["at"] + MISSED])
+            self.down.append(
+                [event["at"] - MISSED, float("inf") if event["which"] == "serving" else event["at"] + MISSED]
+            )
         elif event["event"] == "agent_hangs":
             self.down.append([event["at"] - self.agent["hang"] - 2 * MISSED, float("inf")])
         elif event["event"] == "agent_ready":
--- a/firwalk/lab/purses.py
+++ b/firwalk/lab/purses.py
@@ -2,6 +2,7 @@
 
 The same seats, dealers and ledgers as in the program; tasks are reservations that end after a while.
 """
+
 from __future__ import annotations
 
 import random
@@ -21,17 +22,17 @@
 from firwalk.lab.schedules import Watch, drawn
 from firwalk.lab.virtual import Process, Schedule, World
 
-LENGTH = 0.8           # seconds of a part's lease
-LONG = 2.4             # in half of the schedules: parts that are out still live in the next office
-EVERY = 0.05           # seconds between tasks of the whole fleet, on the mean
-LONGEST = 1.5          # seconds of a task
+LENGTH = 0.8  # seconds of a part's lease
+LONG = 2.4  # in half of the schedules: parts that are out still live in the next office
+EVERY = 0.05  # seconds between tasks of the whole fleet, on the mean
+LONGEST = 1.5  # seconds of a task
 
 
 @dataclass
 class Played:
     breaks: list[str]
-    parts: int                   # answers acted on
-    most_out: float              # the largest sum of live parts over the whole
+    parts: int  # answers acted on
+    most_out: float  # the largest sum of live parts over the whole
     spent: float
     granted: float
 
@@ -40,15 +41,21 @@
     """`contracts`: in the order of their coming; the first is there from the start. `staged`: the second one
     goes through the fleet by stages in place of that."""
 
-    def __init__(self, schedule: Schedule, contracts: list[Contracts], drift: float = 0.01,
-                 make: Callable[..., Seat] = Seat,
-                 prepare: Callable[[Spending], None] = lambda spending: None, terms: Terms | None = None,
-                 staged: bool = False):
+    def __init__(
+        self,
+        schedule: Schedule,
+        contracts: list[Contracts],
+        drift: float = 0.01,
+        make: Callable[..., Seat] = Seat,
+        prepare: Callable[[Spending], None] = lambda spending: None,
+        terms: Terms | None = None,
+        staged: bool = False,
+    ):
         self.schedule, self.contracts, self.make, self.prepare = schedule, contracts, make, prepare
-        self.staged, self.without = staged, schedule.seed % 3 and -1     # one seat may lack the change's file
+        self.staged, self.without = staged, schedule.seed % 3 and -1  # one seat may lack the change's file
         self.names = list(dict.fromkeys(team.name for one in contracts for team in one.teams))
         self.terms = terms or Terms(LENGTH, drift)
-        self.chance = random.Random(schedule.seed ^ 0xb0d9e7)
+        self.chance = random.Random(schedule.seed ^ 0xB0D9E7)
         self.judge, self.newest = Judge(), 0
         self.spending: dict[int, Spending] = {}
         self.parts = 0
@@ -57,8 +64,14 @@
 
     def _begin(self, host: Process, number: int, seats: int, life: int, now: float, **named: Any) -> Seat:
         seat = self.make(host, number, seats, life, now, budgets_by=self.terms, **named)
-        made = self.spending[number] = Spending(seat, host.clock, lambda: host.world.now, lambda version: (
-            self.contracts[1] if self.staged and (version, number) != (2, self.without) else None))
+        made = self.spending[number] = Spending(
+            seat,
+            host.clock,
+            lambda: host.world.now,
+            lambda version: (
+                self.contracts[1] if self.staged and (version, number) != (2, self.without) else None
+            ),
+        )
         if self.staged:
             seat.changing = Staging(self)
         seat.follower.changed = made.follow
@@ -79,9 +92,13 @@
             world.later(number * self.schedule.until / len(self.contracts), self._news, number)
         world.run()
         accounts = [one for made in self.spending.values() for one in made.ledger.accounts.values()]
-        return Played([str(one) for one in self.judge.breaks], self.parts,
-                      max(self.judge.most_out.values(), default=0.0),
-                      sum(one.settled for one in accounts), sum(one.granted for one in accounts))
+        return Played(
+            [str(one) for one in self.judge.breaks],
+            self.parts,
+            max(self.judge.most_out.values(), default=0.0),
+            sum(one.settled for one in accounts),
+            sum(one.granted for one in accounts),
+        )
 
     def _news(self, number: int) -> None:
         """Operators bring the next file to all nodes, one after the other."""
@@ -103,8 +120,13 @@
             now, name = process.clock(), chance.choice(self.names)
             account, work = spending.ledger.account(now, name), chance.choice((0.02, 0.1, 0.5))
             if account is not None and account.reserve(now, work):
-                self.world.later(self.world.now + chance.uniform(0.0, LONGEST), self._over, process,
-                                 Reservation(account, work), chance.choice((0.0, work, 3.0 * work)))
+                self.world.later(
+                    self.world.now + chance.uniform(0.0, LONGEST),
+                    self._over,
+                    process,
+                    Reservation(account, work),
+                    chance.choice((0.0, work, 3.0 * work)),
+                )
         self.world.later(self.world.now + chance.expovariate(1.0 / EVERY), self._task)
 
     def _over(self, process: Process, reservation: Reservation, spent: float) -> None:
@@ -138,8 +160,11 @@
 
     def look(self, now: float, up: list[int]) -> dict[str, Any]:
         state, named = self._state()
-        return {"stages": {"kind": CONTRACTS, "state": state, "new": spelled(list(range(named)))}
-                } if state else {}
+        return (
+            {"stages": {"kind": CONTRACTS, "state": state, "new": spelled(list(range(named)))}}
+            if state
+            else {}
+        )
 
     def opened(self, now: float, section: Any) -> None:
         pass
@@ -147,28 +172,37 @@
 
 def contracts(seed: int) -> list[Contracts]:
     """Three of them: wholes that grow and shrink, a team that goes and comes."""
-    chance = random.Random(seed ^ 0xc047)
+    chance = random.Random(seed ^ 0xC047)
     found = []
     for version in range(1, chance.choice((1, 3, 4)) + 1):
         names = ["north", "south", "west"] if version != 2 else ["west", "north"]
-        found.append(Contracts(version, [Team(name, chance.uniform(0.3, 3.0), period=1.0, burst=2.0)
-                                         for name in names]))
+        found.append(
+            Contracts(
+                version, [Team(name, chance.uniform(0.3, 3.0), period=1.0, burst=2.0) for name in names]
+            )
+        )
     return found
 
 
 def brought(seed: int) -> list[Contracts]:
     """Those in force, and what a change brings: one team grows, one shrinks, one goes and one comes."""
-    chance = random.Random(seed ^ 0x57a6ed)
-    return [Contracts(version, [Team(name, chance.uniform(0.3, 3.0), period=1.0, burst=2.0)
-                                for name in names])
-            for version, names in ((1, ("north", "south", "west")), (2, ("west", "east", "north")))]
-
-
-def played(seed: int, drift: float = 0.01, make: Callable[..., Seat] = Seat,
-           prepare: Callable[[Spending], None] = lambda spending: None, staged: bool = False) -> Played:
+    chance = random.Random(seed ^ 0x57A6ED)
+    return [
+        Contracts(version, [Team(name, chance.uniform(0.3, 3.0), period=1.0, burst=2.0) for name in names])
+        for version, names in ((1, ("north", "south", "west")), (2, ("west", "east", "north")))
+    ]
+
+
+def played(
+    seed: int,
+    drift: float = 0.01,
+    make: Callable[..., Seat] = Seat,
+    prepare: Callable[[Spending], None] = lambda spending: None,
+    staged: bool = False,
+) -> Played:
     schedule = drawn(seed, drift)
     schedule.changes = 0.0
-    length = random.Random(seed ^ 0x1e45e).choice((LENGTH, LONG))
+    length = random.Random(seed ^ 0x1E45E).choice((LENGTH, LONG))
     told = brought(seed) if staged else contracts(seed)
     return Fleet(schedule, told, make=make, prepare=prepare, terms=Terms(length), staged=staged).run()
 
