--- a/firwalk/lab/referee.py
+++ b/firwalk/lab/referee.py
@@ -2,6 +2,7 @@
 
 A node's own verdict counts for nothing. A break names its rule and tells the history of the task.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -13,9 +14,9 @@
 
 RULES = ("one final answer", "no effect twice", "nothing new to one that drains", "cold ones not pushed over")
 INVARIANTS = ("I1", "I2", "I3", "I4", "I5")
-GRACE = 0.5            # seconds in which a node may still send to an executor that drains
-FALL = 3.0             # times what a cold one bears, in seconds of work, at which it counts as pushed over
-FALL_WINDOW = 2.0      # seconds
+GRACE = 0.5  # seconds in which a node may still send to an executor that drains
+FALL = 3.0  # times what a cold one bears, in seconds of work, at which it counts as pushed over
+FALL_WINDOW = 2.0  # seconds
 
 
 @dataclass
@@ -43,18 +44,25 @@
         """Bytes on their way from a node to an executor, sent between the two times."""
         start = data.find(b"X-Request-Id: ")
         if data.startswith(b"POST ") and start >= 0:
-            name = data[start + 14:data.find(b"\r\n", start)].decode("latin-1")
+            name = data[start + 14 : data.find(b"\r\n", start)].decode("latin-1")
             self.sent.setdefault(name, []).append(Sent(at, read_at, node, executor, name))
 
     def _break(self, rule: str, at: float, text: str, job: Job, ran: list[Ran]) -> None:
         lines = [f"{job.intended:9.3f} {job.key} {job.offering.name} ({job.offering.effect}) intended"]
         for one in job.tries:
-            lines.append(f"{one.sent:9.3f} {one.name} to node {one.node}, expiry {one.expiry:.3f}: "
-                         f"{one.status or one.ending} at {one.answered:.3f}")
-            lines += [f"{s.at:9.3f}   {one.name} sent on to executor {s.executor}"
-                      for s in self.sent.get(one.name, [])]
-        lines += [f"{r.began:9.3f}   {r.job} ran at executor {r.executor}, effect {r.effect}"
-                  for r in ran if r.began]
+            lines.append(
+                f"{one.sent:9.3f} {one.name} to node {one.node}, expiry {one.expiry:.3f}: "
+                f"{one.status or one.ending} at {one.answered:.3f}"
+            )
+            lines += [
+                f"{s.at:9.3f}   {one.name} sent on to executor {s.executor}"
+                for s in self.sent.get(one.name, [])
+            ]
+        lines += [
+            f"{r.began:9.3f}   {r.job} ran at executor {r.executor}, effect {r.effect}"
+            for r in ran
+            if r.began
+        ]
         self.breaks.append(Break(rule, at, text, sorted(lines)))
 
     # -- the rules ---------------------------------------------------------------------------------------
@@ -71,8 +79,14 @@
         self._drains(jobs, told)
         for executor in executors:
             if executor.worst > FALL * FALL_WINDOW:
-                self.breaks.append(Break(RULES[3], executor.began_at, f"executor {executor.number} had "
-                                         f"{executor.worst:.1f} s of work for what it bears in one"))
+                self.breaks.append(
+                    Break(
+                        RULES[3],
+                        executor.began_at,
+                        f"executor {executor.number} had "
+                        f"{executor.worst:.1f} s of work for what it bears in one",
+                    )
+                )
 
     def _one_answer(self, job: Job, one: Try, ran: list[Ran]) -> None:
         excused = one.ending == "refused" or self.down(one.node, one.sent, one.expiry + self.slack)
@@ -81,8 +95,13 @@
             if not one.status:
                 self._break(RULES[0], one.sent, f"{one.name} has no answer: {one.ending}", job, ran)
             elif one.answered > one.expiry + self.slack:
-                self._break(RULES[0], one.answered, f"{one.name} was answered "
-                            f"{one.answered - one.expiry:.3f} s after its expiry", job, ran)
+                self._break(
+                    RULES[0],
+                    one.answered,
+                    f"{one.name} was answered {one.answered - one.expiry:.3f} s after its expiry",
+                    job,
+                    ran,
+                )
         if not one.body_fits:
             self._break(RULES[0], one.answered, f"{one.name} was answered with another's result", job, ran)
         over = one.answered or one.expiry
@@ -93,21 +112,30 @@
     def _no_effect_twice(self, job: Job, ran: list[Ran]) -> None:
         effects = [r for r in ran if r.effect]
         if len(effects) > 1 and job.offering.effect != "idempotent":
-            self._break(RULES[1], effects[1].began, f"{job.key} had its effect {len(effects)} times",
-                        job, ran)
+            self._break(
+                RULES[1], effects[1].began, f"{job.key} had its effect {len(effects)} times", job, ran
+            )
 
     def _drains(self, jobs: list[Job], told: dict[tuple[int, int], list[tuple[float, str]]]) -> None:
         of = {one.name: job for job in jobs for one in job.tries}
         for sents in self.sent.values():
             for sent in sents:
-                words = [(at, word) for at, word in told.get((sent.node, sent.executor), [])
-                         if at <= sent.at - GRACE - self.slack]
-                newer = [word for at, word in told.get((sent.node, sent.executor), [])
-                         if at <= sent.read_at]
+                words = [
+                    (at, word)
+                    for at, word in told.get((sent.node, sent.executor), [])
+                    if at <= sent.at - GRACE - self.slack
+                ]
+                newer = [word for at, word in told.get((sent.node, sent.executor), []) if at <= sent.read_at]
                 if words and words[-1][1] != "active" and newer[-1] != "active" and sent.job in of:
-                    self._break(RULES[2], sent.at, f"{sent.job} was sent to executor {sent.executor}, of "
-                                f"which node {sent.node} was told {words[-1][1]!r} "
-                                f"{sent.at - words[-1][0]:.2f} s before", of[sent.job], [])
+                    self._break(
+                        RULES[2],
+                        sent.at,
+                        f"{sent.job} was sent to executor {sent.executor}, of "
+                        f"which node {sent.node} was told {words[-1][1]!r} "
+                        f"{sent.at - words[-1][0]:.2f} s before",
+                        of[sent.job],
+                        [],
+                    )
 
     def counts(self, judge: Judge) -> tuple[dict[str, int], dict[str, int]]:
         rules = {rule: sum(b.name == rule for b in self.breaks) for rule in RULES}
--- a/firwalk/lab/report.py
+++ b/firwalk/lab/report.py
@@ -1,4 +1,5 @@
 """What a run showed, as JSON and as lines. Figures are the rig's own, of one run."""
+
 from __future__ import annotations
 
 import dataclasses
@@ -16,9 +17,9 @@
 from firwalk.lab.scenario import Fleet, Scenario
 from firwalk.lab.standins import Executor, Lists, Ran
 
-WINDOW = 1.0           # seconds
-ABANDONED_AT_WORKS = 2.0   # times its work before a task is due, in which it may be given up for lack of time
-UNFIT = 0.25           # seconds of its own delay at which the rig says that a run shows little
+WINDOW = 1.0  # seconds
+ABANDONED_AT_WORKS = 2.0  # times its work before a task is due, in which it may be given up for lack of time
+UNFIT = 0.25  # seconds of its own delay at which the rig says that a run shows little
 
 
 class Played(Protocol):
@@ -65,7 +66,9 @@
                 times.record_value(max(int((job.done_at - job.intended) * 1e6), 1))
         found[name] = _counts(mine) | {
             "median_ms": round(times.get_value_at_percentile(50) / 1e3, 2),
-            "p99_ms": round(times.get_value_at_percentile(99) / 1e3, 2), "windows": []}
+            "p99_ms": round(times.get_value_at_percentile(99) / 1e3, 2),
+            "windows": [],
+        }
         last = int(max((job.intended - began for job in mine), default=0.0) / WINDOW)
         for number in range(last + 1):
             within = [job for job in mine if int((job.intended - began) / WINDOW) == number]
@@ -88,11 +91,15 @@
     finished = [job for job in jobs if job.done_at]
     last = [job.tries[-1] for job in jobs if not job.done_at and job.tries]
     abandoned = [job for job in jobs if _abandoned(job)]
-    return {"tasks": len(jobs), "finished": len(finished),
-            "in_time": sum(job.done_at <= job.intended + job.offering.due for job in finished),
-            "bounced": sum(one.status in (429, 503) for one in last),
-            "abandoned": len(abandoned), "abandoned_early": sum(map(_abandoned_early, abandoned)),
-            "unanswered": sum(not one.status for one in last) + sum(not job.tries for job in jobs)}
+    return {
+        "tasks": len(jobs),
+        "finished": len(finished),
+        "in_time": sum(job.done_at <= job.intended + job.offering.due for job in finished),
+        "bounced": sum(one.status in (429, 503) for one in last),
+        "abandoned": len(abandoned),
+        "abandoned_early": sum(map(_abandoned_early, abandoned)),
+        "unanswered": sum(not one.status for one in last) + sum(not job.tries for job in jobs),
+    }
 
 
 def made(rig: Played) -> dict:
@@ -100,41 +107,62 @@
     rules, invariants = rig.referee.counts(judge)
     jobs, events = rig.load.jobs, [event for node in rig.nodes for event in node.events]
     seconds = rig.ended - rig.began
-    crossed = sum(one.executor % rig.fleet.zones != one.node % rig.fleet.zones
-                  for sents in rig.referee.sent.values() for one in sents)
+    crossed = sum(
+        one.executor % rig.fleet.zones != one.node % rig.fleet.zones
+        for sents in rig.referee.sent.values()
+        for one in sents
+    )
     counts = dict(rig.links.counts) | {
-        "assignments": sum(len(sents) for sents in rig.referee.sent.values()), "crossed": crossed,
-        "ran": sum(1 for one in rig.ran if one.began), "retries": sum(len(job.tries) - 1 for job in jobs),
-        "probes": sum(e.probes for e in rig.executors), "list calls": rig.lists.calls,
+        "assignments": sum(len(sents) for sents in rig.referee.sent.values()),
+        "crossed": crossed,
+        "ran": sum(1 for one in rig.ran if one.began),
+        "retries": sum(len(job.tries) - 1 for job in jobs),
+        "probes": sum(e.probes for e in rig.executors),
+        "list calls": rig.lists.calls,
         "starts": sum(len(node.programs) for node in rig.nodes),
         "coordinators": sum(event["event"] == "coordinator" for event in events),
         "suspected": sum(event["event"] == "suspected" for event in events),
         "down": sum(event["event"] == "down" for event in events),
         "excused": rig.referee.excused,
         "most datagrams a second of a node": round(max(rig.relay.out) / seconds, 1),
-        "most bytes a second of a node": round(max(rig.relay.bytes_out) / seconds, 1)}
+        "most bytes a second of a node": round(max(rig.relay.bytes_out) / seconds, 1),
+    }
     breaks = rig.referee.breaks + judge.breaks
     return {
-        "rules": rules, "invariants": invariants, "crashes": [c for node in rig.nodes for c in node.crashes],
-        "breaks": [{"name": b.name, "at": round(b.at - rig.began, 3), "text": b.text, "history": b.history}
-                   for b in breaks[:20]],
+        "rules": rules,
+        "invariants": invariants,
+        "crashes": [c for node in rig.nodes for c in node.crashes],
+        "breaks": [
+            {"name": b.name, "at": round(b.at - rig.began, 3), "text": b.text, "history": b.history}
+            for b in breaks[:20]
+        ],
         "service": _service(jobs, rig.began),
         "faults": sorted(rig.faults.played, key=lambda fault: fault["at"]),
-        "counts": counts, "memory_mb": round(max(rig.memory, default=0.0), 1),
-        "rig": {"own_delay_ms": round(rig.lag * 1e3, 2), "late_sends_ms": round(rig.load.late * 1e3, 2),
-                "datagrams lost by the rig itself": rig.own_loss,
-                "processor time taken by the host": round(rig.stolen_share, 3)},
+        "counts": counts,
+        "memory_mb": round(max(rig.memory, default=0.0), 1),
+        "rig": {
+            "own_delay_ms": round(rig.lag * 1e3, 2),
+            "late_sends_ms": round(rig.load.late * 1e3, 2),
+            "datagrams lost by the rig itself": rig.own_loss,
+            "processor time taken by the host": round(rig.stolen_share, 3),
+        },
         "moves": sum(event["event"] == "zone" for event in events),
-        "said": [dataclasses.asdict(answer) for answer in rig.faults.operators], "change": _change(rig),
-        "budgets": _budgets(rig, judge, seconds), "leaderless": gaps(rig), "seed": rig.seed,
-        "version": _version()}
+        "said": [dataclasses.asdict(answer) for answer in rig.faults.operators],
+        "change": _change(rig),
+        "budgets": _budgets(rig, judge, seconds),
+        "leaderless": gaps(rig),
+        "seed": rig.seed,
+        "version": _version(),
+    }
 
 
 def _change(rig: Played) -> dict:
     """What became of the change: its states with the seconds since the first task, which release each node
     ended with, how many nodes had the new version at once, and how many tasks came to such a node."""
-    events = sorted((e for node in rig.nodes for e in node.events if e["event"] in ("stage", "runs")),
-                    key=lambda event: event["at"])
+    events = sorted(
+        (e for node in rig.nodes for e in node.events if e["event"] in ("stage", "runs")),
+        key=lambda event: event["at"],
+    )
     stages = [event for event in events if event["event"] == "stage"]
     if not stages:
         return {}
@@ -145,12 +173,18 @@
         spans.append((event["at"], event["seat"], str(event.get(place)) == told["brings"]))
         most = max(most, sum(str(one.get(place)) == told["brings"] for one in on.values()))
     met = sum(_on_new(spans, one.node, one.sent) for job in rig.load.jobs for one in job.tries)
-    return {"state": told["state"], "why": told["why"], "most on it": most,
-            "tasks met it": round(met / max(sum(len(job.tries) for job in rig.load.jobs), 1), 4),
-            "runs": {seat: [on[seat]["release"], on[seat]["tag"], on[seat].get("contracts", 0)]
-                     for seat in sorted(on)},
-            "states": [[round(e["at"] - rig.began, 2), e["state"], e["stage"], e["new"], e["why"]]
-                       for e in stages]}
+    return {
+        "state": told["state"],
+        "why": told["why"],
+        "most on it": most,
+        "tasks met it": round(met / max(sum(len(job.tries) for job in rig.load.jobs), 1), 4),
+        "runs": {
+            seat: [on[seat]["release"], on[seat]["tag"], on[seat].get("contracts", 0)] for seat in sorted(on)
+        },
+        "states": [
+            [round(e["at"] - rig.began, 2), e["state"], e["stage"], e["new"], e["why"]] for e in stages
+        ],
+    }
 
 
 def _on_new(spans: list[tuple[float, int, bool]], node: int, at: float) -> bool:
@@ -164,11 +198,16 @@
     found: dict = {}
     for team in rig.scenario.teams:
         costs = {o.name: o.cost for o in rig.scenario.offerings if o.team == team.name}
-        ran = sum(min((one.ended or rig.ended) - one.began, costs[one.offering]) for one in rig.ran
-                  if one.began and one.offering in costs)
+        ran = sum(
+            min((one.ended or rig.ended) - one.began, costs[one.offering])
+            for one in rig.ran
+            if one.began and one.offering in costs
+        )
         found[team.name] = {
-            "ran": round(ran, 3), "budget": round(team.budget / team.period * seconds + team.burst, 3),
-            "most_out": round(judge.most_out.get(team.name, 0.0), 6)}
+            "ran": round(ran, 3),
+            "budget": round(team.budget / team.period * seconds + team.burst, 3),
+            "most_out": round(judge.most_out.get(team.name, 0.0), 6),
+        }
     return found
 
 
@@ -198,21 +237,25 @@
     """For a terminal."""
     found = []
     for fault in report["faults"]:
-        about = ", ".join(f"{word} {value}" for word, value in fault.items()
-                          if word not in ("at", "kind"))
+        about = ", ".join(f"{word} {value}" for word, value in fault.items() if word not in ("at", "kind"))
         found.append(f"fault at {fault['at']:.2f} s: {fault['kind']}, {about}")
     for name, told in report["service"].items():
         found.append(
             f"{name}: {told['tasks']} tasks, {told['finished']} finished, {told['in_time']} in time, "
             f"{told['bounced']} bounced, {told['abandoned']} abandoned, {told['unanswered']} without an "
-            f"answer; median {told['median_ms']} ms, 99 in 100 within {told['p99_ms']} ms")
+            f"answer; median {told['median_ms']} ms, 99 in 100 within {told['p99_ms']} ms"
+        )
     for name, told in report["budgets"].items():
-        found.append(f"team {name}: ran {told['ran']} of {told['budget']} work; at most {told['most_out']} "
-                     "of what is leased was out")
+        found.append(
+            f"team {name}: ran {told['ran']} of {told['budget']} work; at most {told['most_out']} "
+            "of what is leased was out"
+        )
     found.append("counts: " + ", ".join(f"{word} {value}" for word, value in report["counts"].items()))
     for word in ("rules", "invariants"):
-        found += [f"{name}: {'kept' if not count else f'broken {count} times'}"
-                  for name, count in report[word].items()]
+        found += [
+            f"{name}: {'kept' if not count else f'broken {count} times'}"
+            for name, count in report[word].items()
+        ]
     for told in report["breaks"]:
         found.append(f"BROKEN {told['name']} at {told['at']:.3f} s: {told['text']}")
         found += [f"    {line}" for line in told["history"][-25:]]
--- a/firwalk/lab/rolls.py
+++ b/firwalk/lab/rolls.py
@@ -3,6 +3,7 @@
 The code of the coordinator and the nodes is that of the program; what executors do with tasks is drawn, all
 by the seed. Times are seconds of the world's clock.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -22,13 +23,13 @@
 
 ZONES = 3
 CHANGE = Change("v1", release="v2", compare=Compare(seconds=4.0, most=60.0))
-CHECK = 77             # the checksum of its file
-REPLACE = 1.5          # seconds that an agent takes to have the other version
-LOOK = 0.25            # seconds between two looks of an agent
-BEGUN = 14.0           # when the change is started: all have told what they run
-DUE = 0.3              # seconds after which a task is late
-TOOK, SPREAD = 0.06, 0.5       # seconds that one takes in the middle, and the spread of its logarithm
-MOST = 600.0           # seconds after which a change that is not over is told as held
+CHECK = 77  # the checksum of its file
+REPLACE = 1.5  # seconds that an agent takes to have the other version
+LOOK = 0.25  # seconds between two looks of an agent
+BEGUN = 14.0  # when the change is started: all have told what they run
+DUE = 0.3  # seconds after which a task is late
+TOOK, SPREAD = 0.06, 0.5  # seconds that one takes in the middle, and the spread of its logarithm
+MOST = 600.0  # seconds after which a change that is not over is told as held
 
 
 @dataclass
@@ -45,9 +46,14 @@
     on: tuple[int, ...] = ()
 
 
-KINDS = {"good": Version(), "errors": Version(abandoned=0.3), "slow": Version(times=1.3),
-         "crash": Version(breaks=0.1), "leak": Version(leak=3e6),
-         "wrong": Version(abandoned=0.9, only="send")}
+KINDS = {
+    "good": Version(),
+    "errors": Version(abandoned=0.3),
+    "slow": Version(times=1.3),
+    "crash": Version(breaks=0.1),
+    "leak": Version(leak=3e6),
+    "wrong": Version(abandoned=0.9, only="send"),
+}
 WAYS = ("by stages", "without comparison", "all at once")
 
 
@@ -55,21 +61,36 @@
     """`new`: what the other version does; `rate`: tasks a second of a node; `files`: by seat, the changes in
     its folder."""
 
-    def __init__(self, seats: int = 12, new: Version | None = None, until: float = 200.0,
-                 faults: tuple[Fault, ...] = (), change: Change = CHANGE, rate: float = 8.0, seed: int = 3,
-                 zones: int = ZONES, way: str = WAYS[0]):
+    def __init__(
+        self,
+        seats: int = 12,
+        new: Version | None = None,
+        until: float = 200.0,
+        faults: tuple[Fault, ...] = (),
+        change: Change = CHANGE,
+        rate: float = 8.0,
+        seed: int = 3,
+        zones: int = ZONES,
+        way: str = WAYS[0],
+    ):
         self.versions = {"v1": Version(), "v2": new or Version()}
         self.change, self.rate, self.zones, self.judge, self.way = change, rate, zones, Judge(), way
         self.files = {seat: {"c": (change, CHECK)} for seat in range(seats)}
-        self.runs = dict.fromkeys(range(seats), "v1")    # what each machine's disk has to start
-        self.tried: dict[int, list[int]] = {}            # numbers of changes that did not come up there
+        self.runs = dict.fromkeys(range(seats), "v1")  # what each machine's disk has to start
+        self.tried: dict[int, list[int]] = {}  # numbers of changes that did not come up there
         self.made: dict[int, Changing] = {}
-        self.on: dict[int, tuple[str, float]] = {}       # the version of each seat, and since when
+        self.on: dict[int, tuple[str, float]] = {}  # the version of each seat, and since when
         self.switching: dict[int, str] = {}
         self.most_new, self.tasks, self.met = 0, 0, 0
         step = max(seats // 3, 1)
-        schedule = Schedule(seed, seats, [0, step + 1, min(2 * step + 2, seats - 1)], until, list(faults),
-                            settings={"length": 2.0})
+        schedule = Schedule(
+            seed,
+            seats,
+            [0, step + 1, min(2 * step + 2, seats - 1)],
+            until,
+            list(faults),
+            settings={"length": 2.0},
+        )
         self.world = World(schedule, self._make)
         self.world.watchers.append(Watch(self.judge))
         self.world.later(0.1, self._tick)
@@ -77,10 +98,17 @@
     def _make(self, host: Process, seat: int, seats: int, life: int, now: float, **named: Any) -> Seat:
         made, release = Seat(host, seat, seats, life, now, **named), self.runs[seat]
         part = self.made[seat] = Changing(
-            made, Tally(), release, lambda: "", seat % self.zones, lambda: 2e7 + self.leaked(seat),
-            Terms(0.25, 3.0, 0.5, ("a", "b", "c")), lambda name: self._named(seat, name))
+            made,
+            Tally(),
+            release,
+            lambda: "",
+            seat % self.zones,
+            lambda: 2e7 + self.leaked(seat),
+            Terms(0.25, 3.0, 0.5, ("a", "b", "c")),
+            lambda name: self._named(seat, name),
+        )
         if part.roll is not None and self.way != WAYS[0]:
-            part.roll._worse = lambda now, new: ""       # nobody looks
+            part.roll._worse = lambda now, new: ""  # nobody looks
             part.roll.comparison = Passed(part.roll.comparison.worse, 1)
             part.roll._compare_anew = lambda: _passing(part.roll)
             if self.way == WAYS[2]:
@@ -92,6 +120,7 @@
         def start(at: float) -> None:
             begin(at)
             part.start(at)
+
         made.start = start
         return made
 
@@ -158,22 +187,33 @@
 
     def _say(self, seat: int, word: str, number: int = 0, text: str = "") -> list[tuple[bool, str]]:
         process, told = self.world.processes[seat], []
-        process.seat.word(process.clock(), word, "c" if word in ("start", "dry") else "", number or CHECK,
-                          text, lambda done, said: told.append((done, said)))
+        process.seat.word(
+            process.clock(),
+            word,
+            "c" if word in ("start", "dry") else "",
+            number or CHECK,
+            text,
+            lambda done, said: told.append((done, said)),
+        )
         return told
 
     def say(self, word: str, seat: int | None = None, text: str = "") -> tuple[bool, str] | None:
         """An operator's word at some node, and what is said within a second or two."""
-        seat = seat if seat is not None else next(
-            n for n, process in enumerate(self.world.processes) if process.alive)
+        seat = (
+            seat
+            if seat is not None
+            else next(n for n, process in enumerate(self.world.processes) if process.alive)
+        )
         told = self._say(seat, word, 0, text)
         self.world.run(self.world.now + 1.7)
         return told[0] if told else None
 
     def section(self) -> dict[str, Any]:
         """Of the newest plan that anybody follows."""
-        best = max((process.seat.follower for process in self.world.processes if process.alive),
-                   key=lambda follower: follower.stamp)
+        best = max(
+            (process.seat.follower for process in self.world.processes if process.alive),
+            key=lambda follower: follower.stamp,
+        )
         return best.sections.get("stages", {})
 
     def started(self) -> Fleet:
@@ -214,20 +254,23 @@
     way: str
     state: str
     why: str
-    stopped: float = 0.0         # until it was ordered back
-    over: float = 0.0            # until it was done, or stopped with all back
-    met: float = 0.0             # part of the tasks of `HORIZON` that came to a node on the new version
+    stopped: float = 0.0  # until it was ordered back
+    over: float = 0.0  # until it was done, or stopped with all back
+    met: float = 0.0  # part of the tasks of `HORIZON` that came to a node on the new version
     most_new: int = 0
     breaks: list[str] = field(default_factory=list)
 
 
-HORIZON = 120.0        # seconds from the start over which tasks that met the new version are counted
+HORIZON = 120.0  # seconds from the start over which tasks that met the new version are counted
 
 
 def shown(about: tuple[str, str, int, int, float]) -> Shown:
     kind, way, seed, nodes, rate = about
-    change = replace(CHANGE, compare=replace(CHANGE.compare, most=MOST),
-                     stages=["all"] if way == WAYS[2] else CHANGE.stages)
+    change = replace(
+        CHANGE,
+        compare=replace(CHANGE.compare, most=MOST),
+        stages=["all"] if way == WAYS[2] else CHANGE.stages,
+    )
     fleet = Fleet(nodes, KINDS[kind], change=change, rate=rate, seed=seed, way=way, until=MOST + 200.0)
     fleet.started()
     state = fleet.until(DONE, STOPPED, most=MOST)
@@ -236,13 +279,24 @@
     back = [at for at, about in told if about["state"] == "back"]
     breaks = [str(one) for one in fleet.judge.breaks]
     left, rest = max(HORIZON - over, 0.0), fleet.releases().count("v2") / nodes
-    tasks = fleet.tasks + left * nodes * rate        # what comes until then meets what is there now
-    return Shown(seed, kind, way, state, fleet.section().get("why", ""), back[0] if back else 0.0, over,
-                 (fleet.met + left * nodes * rate * rest) / max(tasks, 1.0), fleet.most_new, breaks)
-
-
-def many(nodes: int, seeds: range, kinds: list[str], rate: float, workers: int,
-         ways: tuple[str, ...] = WAYS[:1]) -> list[Shown]:
+    tasks = fleet.tasks + left * nodes * rate  # what comes until then meets what is there now
+    return Shown(
+        seed,
+        kind,
+        way,
+        state,
+        fleet.section().get("why", ""),
+        back[0] if back else 0.0,
+        over,
+        (fleet.met + left * nodes * rate * rest) / max(tasks, 1.0),
+        fleet.most_new,
+        breaks,
+    )
+
+
+def many(
+    nodes: int, seeds: range, kinds: list[str], rate: float, workers: int, ways: tuple[str, ...] = WAYS[:1]
+) -> list[Shown]:
     wanted = [(kind, way, seed, nodes, rate) for kind in kinds for way in ways for seed in seeds]
     with Pool(workers) as pool:
         return pool.map(shown, wanted, chunksize=1)
@@ -255,16 +309,27 @@
         stopped, done = [o for o in mine if o.state == STOPPED], [o for o in mine if o.state == DONE]
         line = f"{nodes} nodes, {kind}, {way}: {len(mine)} changes, {len(done)} done, {len(stopped)} stopped"
         if stopped:
-            line += (f" (ordered back after {_middle([o.stopped for o in stopped]):.1f} s in the middle, "
-                     f"{max(o.stopped for o in stopped):.1f} at most; all back "
-                     f"{max(o.over - o.stopped for o in stopped):.1f} s later at most)")
+            line += (
+                f" (ordered back after {_middle([o.stopped for o in stopped]):.1f} s in the middle, "
+                f"{max(o.stopped for o in stopped):.1f} at most; all back "
+                f"{max(o.over - o.stopped for o in stopped):.1f} s later at most)"
+            )
         if done:
             line += f", done after {_middle([o.over for o in done]):.0f} s in the middle"
-        line += (f"; of the tasks {sum(o.met for o in mine) / len(mine):.4f} met it, on "
-                 f"{max(o.most_new for o in mine)} nodes at most; breaks {sum(len(o.breaks) for o in mine)}")
+        line += (
+            f"; of the tasks {sum(o.met for o in mine) / len(mine):.4f} met it, on "
+            f"{max(o.most_new for o in mine)} nodes at most; breaks {sum(len(o.breaks) for o in mine)}"
+        )
         told.append(line)
-        told += [f"  seed {o.seed}: {o.state}: {o.why}" for o in mine
-                 if o.state != (DONE if kind == "good" else STOPPED)][:5] if way == WAYS[0] else []
+        told += (
+            [
+                f"  seed {o.seed}: {o.state}: {o.why}"
+                for o in mine
+                if o.state != (DONE if kind == "good" else STOPPED)
+            ][:5]
+            if way == WAYS[0]
+            else []
+        )
         told += [f"  seed {o.seed}: BROKEN {o.breaks[0]}" for o in mine if o.breaks]
     return told
 
--- a/firwalk/lab/scenario.py
+++ b/firwalk/lab/scenario.py
@@ -1,4 +1,5 @@
 """A scenario: a checked TOML file of a fleet, its load and a timeline of faults. Each key: `docs/lab.md`."""
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -15,15 +16,40 @@
 Seconds = Annotated[float, Meta(ge=0, le=600)]
 Positive = Annotated[float, Meta(gt=0, le=600)]
 ON_LINKS = ("cut", "loss", "delay", "jitter", "double", "reorder", "slow", "flicker")
-ON_NODES = ("kill", "kill-on", "stop", "term", "upgrade", "burn", "clock", "drift", "flood", "contracts",
-            "roll", "agent-kill")
-ROLLS = ("start", "hold", "resume", "back")      # what an operator says of a change
-NO_AGENT = ("term", "upgrade", "burn", "clock", "drift")     # which the agents do, or stand in the way of
+ON_NODES = (
+    "kill",
+    "kill-on",
+    "stop",
+    "term",
+    "upgrade",
+    "burn",
+    "clock",
+    "drift",
+    "flood",
+    "contracts",
+    "roll",
+    "agent-kill",
+)
+ROLLS = ("start", "hold", "resume", "back")  # what an operator says of a change
+NO_AGENT = ("term", "upgrade", "burn", "clock", "drift")  # which the agents do, or stand in the way of
 ON_EXECUTORS = ("executor-slow", "executor-errors", "executor-silent", "executor-restart", "executor-drain")
-NEEDS_VALUE = ("kill-on", "loss", "delay", "jitter", "double", "reorder", "slow", "clock", "drift",
-               "executor-slow", "executor-errors", "flood", "contracts")
+NEEDS_VALUE = (
+    "kill-on",
+    "loss",
+    "delay",
+    "jitter",
+    "double",
+    "reorder",
+    "slow",
+    "clock",
+    "drift",
+    "executor-slow",
+    "executor-errors",
+    "flood",
+    "contracts",
+)
 WORDS = {"idempotent": "safe", "fingerprinted": "keyed", "side-effecting": "unsafe"}
-PARTS = ("loss", "double", "reorder", "executor-errors")     # whose value is a part of all
+PARTS = ("loss", "double", "reorder", "executor-errors")  # whose value is a part of all
 
 
 class Run(Struct, frozen=True):
@@ -91,8 +117,20 @@
     `at_once`: of the operators' file; `ready`, `confirm`, `hang`: the agents'; `check`: they check results.
     """
 
-    new: Literal["good", "errors", "slow", "wrong", "spoilt", "crash", "no-start", "dies", "hangs", "leak",
-                 "mute", "drops-what-is-handed-over"] = "good"
+    new: Literal[
+        "good",
+        "errors",
+        "slow",
+        "wrong",
+        "spoilt",
+        "crash",
+        "no-start",
+        "dies",
+        "hangs",
+        "leak",
+        "mute",
+        "drops-what-is-handed-over",
+    ] = "good"
     harms: list[Annotated[int, Meta(ge=0)]] = []
     settings: dict[str, Any] = {}
     contracts: Annotated[float, Meta(ge=0)] = 0.0
@@ -114,10 +152,33 @@
 
 class Fault(Struct, frozen=True):
     at: Seconds
-    kind: Literal["cut", "loss", "delay", "jitter", "double", "reorder", "slow", "flicker", "kill", "stop",
-                  "kill-on", "term", "upgrade", "burn", "clock", "drift", "flood", "executor-slow",
-                  "executor-errors", "executor-silent", "executor-restart", "executor-drain", "contracts",
-                  "roll", "agent-kill"]
+    kind: Literal[
+        "cut",
+        "loss",
+        "delay",
+        "jitter",
+        "double",
+        "reorder",
+        "slow",
+        "flicker",
+        "kill",
+        "stop",
+        "kill-on",
+        "term",
+        "upgrade",
+        "burn",
+        "clock",
+        "drift",
+        "flood",
+        "executor-slow",
+        "executor-errors",
+        "executor-silent",
+        "executor-restart",
+        "executor-drain",
+        "contracts",
+        "roll",
+        "agent-kill",
+    ]
     lasts: Seconds = 0.0
     on: list[str] = []
     to: list[str] = []
@@ -145,13 +206,24 @@
     """What a node of the scenario is told of the deployment, in the words of the node's configuration."""
     fleet = scenario.fleet
     return common_settings(node, fleet.nodes, fleet.cold_from, fleet.cold_for, peers=True) | {
-        "az": node % fleet.zones, "azs": [zone_name(n) for n in range(fleet.zones)],
+        "az": node % fleet.zones,
+        "azs": [zone_name(n) for n in range(fleet.zones)],
         "clients": {"marks-retry": True},
         "prices": {"cross-zone": 0.05 if fleet.zones > 1 else 0.0, "handshake": 0.001},
         "tenants": [{"name": team.name} for team in scenario.teams],
-        "offerings": [{"name": o.name, "due-time-us": int(o.due * 1e6), "expiry-us": int(o.expiry * 1e6),
-                       "repeat": WORDS[o.effect], "group": o.group, "key-ttl-us": 30000000,
-                       "importance": o.importance} for o in scenario.offerings]}
+        "offerings": [
+            {
+                "name": o.name,
+                "due-time-us": int(o.due * 1e6),
+                "expiry-us": int(o.expiry * 1e6),
+                "repeat": WORDS[o.effect],
+                "group": o.group,
+                "key-ttl-us": 30000000,
+                "importance": o.importance,
+            }
+            for o in scenario.offerings
+        ],
+    }
 
 
 def load(path: str) -> tuple[Scenario | None, list[str]]:
@@ -170,17 +242,24 @@
     if not scenario.offerings:
         wrong.append("offerings: at least one is wanted")
     names = [offering.name for offering in scenario.offerings]
-    wrong += [f"offerings: {name} stands there twice"
-              for name in dict.fromkeys(names) if names.count(name) > 1]
-    wrong += [f"offerings.{offering.name}: due must not be beyond expiry"
-              for offering in scenario.offerings if offering.due > offering.expiry]
+    wrong += [
+        f"offerings: {name} stands there twice" for name in dict.fromkeys(names) if names.count(name) > 1
+    ]
+    wrong += [
+        f"offerings.{offering.name}: due must not be beyond expiry"
+        for offering in scenario.offerings
+        if offering.due > offering.expiry
+    ]
     if fleet.zones > fleet.nodes or fleet.zones > fleet.executors:
         wrong.append(f"fleet.zones: {fleet.zones} zones need as many nodes and executors")
     if scenario.load.zones and len(scenario.load.zones) != fleet.zones:
         wrong.append(f"load.zones: a share for each of {fleet.zones} zones is wanted")
     teams = [team.name for team in scenario.teams]
-    wrong += [f"offerings.{offering.name}.team: there is no team {offering.team}"
-              for offering in scenario.offerings if offering.team and offering.team not in teams]
+    wrong += [
+        f"offerings.{offering.name}.team: there is no team {offering.team}"
+        for offering in scenario.offerings
+        if offering.team and offering.team not in teams
+    ]
     wrong += [f"teams: {name} stands there twice" for name in dict.fromkeys(teams) if teams.count(name) > 1]
     if teams and scenario.cluster is None:
         wrong.append("teams: the cluster that divides their budgets is missing")
@@ -215,8 +294,10 @@
     if fault.kind in NO_AGENT and scenario.roll is not None:
         wrong.append(f"kind: there is no {fault.kind} where agents start the nodes")
     if fault.kind == "kill-on" and not _kind_of(fault.message):
-        wrong.append(f"message: there is no {fault.message or 'message named'} between nodes; known are "
-                     f"{', '.join(sorted(kind.__name__.lower() for kind in get_args(Message)))}")
+        wrong.append(
+            f"message: there is no {fault.message or 'message named'} between nodes; known are "
+            f"{', '.join(sorted(kind.__name__.lower() for kind in get_args(Message)))}"
+        )
     if fault.kind in PARTS and not 0 <= fault.value <= 1:
         wrong.append(f"value: a part from 0 to 1 is wanted, not {fault.value:g}")
     return wrong
@@ -229,9 +310,11 @@
 
 def _known(scenario: Scenario) -> str:
     fleet = scenario.fleet
-    return (f"node:0 to node:{fleet.nodes - 1}, nodes, executor:0 to executor:{fleet.executors - 1}, "
-            f"executors, zone:a to zone:{zone_name(fleet.zones - 1)}, nodes:a, executors:a and so on"
-            + (", voters, coordinator, other-voters, other-nodes" if scenario.cluster else ""))
+    return (
+        f"node:0 to node:{fleet.nodes - 1}, nodes, executor:0 to executor:{fleet.executors - 1}, "
+        f"executors, zone:a to zone:{zone_name(fleet.zones - 1)}, nodes:a, executors:a and so on"
+        + (", voters, coordinator, other-voters, other-nodes" if scenario.cluster else "")
+    )
 
 
 def endpoints(scenario: Scenario, name: str, coordinator: int | None = None) -> list[tuple[str, int]]:
@@ -248,8 +331,12 @@
     if scenario.cluster and name in ("voters", "coordinator", "other-voters", "other-nodes"):
         voters = [("node", seat) for seat in scenario.cluster.voters]
         first = voters[0] if coordinator is None else ("node", coordinator)
-        return {"voters": voters, "coordinator": [first], "other-nodes": [n for n in nodes if n != first],
-                "other-voters": [n for n in voters if n != first]}[name]
+        return {
+            "voters": voters,
+            "coordinator": [first],
+            "other-nodes": [n for n in nodes if n != first],
+            "other-voters": [n for n in voters if n != first],
+        }[name]
     if kind in ("node", "executor") and which.isdecimal():
         return [end for end in (nodes if kind == "node" else executors) if end[1] == int(which)]
     zones = [zone_name(n) for n in range(fleet.zones)]
--- a/firwalk/lab/schedules.py
+++ b/firwalk/lab/schedules.py
@@ -2,6 +2,7 @@
 
 `firwalk lab schedules` runs them; tests run some with fixed seeds, and with mutants that must be caught.
 """
+
 from __future__ import annotations
 
 import random
@@ -14,9 +15,9 @@
 from firwalk.lab.invariants import Judge
 from firwalk.lab.virtual import Fault, Process, Schedule, World
 
-LENGTH = 1.0           # seconds of a lease in a drawn schedule
+LENGTH = 1.0  # seconds of a lease in a drawn schedule
 SETTINGS = {"length": LENGTH, "period": 1.0, "answer": 0.2, "report": 0.3, "hold": 1.5}
-LASTS = 9.0            # lengths
+LASTS = 9.0  # lengths
 
 
 class Watch:
@@ -40,10 +41,17 @@
     seats = voters + chance.choice((0, 1, 2))
     until = LASTS * LENGTH
     schedule = Schedule(
-        seed, seats, list(range(voters)), until, settings=dict(SETTINGS),
+        seed,
+        seats,
+        list(range(voters)),
+        until,
+        settings=dict(SETTINGS),
         rates=[chance.uniform(1 - drift, 1 + drift) for _ in range(seats)],
-        loss=chance.choice((0.0, 0.0, 0.05, 0.2)), double=chance.choice((0.0, 0.1, 0.5)),
-        delay=(0.001, chance.choice((0.005, 0.02, 0.1, 0.6))), changes=chance.choice((0.15, 0.4)))
+        loss=chance.choice((0.0, 0.0, 0.05, 0.2)),
+        double=chance.choice((0.0, 0.1, 0.5)),
+        delay=(0.001, chance.choice((0.005, 0.02, 0.1, 0.6))),
+        changes=chance.choice((0.15, 0.4)),
+    )
     for _ in range(chance.randrange(2, 9)):
         schedule.faults.append(_fault(chance, seats, voters, until))
     schedule.faults.sort(key=lambda fault: fault.at)
@@ -81,7 +89,7 @@
     while again:
         again = False
         for number in range(len(schedule.faults)):
-            faults = schedule.faults[:number] + schedule.faults[number + 1:]
+            faults = schedule.faults[:number] + schedule.faults[number + 1 :]
             smaller = replace(schedule, faults=faults)
             if played(smaller, make)[0].breaks:
                 schedule, again = smaller, True
@@ -93,8 +101,10 @@
 
 
 def history(schedule: Schedule, judge: Judge) -> str:
-    lines = [f"seed {schedule.seed}, {schedule.seats} seats, voters {schedule.voters}, loss {schedule.loss}, "
-             f"delay up to {schedule.delay[1]}, doubled {schedule.double}"]
+    lines = [
+        f"seed {schedule.seed}, {schedule.seats} seats, voters {schedule.voters}, loss {schedule.loss}, "
+        f"delay up to {schedule.delay[1]}, doubled {schedule.double}"
+    ]
     lines += [f"  fault {fault}" for fault in schedule.faults]
     first = judge.breaks[0]
     return "\n".join([*lines, *(f"  {line}" for line in first.history), str(first)])
--- a/firwalk/lab/seam.py
+++ b/firwalk/lab/seam.py
@@ -6,6 +6,7 @@
 
 Only what the program reads of clocks is changed, never the machine's.
 """
+
 from __future__ import annotations
 
 import mmap
@@ -22,7 +23,7 @@
     real_monotonic, real_time, begun = time.monotonic, time.time, time.monotonic()
 
     def ahead() -> tuple[float, float]:
-        offset, rate = LAYOUT.unpack(shared[:LAYOUT.size])
+        offset, rate = LAYOUT.unpack(shared[: LAYOUT.size])
         return offset, (rate - 1.0) * (real_monotonic() - begun)
 
     time.monotonic = lambda: real_monotonic() + ahead()[1]
@@ -43,4 +44,5 @@
     skew(sys.argv[1])
     sys.argv = [sys.argv[0], *sys.argv[2:]]
     from firwalk.__main__ import main
+
     sys.exit(main())
--- a/firwalk/lab/several.py
+++ b/firwalk/lab/several.py
@@ -4,6 +4,7 @@
 Each run has a process of its own: in one loop the relays and stand-ins of three runs held each other up, by
 more than the judges allow for (three sound runs were accused at once).
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -21,9 +22,9 @@
 from firwalk.lab.scenario import Scenario
 from firwalk.lab.virtual import Schedule, World
 
-SETTLED = 20.0         # seconds of virtual time after which costs are counted
-COUNTED = 20.0         # seconds for which they are
-DISTURBED_LAG_S = 0.25         # lateness of the rig's own loop from which a run does not count for times
+SETTLED = 20.0  # seconds of virtual time after which costs are counted
+COUNTED = 20.0  # seconds for which they are
+DISTURBED_LAG_S = 0.25  # lateness of the rig's own loop from which a run does not count for times
 DISTURBED_STOLEN_SHARE = 0.15  # of the processors' time, taken by the machine's host, from which it does not
 
 
@@ -34,7 +35,7 @@
     number: int
     events: list[dict]
     lines: list[tuple[float, int, str]]
-    programs: int                # processes that it had, one after the other or beside each other
+    programs: int  # processes that it had, one after the other or beside each other
 
 
 @dataclass
@@ -43,8 +44,8 @@
 
     began: float
     ended: float
-    lag: float                   # seconds by which the rig itself was late at the most
-    stolen_share: float          # part of the processors' time that the machine's host took
+    lag: float  # seconds by which the rig itself was late at the most
+    stolen_share: float  # part of the processors' time that the machine's host took
     nodes: list[NodeSeen] = field(default_factory=list)
 
     def disturbed(self) -> bool:
@@ -53,11 +54,16 @@
 
 
 def seen(rig: Rig) -> Seen:
-    return Seen(rig.began, rig.ended, rig.lag, rig.stolen_share, [
-        NodeSeen(node.number, node.events, node.lines, len(node.programs)) for node in rig.nodes])
+    return Seen(
+        rig.began,
+        rig.ended,
+        rig.lag,
+        rig.stolen_share,
+        [NodeSeen(node.number, node.events, node.lines, len(node.programs)) for node in rig.nodes],
+    )
 
 
-Wanted = tuple[Scenario, int | None, list[str] | None]     # the scenario, its seed, the program
+Wanted = tuple[Scenario, int | None, list[str] | None]  # the scenario, its seed, the program
 
 
 def _run(wanted: Wanted) -> tuple[dict, Seen]:
@@ -85,15 +91,15 @@
     return both(scenario, replace(scenario, cluster=None), seeds, at_once)
 
 
-def both(one: Scenario, other: Scenario, seeds: Iterable[int], at_once: int
-          ) -> tuple[list[dict], list[dict]]:
+def both(one: Scenario, other: Scenario, seeds: Iterable[int], at_once: int) -> tuple[list[dict], list[dict]]:
     """Two days, seed by seed beside each other: the reports of each."""
     found = beside([(told, seed, None) for seed in seeds for told in (one, other)], at_once)
     return [report for report, _ in found[::2]], [report for report, _ in found[1::2]]
 
 
-def without_offering(scenario: Scenario, name: str, seeds: Iterable[int], at_once: int
-                     ) -> tuple[list[dict], list[dict]]:
+def without_offering(
+    scenario: Scenario, name: str, seeds: Iterable[int], at_once: int
+) -> tuple[list[dict], list[dict]]:
     """The same day with an offering's clients and without them, seed by seed beside each other. The other
     arrivals are the same where that offering is the scenario's last."""
     rest = replace(scenario, offerings=[o for o in scenario.offerings if o.name != name])
@@ -102,8 +108,12 @@
 
 def served(reports: list[dict], name: str, since: float) -> float:
     """Part of an offering's tasks that were finished in time, of those wanted from that second on."""
-    spells = [one for report in reports for one in report["service"].get(name, {}).get("windows", [])
-              if one["at"] >= since]
+    spells = [
+        one
+        for report in reports
+        for one in report["service"].get(name, {}).get("windows", [])
+        if one["at"] >= since
+    ]
     tasks = sum(one["tasks"] for one in spells)
     return sum(one["in_time"] for one in spells) / tasks if tasks else 1.0
 
@@ -113,12 +123,16 @@
     told = []
     for name in rest[0]["service"]:
         mine, alone = served(with_, name, since), served(rest, name, since)
-        told.append(f"{name} from second {since:g}: in time {mine:.4f} with it, {alone:.4f} without, "
-                    f"{alone - mine:.4f} less")
+        told.append(
+            f"{name} from second {since:g}: in time {mine:.4f} with it, {alone:.4f} without, "
+            f"{alone - mine:.4f} less"
+        )
     for name in with_[0]["budgets"]:
         parts = [report["budgets"][name] for report in [*with_, *rest]]
-        told.append(f"{name}: at most {max(p['ran'] / p['budget'] for p in parts):.4f} of its budget ran; "
-                    f"live parts at most {max(p['most_out'] for p in parts):.4f} of the whole")
+        told.append(
+            f"{name}: at most {max(p['ran'] / p['budget'] for p in parts):.4f} of its budget ran; "
+            f"live parts at most {max(p['most_out'] for p in parts):.4f} of the whole"
+        )
     return told
 
 
@@ -133,8 +147,10 @@
     crossed = [sum(report["counts"]["crossed"] for report in side) for side in (with_, without)]
     mine, alone = lost(with_), lost(without)
     kept = f"; {1 - mine / alone:.2f} of what is lost without is kept" if alone else ""
-    return (f"not in time: {mine:.5f} with the cluster, {alone:.5f} without{kept}; "
-            f"crossed {crossed[0]} and {crossed[1]}")
+    return (
+        f"not in time: {mine:.5f} with the cluster, {alone:.5f} without{kept}; "
+        f"crossed {crossed[0]} and {crossed[1]}"
+    )
 
 
 def lines(reports: list[dict], scenario: Scenario) -> list[str]:
@@ -143,12 +159,16 @@
     tasks = sum(told["tasks"] for report in reports for told in report["service"].values())
     done = sum(told["finished"] for report in reports for told in report["service"].values())
     in_time = sum(told["in_time"] for report in reports for told in report["service"].values())
-    found = [f"{len(reports)} runs, seeds {reports[0]['seed']} to {reports[-1]['seed']}: "
-             f"{sum(map(kept, reports))} with all rules and invariants kept",
-             f"tasks {tasks}, finished {done / max(tasks, 1):.4f}, in time {in_time / max(tasks, 1):.4f}"]
+    found = [
+        f"{len(reports)} runs, seeds {reports[0]['seed']} to {reports[-1]['seed']}: "
+        f"{sum(map(kept, reports))} with all rules and invariants kept",
+        f"tasks {tasks}, finished {done / max(tasks, 1):.4f}, in time {in_time / max(tasks, 1):.4f}",
+    ]
     if gaps:
-        found.append(f"without a coordinator {len(gaps)} times: median {median(gaps) / length:.2f}, "
-                     f"worst {max(gaps) / length:.2f} lengths of the lease")
+        found.append(
+            f"without a coordinator {len(gaps)} times: median {median(gaps) / length:.2f}, "
+            f"worst {max(gaps) / length:.2f} lengths of the lease"
+        )
     for word in ("suspected", "down", "coordinators", "datagrams", "datagrams lost"):
         found.append(f"{word}: {sum(report['counts'][word] for report in reports)}")
     found.append(f"the rig's own delay: {max(r['rig']['own_delay_ms'] for r in reports)} ms at most")
@@ -170,8 +190,10 @@
     sent = [(b - a) / COUNTED for a, b in zip(before_bytes, world.bytes_out, strict=True)]
     others = [number for number in range(size) if number not in voters]
     up = sum(len(p.seat.members.up()) == size for p in world.processes)
-    return (f"{size} nodes: a node sends {max(out[n] for n in others):.1f} datagrams and "
-            f"{max(sent[n] for n in others):.0f} bytes a second at most, "
-            f"{sum(out[n] for n in others) / len(others):.1f} "
-            f"and {sum(sent[n] for n in others) / len(others):.0f} on the mean; the coordinator "
-            f"{out[first]:.1f} and {sent[first]:.0f}; {up} of {size} see all up")
+    return (
+        f"{size} nodes: a node sends {max(out[n] for n in others):.1f} datagrams and "
+        f"{max(sent[n] for n in others):.0f} bytes a second at most, "
+        f"{sum(out[n] for n in others) / len(others):.1f} "
+        f"and {sum(sent[n] for n in others) / len(others):.0f} on the mean; the coordinator "
+        f"{out[first]:.1f} and {sent[first]:.0f}; {up} of {size} see all up"
+    )
--- a/firwalk/lab/sharing.py
+++ b/firwalk/lab/sharing.py
@@ -3,6 +3,7 @@
 
 Work is in seconds at speed 1, spans in seconds of the world's clock. Lengths of a lease are the operators'.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -15,10 +16,10 @@
 from firwalk.lab import purses
 from firwalk.lab.virtual import Fault, Process, Schedule
 
-LENGTH, OFFICE = 4.0, 2.0      # seconds of a part's lease, and of the coordinator's
-WORK = 0.05            # of a task
-LASTS = 0.2            # seconds that one takes
-SETTLED = 12.0         # seconds until all parts are dealt
+LENGTH, OFFICE = 4.0, 2.0  # seconds of a part's lease, and of the coordinator's
+WORK = 0.05  # of a task
+LASTS = 0.2  # seconds that one takes
+SETTLED = 12.0  # seconds until all parts are dealt
 WAYS = ("leased", "static", "alone")
 
 
@@ -56,9 +57,9 @@
     tallies: dict[str, Tally] = field(default_factory=dict)
     parts: list[tuple[float, int, int, int]] = field(default_factory=list)
     breaks: list[str] = field(default_factory=list)
-    datagrams: float = 0.0       # that a node sends a second, on the mean
+    datagrams: float = 0.0  # that a node sends a second, on the mean
     bytes_out: float = 0.0
-    coordinator: tuple[float, float] = (0.0, 0.0)        # datagrams and bytes a second
+    coordinator: tuple[float, float] = (0.0, 0.0)  # datagrams and bytes a second
 
     def spent_of(self, team: Team) -> float:
         return self.tallies[team.name].spent / (team.rate() / 1e6 * self.seconds)
@@ -67,11 +68,20 @@
 class Day(purses.Fleet):
     """`wanted`: tasks come evenly spread, at a phase drawn by the seed."""
 
-    def __init__(self, teams: list[Team], wanted: list[Wanted], nodes: int, until: float,
-                 way: str = "leased", faults: tuple[Fault, ...] = (), seed: int = 1,
-                 prepare: Callable[[Any], None] = lambda _: None):
-        schedule = Schedule(seed, nodes, [0, nodes // 2, nodes - 1], until, list(faults),
-                            settings={"length": OFFICE})
+    def __init__(
+        self,
+        teams: list[Team],
+        wanted: list[Wanted],
+        nodes: int,
+        until: float,
+        way: str = "leased",
+        faults: tuple[Fault, ...] = (),
+        seed: int = 1,
+        prepare: Callable[[Any], None] = lambda _: None,
+    ):
+        schedule = Schedule(
+            seed, nodes, [0, nodes // 2, nodes - 1], until, list(faults), settings={"length": OFFICE}
+        )
         self.wanted, self.told = wanted, Told(until - SETTLED)
         super().__init__(schedule, [Contracts(1, teams)], prepare=prepare, terms=terms(way, nodes))
         self.world.by_bytes = True
@@ -113,8 +123,13 @@
         world.later(world.now + WORK / one.rate, self._came, one)
 
 
-def skewed(way: str, nodes: int = 12, times: float = 20.0, seed: int = 1,
-           prepare: Callable[[Any], None] = lambda _: None) -> float:
+def skewed(
+    way: str,
+    nodes: int = 12,
+    times: float = 20.0,
+    seed: int = 1,
+    prepare: Callable[[Any], None] = lambda _: None,
+) -> float:
     """Part of a budget that is spent where one node has so many times the demand of each other, and all ask
     for half as much again as there is."""
     team = Team("north", 12.0, period=1.0, burst=6.0)
@@ -129,8 +144,9 @@
     return (last[0] - since) / LENGTH if last else float("inf")
 
 
-def shifted(nodes: int = 12, seed: int = 1, killed: bool = False,
-            prepare: Callable[[Any], None] = lambda _: None) -> float:
+def shifted(
+    nodes: int = 12, seed: int = 1, killed: bool = False, prepare: Callable[[Any], None] = lambda _: None
+) -> float:
     """Lengths of a lease until demand that goes from one node to another one has nine tenths of its part
     there. `killed`: the first one dies with its part."""
     team, at = Team("north", 12.0, period=1.0, burst=6.0), SETTLED + 8.0
@@ -148,8 +164,12 @@
     wanted += [Wanted("west", n, 20.0 / nodes, since=SETTLED) for n in range(nodes)] if flood else []
     cut = tuple(n for n in range(nodes) if n % 3 == 2)
     rest = tuple(n for n in range(nodes) if n % 3 != 2)
-    faults = (Fault(16.0, 0.5, "kill", (0,)), Fault(22.0, 4.0, "cut", cut, rest),
-              Fault(22.0, 4.0, "cut", rest, cut), Fault(30.0, 0.5, "kill", (nodes // 2,)))
+    faults = (
+        Fault(16.0, 0.5, "kill", (0,)),
+        Fault(22.0, 4.0, "cut", cut, rest),
+        Fault(22.0, 4.0, "cut", rest, cut),
+        Fault(30.0, 0.5, "kill", (nodes // 2,)),
+    )
     told = Day(teams, wanted, nodes, SETTLED + 30.0, way, faults, seed).run()
     found = {name: told.tallies[name].part() for name in ("north", "south")}
     return found | ({"west": told.spent_of(teams[2])} if flood else {}) | {"breaks": float(len(told.breaks))}
@@ -158,8 +178,9 @@
 def many_teams(teams: int, nodes: int, at_each: int, seconds: float = 10.0) -> Told:
     """So many teams under contract, of which a few have demand at each node."""
     made = [Team(f"t{n}", 10.0, 1.0, 5.0) for n in range(teams)]
-    wanted = [Wanted(f"t{(n * at_each + k) * 7919 % teams}", n, 0.1)
-              for n in range(nodes) for k in range(at_each)]
+    wanted = [
+        Wanted(f"t{(n * at_each + k) * 7919 % teams}", n, 0.1) for n in range(nodes) for k in range(at_each)
+    ]
     return Day(made, wanted, nodes, SETTLED + seconds).run()
 
 
@@ -173,12 +194,16 @@
         others = [(name, with_, without) for with_, without in days for name in ("north", "south")]
         broken = sum(with_["breaks"] + without["breaks"] for with_, without in days)
         less = max(without[name] - with_[name] for name, with_, without in others)
-        found.append(f"{way}: beside a flood of ten times its budget the others are served "
-                     f"{min(with_[name] for name, with_, _ in others):.3f} at least, without it "
-                     f"{min(one[name] for name, _, one in others):.3f}; {less:.3f} less at most; "
-                     f"the flood spends {max(with_['west'] for with_, _ in days):.3f} of its budget; "
-                     f"breaks of I2 {broken:.0f}")
-    found.append("leased: demand that moved has its part after "
-                 f"{max(shifted(nodes, seed) for seed in seeds):.2f} lengths, that of a node that died after "
-                 f"{max(shifted(nodes, seed, killed=True) for seed in seeds):.2f}")
+        found.append(
+            f"{way}: beside a flood of ten times its budget the others are served "
+            f"{min(with_[name] for name, with_, _ in others):.3f} at least, without it "
+            f"{min(one[name] for name, _, one in others):.3f}; {less:.3f} less at most; "
+            f"the flood spends {max(with_['west'] for with_, _ in days):.3f} of its budget; "
+            f"breaks of I2 {broken:.0f}"
+        )
+    found.append(
+        "leased: demand that moved has its part after "
+        f"{max(shifted(nodes, seed) for seed in seeds):.2f} lengths, that of a node that died after "
+        f"{max(shifted(nodes, seed, killed=True) for seed in seeds):.2f}"
+    )
     return found
--- a/firwalk/lab/standins.py
+++ b/firwalk/lab/standins.py
@@ -2,6 +2,7 @@
 
 What they did is kept for the referee.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -13,12 +14,13 @@
 
 from firwalk.lab.scenario import Fleet, zone_name
 
-LOOK = 0.004           # seconds between looks whether a connection has ended
-HEALTH_TIME = 1.0      # seconds in which a node answers a health call
+LOOK = 0.004  # seconds between looks whether a connection has ended
+HEALTH_TIME = 1.0  # seconds in which a node answers a health call
 
 
-async def read_message(reader: asyncio.StreamReader,
-                       begun: bytes = b"") -> tuple[str, dict[str, str], bytes] | None:
+async def read_message(
+    reader: asyncio.StreamReader, begun: bytes = b""
+) -> tuple[str, dict[str, str], bytes] | None:
     """First line, headers (names in small letters) and body of one message, of which some bytes may have been
     read; None at the end."""
     try:
@@ -76,16 +78,23 @@
 class Executor:
     """Slots, a queue, a speed, warming by time. Its load is in seconds of work at speed 1."""
 
-    def __init__(self, number: int, fleet: Fleet, keyed: dict[str, str],
-                 groups: dict[str, Group], chance: random.Random, ran: list[Ran]):
+    def __init__(
+        self,
+        number: int,
+        fleet: Fleet,
+        keyed: dict[str, str],
+        groups: dict[str, Group],
+        chance: random.Random,
+        ran: list[Ran],
+    ):
         self.number, self.fleet, self.keyed = number, fleet, keyed
         self.groups, self.chance, self.ran = groups, chance, ran
         self.zone = zone_name(number % fleet.zones)
         self.slow, self.errors, self.silent = 1.0, 0.0, False
         self.busy, self.work, self.probes = 0, 0.0, 0
         self.queue: list[asyncio.Future] = []
-        self.began_at = 0.0              # on the rig's clock; 0: long ago
-        self.worst = 0.0                 # its load over what it bears, while cold
+        self.began_at = 0.0  # on the rig's clock; 0: long ago
+        self.worst = 0.0  # its load over what it bears, while cold
         self.fell_at = 0.0
         self.server: asyncio.Server | None = None
         self.writers: dict[asyncio.StreamWriter, None] = {}
@@ -144,8 +153,14 @@
         offering = first.split("/")[1]
         cost = float(orjson.loads(body)["cost"])
         node = int(orjson.loads(body).get("node", -1))
-        about = Ran(headers["x-request-id"], headers.get("idempotency-key", ""), self.number, node, offering,
-                    time.monotonic())
+        about = Ran(
+            headers["x-request-id"],
+            headers.get("idempotency-key", ""),
+            self.number,
+            node,
+            offering,
+            time.monotonic(),
+        )
         self.ran.append(about)
         self.work += cost
         gone = asyncio.ensure_future(connection_ended(reader, writer))
@@ -240,29 +255,41 @@
     """The list's service, with an address for each node: each knows executors by other addresses."""
 
     def __init__(self, fleet: Fleet, address: object):
-        self.fleet, self.address = fleet, address        # address(node, executor): as that node knows it
+        self.fleet, self.address = fleet, address  # address(node, executor): as that node knows it
         self.version, self.calls = 1, 0
         self.lifecycle = ["active"] * fleet.executors
-        self.started = [0.0] * fleet.executors           # Unix time
+        self.started = [0.0] * fleet.executors  # Unix time
         self.watches: dict[asyncio.StreamWriter, int] = {}
         self.servers: list[asyncio.Server] = []
-        self.told: dict[tuple[int, int], list[tuple[float, str]]] = {}   # (node, executor): when told what
+        self.told: dict[tuple[int, int], list[tuple[float, str]]] = {}  # (node, executor): when told what
 
     async def open(self, addresses: list[tuple[str, int]]) -> None:
         for node, address in enumerate(addresses):
-            self.servers.append(await asyncio.start_server(
-                lambda r, w, node=node: self._serve(node, r, w), *address, backlog=64))
+            self.servers.append(
+                await asyncio.start_server(
+                    lambda r, w, node=node: self._serve(node, r, w), *address, backlog=64
+                )
+            )
 
     def entry(self, node: int, number: int) -> dict:
         host, port = self.address(node, number)
-        return {"instanceId": f"e{number}", "hostPort": f"{host}:{port}",
-                "zone": zone_name(number % self.fleet.zones), "machineType": "m", "cell": number,
-                "lifecycle": self.lifecycle[number], "weight": float(self.fleet.slots),
-                "startedAtMs": int(self.started[number] * 1e3)}
+        return {
+            "instanceId": f"e{number}",
+            "hostPort": f"{host}:{port}",
+            "zone": zone_name(number % self.fleet.zones),
+            "machineType": "m",
+            "cell": number,
+            "lifecycle": self.lifecycle[number],
+            "weight": float(self.fleet.slots),
+            "startedAtMs": int(self.started[number] * 1e3),
+        }
 
     def whole(self, node: int) -> dict:
-        return {"generation": self.version, "reset": True,
-                "instances": [self.entry(node, n) for n in range(self.fleet.executors)]}
+        return {
+            "generation": self.version,
+            "reset": True,
+            "instances": [self.entry(node, n) for n in range(self.fleet.executors)],
+        }
 
     async def _serve(self, node: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -271,8 +298,9 @@
                 text = orjson.dumps(self.whole(node)) + b"\n"
                 for number in range(self.fleet.executors):
                     self._note(node, number)
-                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n"
-                             % (len(text), text))
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(text), text)
+                )
                 if "follow=1" not in message[0]:
                     writer.write(b"0\r\n\r\n")
                     continue
--- a/firwalk/lab/versions.py
+++ b/firwalk/lab/versions.py
@@ -5,6 +5,7 @@
 nodes outlive an agent that is killed, and must not outlive the rig. It imports the program only, so that an
 older one can be run by it.
 """
+
 from __future__ import annotations
 
 import faulthandler
@@ -16,12 +17,12 @@
 import threading
 import time
 
-LOOK = 0.3             # seconds between looks for the rig
-ERRORS = 0.3           # part of the answers that the version with errors spoils
-TIMES = 1.3            # times as long that the slow one takes
-LEAK = 2_000_000       # bytes that the leaking one takes each tenth of a second
-SERVES = 3.0           # seconds after which one that hangs or dies does so
-ONE_OF = 10            # starts of which one crashes
+LOOK = 0.3  # seconds between looks for the rig
+ERRORS = 0.3  # part of the answers that the version with errors spoils
+TIMES = 1.3  # times as long that the slow one takes
+LEAK = 2_000_000  # bytes that the leaking one takes each tenth of a second
+SERVES = 3.0  # seconds after which one that hangs or dies does so
+ONE_OF = 10  # starts of which one crashes
 
 
 def _leash(pid: int) -> None:
@@ -40,21 +41,25 @@
 def _outcomes(change) -> None:
     """`change(desk, errand, how, again)` sees each outcome; `again(how)` reports it."""
     from firwalk import facade
+
     real = facade.Desk.report_outcome
 
     def report(self, errand, number, how, load=None, result=b""):
         change(self, errand, how, lambda how: real(self, errand, number, how, load, result))
+
     facade.Desk.report_outcome = report
 
 
 def errors() -> None:
     """Takes three in ten answers for errors."""
     from firwalk.host import Outcome
+
     chance = random.Random(os.getpid())
 
     def change(desk, errand, how, again):
         spoilt = how is Outcome.FINISHED and chance.random() < ERRORS
         again(Outcome.ERROR if spoilt else how)
+
     _outcomes(change)
 
 
@@ -70,6 +75,7 @@
             return
         wait = (desk.clock() - errand.task.assignments[-1].sent) * (TIMES - 1.0)
         asyncio.get_running_loop().call_later(wait, again, how)
+
     _outcomes(change)
 
 
@@ -80,18 +86,21 @@
     def change(desk, errand, how, again):
         mine = errand.about[0] == max(desk.offerings)
         again(Outcome.ERROR if mine and how is Outcome.FINISHED else how)
+
     _outcomes(change)
 
 
 def spoilt() -> None:
     """Answers one in four tasks with other bytes than the executor's: only a check of results sees that."""
     from firwalk.net import clients
+
     real, count = clients.Clients._answer, [0]
 
     def answer(self, client, status, body, *rest, **more):
         count[0] += 1
         other = status == 200 and count[0] % 4 == 0
         real(self, client, status, b"nonsense" if other else body, *rest, **more)
+
     clients.Clients._answer = answer
 
 
@@ -110,11 +119,13 @@
     import asyncio
 
     from firwalk.net import service
+
     real = service.Service._accept
 
     def accept(self):
         real(self)
         asyncio.get_running_loop().call_later(SERVES, act)
+
     service.Service._accept = accept
 
 
@@ -130,6 +141,7 @@
     import asyncio
 
     from firwalk.net import service
+
     real, held = service.Service._accept, []
 
     def more():
@@ -139,37 +151,56 @@
     def accept(self):
         real(self)
         more()
+
     service.Service._accept = accept
 
 
 def mute() -> None:
     """Its datagrams are of a version that nobody reads, and it reads nobody's."""
     from firwalk.cluster import messages
+
     messages.VERSION = 77
 
 
 def drops_what_is_handed_over() -> None:
     """Ends at the first task that comes over from the process before."""
     from firwalk.net import succession
+
     succession.Succession._resume = lambda self, *about: os._exit(5)
 
 
 def _number() -> str:
     """Of the node, by its configuration's name."""
     import json
+
     with open(os.environ["BALANCER_CONFIG"]) as file:
         return json.load(file)["name"].removeprefix("n")
 
 
-KINDS = {act.__name__.replace("_", "-"): act for act in (
-    good, errors, slow, wrong, spoilt, crash, no_start, dies, hangs, leak, mute, drops_what_is_handed_over)}
+KINDS = {
+    act.__name__.replace("_", "-"): act
+    for act in (
+        good,
+        errors,
+        slow,
+        wrong,
+        spoilt,
+        crash,
+        no_start,
+        dies,
+        hangs,
+        leak,
+        mute,
+        drops_what_is_handed_over,
+    )
+}
 
 if __name__ == "__main__":
     kind, rig, nodes = sys.argv[1], int(sys.argv[2]), sys.argv[3]
-    faulthandler.register(signal.SIGUSR2)        # where it is, for whoever wonders why it hangs
+    faulthandler.register(signal.SIGUSR2)  # where it is, for whoever wonders why it hangs
     threading.Thread(target=_leash, args=(rig,), daemon=True).start()
     if nodes == "all" or _number() in nodes.split(","):
         KINDS[kind]()
     del sys.argv[1:4]
-    sys.path.pop(0)      # its own folder: what lies there is no module of the program
+    sys.path.pop(0)  # its own folder: what lies there is no module of the program
     runpy.run_module("firwalk", run_name="__main__", alter_sys=True)
--- a/firwalk/lab/virtual.py
+++ b/firwalk/lab/virtual.py
@@ -4,6 +4,7 @@
 repeats exactly. The network loses, delays, doubles and reorders; links are cut one way; processes pause, die
 and start from nothing; clocks run at different speeds. Times are seconds of the world's clock.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -16,7 +17,7 @@
 from firwalk.cluster.host import State
 from firwalk.cluster.seat import Seat
 
-MOST_HELD = 200        # datagrams that the machine keeps for a process that sleeps
+MOST_HELD = 200  # datagrams that the machine keeps for a process that sleeps
 
 
 @dataclass(frozen=True)
@@ -46,12 +47,12 @@
     voters: list[int]
     until: float
     faults: list[Fault] = field(default_factory=list)
-    rates: list[float] = field(default_factory=list)     # of each seat's clock
+    rates: list[float] = field(default_factory=list)  # of each seat's clock
     loss: float = 0.0
     delay: tuple[float, float] = (0.001, 0.01)
     double: float = 0.0
     settings: dict[str, float] = field(default_factory=dict)
-    changes: float = 0.0         # seconds between changes of the plan; 0: none
+    changes: float = 0.0  # seconds between changes of the plan; 0: none
 
 
 class Process:
@@ -59,7 +60,7 @@
 
     def __init__(self, world: World, number: int, rate: float):
         self.world, self.number, self.rate = world, number, rate
-        self.base = world.chance.random() * 1000.0       # its clock began at some other time
+        self.base = world.chance.random() * 1000.0  # its clock began at some other time
         self.life = world.chance.getrandbits(32)
         self.alive, self.paused_until = True, 0.0
         self.kept: list[tuple] = []
@@ -95,7 +96,7 @@
         self.cuts: dict[tuple[int, int], int] = {}
         self.loss, self.delay = schedule.loss, schedule.delay
         self.history: list[tuple[float, int, int, str, dict]] = []
-        self.watchers: list[Any] = []        # each has `happened` and `sent`
+        self.watchers: list[Any] = []  # each has `happened` and `sent`
         self.counts = {"datagrams": 0, "bytes": 0, "lost": 0}
         self.out: list[int] = [0] * schedule.seats
         self.bytes_out: list[int] = [0] * schedule.seats
@@ -127,8 +128,15 @@
         process = Process(self, number, rates[number] if rates else 1.0)
         self.processes[number] = process
         now = process.clock()
-        process.seat = self.make(process, number, self.schedule.seats, process.life, now,
-                                 voters=self.schedule.voters, **self.schedule.settings)
+        process.seat = self.make(
+            process,
+            number,
+            self.schedule.seats,
+            process.life,
+            now,
+            voters=self.schedule.voters,
+            **self.schedule.settings,
+        )
         self.happened(process, "began", {"life": process.life})
         process.seat.start(now)
 
@@ -215,11 +223,19 @@
             self.counts["lost"] += 1
             return
         for _ in range(2 if self.chance.random() < self.schedule.double else 1):
-            self.later(self.now + self.chance.uniform(*self.delay), self._arrive, seat, process.number,
-                       *head[1:], message, data)
-
-    def _arrive(self, seat: int, sender: int, life: int, incarnation: int, message: m.Message,
-                data: bytes | None) -> None:
+            self.later(
+                self.now + self.chance.uniform(*self.delay),
+                self._arrive,
+                seat,
+                process.number,
+                *head[1:],
+                message,
+                data,
+            )
+
+    def _arrive(
+        self, seat: int, sender: int, life: int, incarnation: int, message: m.Message, data: bytes | None
+    ) -> None:
         process = self.processes[seat]
         if not process.alive:
             return
--- a/firwalk/log.py
+++ b/firwalk/log.py
@@ -1,4 +1,5 @@
 """Lines for the operators on standard error, so many a second at most, and the counts of what must hold."""
+
 from __future__ import annotations
 
 import io
@@ -9,7 +10,7 @@
 import traceback
 from time import monotonic
 
-MOST = 20              # different lines a second, of each kind
+MOST = 20  # different lines a second, of each kind
 
 broken: dict[str, int] = {}
 
@@ -19,7 +20,7 @@
 
     def __init__(self) -> None:
         self.began_at, self.beyond = 0.0, 0
-        self.times: dict[str, int] = {}     # lines of this second, and how often each came
+        self.times: dict[str, int] = {}  # lines of this second, and how often each came
 
     def say(self, line: str) -> None:
         now = monotonic()
--- a/firwalk/logic.py
+++ b/firwalk/logic.py
@@ -4,6 +4,7 @@
 happens (`task_arrived`, `ended`, `heard`, ...), with the time in seconds first. It acts only through its host
 (`firwalk/host.py`); timers come back as calls of the function that was set. Departures: `docs/design.md`.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -15,23 +16,23 @@
 from firwalk.host import Condition, Effect, Group, Host, Outcome
 
 WEIGHT, KIND_WEIGHT = 0.2, 0.05  # of a new sample in a speed (the design's start); of that in its kind's
-FLOOR = 0.1            # least (1 - utilisation) that an estimate is divided by (the design's start)
+FLOOR = 0.1  # least (1 - utilisation) that an estimate is divided by (the design's start)
 REPORT_AGE, STALE = 10.0, 0.3  # seconds in which reports settle, alone; others' load's fade in one without
 LAG_WEIGHT, COMMON_WEIGHT = 0.5, 0.1  # of a start's unexplained delay in an executor's lag, and in its zone's
-LAG_FADE = 3.0         # seconds in which a lag without news fades to nothing
-PARTS = 3.0            # times its mean part of all traffic that a node may have without a report showing it
+LAG_FADE = 3.0  # seconds in which a lag without news fades to nothing
+PARTS = 3.0  # times its mean part of all traffic that a node may have without a report showing it
 SHARE_WINDOW, LEAST_SHARE = 3.0, 5.0  # seconds of its share that a tenant may use at once; tasks, anyhow
 FAULTS = {Outcome.ERROR: 0.3, Outcome.NO_CONNECTION: 0.3, Outcome.BROKEN: 0.15}  # weights in share of errors
-ERROR_LIMIT = 0.45     # share of errors at which it is set aside: two close together, never one alone
+ERROR_LIMIT = 0.45  # share of errors at which it is set aside: two close together, never one alone
 STRIKES, MISSED = 2, 3  # signs of silence that set one aside; executors out of reach with which a zone is
 AWAY, MOST_AWAY = 3.0, 0.34  # seconds set aside, plus as long by chance; share of the ready ones at once
 PROBE_EVERY, PART_WEIGHT = 1.0, 0.3  # seconds between rounds; of each one's view in this node's part of all
 PROBES_NEAR, PROBES_FAR = 2, 1  # probes for each task and each round, in the own zone and in others
-FEW = 10               # nodes that call for lists, open connections and judge errors each by itself
+FEW = 10  # nodes that call for lists, open connections and judge errors each by itself
 CALL_GAP, FIRST_CALLS = 0.1, 1.0  # seconds: of more nodes, between calls; in which first calls are spread
 LIST_RETRY, LIST_RETRY_MOST, SILENT_SPREAD = 0.35, 2.0, 0.7  # seconds: to the next call; after silence
 COLD_PART, HEAVY_PART, FIRSTS = 0.4, 0.15, 2.0  # of what a cold one bears: all's; a task's; of it, all firsts
-OVERLOAD = 1.25        # times what all bear that a node's work, by the number of nodes, may come to unreduced
+OVERLOAD = 1.25  # times what all bear that a node's work, by the number of nodes, may come to unreduced
 HOMES, SETUP, MOST_KEYS = 3, 1.0, 4096  # executors for a key; mean tasks' work that others cost more; kept
 KEYS_AT_FIRST, REPEATS, REPEAT_WEIGHT = 0.3, 0.1, 0.02  # share of keys that came before; at least; of one
 GOLDEN, TIES = 0.6180339887, 4  # spreads draws of cold executors; ones without own work that are compared
@@ -43,14 +44,23 @@
 class Offering:
     """A kind of task: when answers are wanted, what they earn, what a repeat would do."""
 
-    def __init__(self, due: float, expiry: float, *, importance: float = 1.0,
-                 effect: Effect = Effect.SIDE_EFFECTING, group: Group = Group.CELL, remembered: float = 0.0,
-                 stretch: float = 0.0, kind: int = -1):
+    def __init__(
+        self,
+        due: float,
+        expiry: float,
+        *,
+        importance: float = 1.0,
+        effect: Effect = Effect.SIDE_EFFECTING,
+        group: Group = Group.CELL,
+        remembered: float = 0.0,
+        stretch: float = 0.0,
+        kind: int = -1,
+    ):
         self.due, self.expiry, self.importance = due, expiry, importance
         self.effect, self.group, self.remembered = effect, group, remembered
         self.stretch, self.kind, self.most = stretch, kind, 0.0
-        self.met, self.log_mean, self.log_spread = 0, 0.0, 0.0      # of the hints that arrived
-        self.finished, self.log_hint, self.log_work = 0, 0.0, 0.0   # of the tasks that finished
+        self.met, self.log_mean, self.log_spread = 0, 0.0, 0.0  # of the hints that arrived
+        self.finished, self.log_hint, self.log_work = 0, 0.0, 0.0  # of the tasks that finished
         self.hint_spread = self.together = TRUST
 
     def cost(self, hint: float) -> float:
@@ -99,12 +109,21 @@
 class Task:
     """What a client asked for, until its one final answer and the end of its last assignment."""
 
-    def __init__(self, ref: object, offering: Offering, hint: float, cost: float, slots: float, draw: float,
-                 due: float, expiry: float):
+    def __init__(
+        self,
+        ref: object,
+        offering: Offering,
+        hint: float,
+        cost: float,
+        slots: float,
+        draw: float,
+        due: float,
+        expiry: float,
+    ):
         self.ref, self.offering, self.hint, self.cost = ref, offering, hint, cost
-        self.slots, self.work = slots, cost * slots      # slots that it takes for as long as it runs
+        self.slots, self.work = slots, cost * slots  # slots that it takes for as long as it runs
         self.due, self.expiry, self.draw = due, expiry, draw  # its draw: which cold executors it may go to
-        self.assignments, self.homes = [], ()            # homes: executors that may keep what its key needs
+        self.assignments, self.homes = [], ()  # homes: executors that may keep what its key needs
         self.still_out, self.open, self.bound, self.value, self.most, self.home = 0, True, False, 0.0, 1, None
 
 
@@ -171,11 +190,32 @@
 class Node:
     """One dispatcher: all it knows for as long as it lives; one method for each thing that happens."""
 
-    def __init__(self, host: Host, seed: int, now: float, *, own_number: int, nodes: int, zone: int,
-                 tick: float, copies: bool, may_cancel: bool, may_probe: bool, reports: str,
-                 tells_start: bool, must_ask: bool, sized: bool, marked: bool, cold_from: float,
-                 cold_for: float, fall_multiple: float, fall_window: float, ask_within: float, peers: bool,
-                 **tunable: Any):
+    def __init__(
+        self,
+        host: Host,
+        seed: int,
+        now: float,
+        *,
+        own_number: int,
+        nodes: int,
+        zone: int,
+        tick: float,
+        copies: bool,
+        may_cancel: bool,
+        may_probe: bool,
+        reports: str,
+        tells_start: bool,
+        must_ask: bool,
+        sized: bool,
+        marked: bool,
+        cold_from: float,
+        cold_for: float,
+        fall_multiple: float,
+        fall_window: float,
+        ask_within: float,
+        peers: bool,
+        **tunable: Any,
+    ):
         self.retuned(**tunable)
         self.host, self.seed, self.counter, self.nodes = host, seed, 0, nodes
         self.zone, self.pace = Zone(), min(max(nodes - FEW, 0) * CALL_GAP, ask_within / 3)  # of list calls
@@ -200,15 +240,25 @@
         self.counter += 1
         return crc32(b"%d:%d" % (self.seed, self.counter)) / 4294967296.0
 
-    def retuned(self, offerings: list[Offering], tenants: list[Tenant], most: int, longest_advice: float,
-                beyond_share: float, by_work: bool, crossing: float, handshake: float) -> None:
+    def retuned(
+        self,
+        offerings: list[Offering],
+        tenants: list[Tenant],
+        most: int,
+        longest_advice: float,
+        beyond_share: float,
+        by_work: bool,
+        crossing: float,
+        handshake: float,
+    ) -> None:
         """Other settings from now on. A task under way keeps its offering and number of assignments."""
         self.offerings, self.tenants, self.most = offerings, tenants, most
         self.longest_advice, self.beyond_share, self.by_work = longest_advice, beyond_share, by_work
         self.crossing, self.handshake = crossing, handshake
 
-    def new_executor(self, ref: object, kind: int, zone: int, cell: int, size: float,
-                     mark: int = 0) -> Executor:
+    def new_executor(
+        self, ref: object, kind: int, zone: int, cell: int, size: float, mark: int = 0
+    ) -> Executor:
         """At first it has the mean speed of its kind, or of all, or 1; and one slot, if no size is listed."""
         known = [pace.speed for pace in self.kinds.values() if pace.met] or [1.0]
         pace = self.kinds.setdefault(kind, Pace(sum(known) / len(known)))
@@ -247,15 +297,27 @@
         wait = (0.5 + self._chance()) * wait if turned_down else self._chance() * SILENT_SPREAD
         self.host.set_timer(now + wait, lambda *_: self.host.watch(True), None)
 
-    def task_arrived(self, now: float, ref: object, offering: int, tenant: int, budget: float, cost: float,
-                     slots: float, memory: float, again: bool, key: bytes = b"") -> Task:
+    def task_arrived(
+        self,
+        now: float,
+        ref: object,
+        offering: int,
+        tenant: int,
+        budget: float,
+        cost: float,
+        slots: float,
+        memory: float,
+        again: bool,
+        key: bytes = b"",
+    ) -> Task:
         kind, hint = self.offerings[offering], cost or max(slots, 1.0)
         cost = kind.cost(hint)
         kind.most = max(kind.most, budget)
         gone = max((kind.expiry if self.marked else kind.most) - budget, 0.0)
         due = kind.due + kind.stretch * cost - (gone if again or not self.marked else 0.0)
-        task = Task(ref, kind, hint, cost, max(slots, 1.0), self._chance(),
-                    now + min(due, budget), now + budget)  # its client waits no longer
+        task = Task(
+            ref, kind, hint, cost, max(slots, 1.0), self._chance(), now + min(due, budget), now + budget
+        )  # its client waits no longer
         task.homes = self._homes(key) if key else ()
         value = kind.importance * (task.work if self.by_work else 1.0)
         self._offered(now, task.work)
@@ -263,8 +325,11 @@
         part = 0.02 if self.mean_cost else 1.0
         self.mean_cost += part * (task.work - self.mean_cost)
         self.mean_value += part * (value - self.mean_value)
-        beyond = (self.beyond_share < 1.0 and 0 <= tenant < len(self.tenants)
-                  and not self.tenants[tenant].within(now, max(self.part, PARTS / self.nodes)))
+        beyond = (
+            self.beyond_share < 1.0
+            and 0 <= tenant < len(self.tenants)
+            and not self.tenants[tenant].within(now, max(self.part, PARTS / self.nodes))
+        )
         terms = self.host.terms(task)  # by what nodes decide in common; 0: it is turned away, unsent
         task.value, task.most = value * (self.beyond_share if beyond else 1.0) * terms, self.most
         self._place(now, task) if terms else self._give_up(now, task)
@@ -275,9 +340,15 @@
     def _place(self, now: float, task: Task) -> None:
         large = self.candidates.large
         among = self.candidates.in_slow_start(now, self._chance()) if large else self.near + self.far
-        turns = [e for e in among if e.cold_until > now and not e.held
-                 and e.condition is Condition.READY
-                 and (e.unused or e.zone is self.zone) and self._cold_room(now, e, task)]
+        turns = [
+            e
+            for e in among
+            if e.cold_until > now
+            and not e.held
+            and e.condition is Condition.READY
+            and (e.unused or e.zone is self.zone)
+            and self._cold_room(now, e, task)
+        ]
         executor = turns and self._choose(now, task, turns) or self._choose(now, task, self._order())
         if (executor is None or not self._send(now, task, executor)) and not task.still_out:
             self._give_up(now, task)  # in a queue it would only make those behind it late too
@@ -334,8 +405,10 @@
             homes = self.candidates.following(crc32(key), HOMES)
         elif known != self.lists:
             own = crc32(key)
-            ready = sorted(self.near + self.far, key=lambda e: e.size / log(
-                (crc32(b"%d" % (own * e.mark)) + 1) / 4294967298.0))
+            ready = sorted(
+                self.near + self.far,
+                key=lambda e: e.size / log((crc32(b"%d" % (own * e.mark)) + 1) / 4294967298.0),
+            )
             homes = tuple(ready[:HOMES])
         self.keys[key] = self.lists, homes
         if len(self.keys) > MOST_KEYS:
@@ -373,8 +446,11 @@
                 self.host.probe(executor)
             return at + most
         room = (FEW / self.nodes) ** 2 * len(among) - sum(e.idle + e.held > 0 for e in among)
-        asked = [n for n in range(len(among))
-                 if self.nodes <= FEW or room >= 1.0 or among[(at + n) % len(among)].idle][:most]
+        asked = [
+            n
+            for n in range(len(among))
+            if self.nodes <= FEW or room >= 1.0 or among[(at + n) % len(among)].idle
+        ][:most]
         for n in asked:
             self.host.probe(among[(at + n) % len(among)])
         return at + asked[-1] + 1 if asked else at
@@ -432,10 +508,14 @@
                 return False
             if not earlier.may_have_run or effect is Effect.IDEMPOTENT:
                 continue
-            if (effect is Effect.SIDE_EFFECTING
-                    or now > earlier.sent + task.offering.remembered - 2 * self.tick
-                    or group is Group.ZONE and earlier.executor.zone != executor.zone
-                    or group is Group.CELL and earlier.executor.cell != executor.cell):
+            if (
+                effect is Effect.SIDE_EFFECTING
+                or now > earlier.sent + task.offering.remembered - 2 * self.tick
+                or group is Group.ZONE
+                and earlier.executor.zone != executor.zone
+                or group is Group.CELL
+                and earlier.executor.cell != executor.cell
+            ):
                 return False
         return True
 
@@ -466,11 +546,12 @@
             return False
         cold = executor.came_up > assignment.sent and executor.cold_until > now
         return executor.condition is Condition.READY and (
-            not cold or self._cold_room(now, executor, task, own=task.slots))
+            not cold or self._cold_room(now, executor, task, own=task.slots)
+        )
 
     def may_commit(self, now: float, assignment: Assignment) -> bool:
         """Whether its last byte may go out: the window in which a repeat is known may be over by now."""
-        before = assignment.task.assignments[:assignment.number]
+        before = assignment.task.assignments[: assignment.number]
         return not before or self._safe_after(now, assignment.task, assignment.executor, before)
 
     def resumed(self, now: float, assignment: Assignment) -> None:
@@ -525,8 +606,15 @@
         executor.lag = max(executor.lag_now(now, common) + LAG_WEIGHT * by, 0.0)
         zone.lag, zone.lag_at, executor.lag_at = max(common + COMMON_WEIGHT * by, 0.0), now, now
 
-    def ended(self, now: float, assignment: Assignment, how: Outcome, took: float, complete: bool,
-              report: dict[str, float] | None) -> None:
+    def ended(
+        self,
+        now: float,
+        assignment: Assignment,
+        how: Outcome,
+        took: float,
+        complete: bool,
+        report: dict[str, float] | None,
+    ) -> None:
         task, executor = assignment.task, assignment.executor
         assignment.out, task.still_out, executor.held = False, task.still_out - 1, executor.held - task.slots
         executor.work = executor.work - assignment.estimate if executor.held else 0.0
@@ -604,8 +692,9 @@
         else:
             self.host.abandon(task)
 
-    def probed(self, now: float, executor: Executor, how: Outcome, took: float,
-               report: dict[str, float] | None) -> None:
+    def probed(
+        self, now: float, executor: Executor, how: Outcome, took: float, report: dict[str, float] | None
+    ) -> None:
         if how is Outcome.FINISHED and report:
             executor.report(now, report, self.part)
         elif how not in (Outcome.FINISHED, Outcome.FULL):
--- a/firwalk/maintenance.py
+++ b/firwalk/maintenance.py
@@ -3,6 +3,7 @@
 An executor is out from the call that takes it out to the one call back, whatever the list of executors says
 meanwhile. Who is out hears no new task: the decisions are told that it drains.
 """
+
 from __future__ import annotations
 
 from firwalk.host import Condition
@@ -10,9 +11,9 @@
 
 class Maintenance:
     def __init__(self) -> None:
-        self.out: dict[str, float] = {}          # by id, since when
-        self.listed: dict[str, tuple[Condition, float]] = {}    # what the list said last, and when it came up
-        self.back: dict[str, float] = {}         # called back then, with no later start told yet
+        self.out: dict[str, float] = {}  # by id, since when
+        self.listed: dict[str, tuple[Condition, float]] = {}  # what the list said last, and when it came up
+        self.back: dict[str, float] = {}  # called back then, with no later start told yet
 
     def hear(self, name: str, condition: Condition, came_up: float) -> tuple[Condition, float]:
         """What the list says, turned into what the decisions may know of it."""
@@ -29,7 +30,8 @@
     def restore(self, state: dict) -> None:
         """All of it or nothing: ValueError and its like if it is none of ours."""
         self.out, self.back = [
-            {str(name): float(at) for name, at in state.get(word, {}).items()} for word in ("out", "back")]
+            {str(name): float(at) for name, at in state.get(word, {}).items()} for word in ("out", "back")
+        ]
 
     def knows(self, name: str) -> bool:
         return name in self.listed or name in self.out
--- a/firwalk/migrate.py
+++ b/firwalk/migrate.py
@@ -4,6 +4,7 @@
 assignment of a task at a time, sizes in the list instead of reports, two zones. The conversion is pure; what
 it changed, dropped or leaves to the operator is told line by line. The steps: `docs/migration.md`.
 """
+
 from __future__ import annotations
 
 import argparse
@@ -68,8 +69,10 @@
     if "marks-retry" not in settings.get("clients", {}):
         lines.append("fill in: settings.clients.marks-retry: whether clients mark retries (else they do)")
     if len(settings.get("azs", [])) != ZONES:
-        lines.append(f"fill in: settings.azs and settings.az: {len(settings.get('azs', []))} zones named, "
-                     f"the new shape has {ZONES}; the list's names count, in any order")
+        lines.append(
+            f"fill in: settings.azs and settings.az: {len(settings.get('azs', []))} zones named, "
+            f"the new shape has {ZONES}; the list's names count, in any order"
+        )
     lines += [f"fill in: {what}: {why}" for what, why in FILL_IN]
     return new, lines
 
@@ -86,8 +89,9 @@
 
 
 def main(words: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="firwalk.migrate",
-                                     description="Turns an old-shape configuration into a new-shape one.")
+    parser = argparse.ArgumentParser(
+        prog="firwalk.migrate", description="Turns an old-shape configuration into a new-shape one."
+    )
     parser.add_argument("old", help="the node's configuration so far, a JSON file")
     parser.add_argument("new", help="where the new one goes; must not exist yet")
     parser.add_argument("--dry-run", action="store_true", help="say what would change, write nothing")
--- a/firwalk/net/address.py
+++ b/firwalk/net/address.py
@@ -1,4 +1,5 @@
 """Addresses in numbers (there is no name service), and sockets of their family."""
+
 from __future__ import annotations
 
 import socket
--- a/firwalk/net/budget.py
+++ b/firwalk/net/budget.py
@@ -6,21 +6,22 @@
 as a connect may take, then it ends as not sent. Probes leave room for both. Bodies have a share of the
 memory, counted as they come; beyond it a client is told 503.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
 
 from firwalk.log import must
 
-BASE = 20              # listener, list, peers, event loop, standard streams
-SPARE_PART = 0.125     # of the rest: for clients that are told 503
-CLIENT_PART = 0.6      # of what is left: beyond it clients leave room for executors
-PROBE_PART = 0.75      # of what is left: beyond it no connection is opened for a probe
-PROGRAM = 20e6         # bytes of memory that the program takes without any task
-BODY_PART = 0.4        # of the rest: for bodies, from their first bytes to the end of their tasks
-BODY_COPIES = 2        # the body itself, and the bytes of an assignment
-CLIENT_MEMORY = 0.4    # of the rest: for connections without their bodies
-CLIENT_HOLDS = 24000   # bytes of that for one: buffer, reader, parser, and what belongs to a task
+BASE = 20  # listener, list, peers, event loop, standard streams
+SPARE_PART = 0.125  # of the rest: for clients that are told 503
+CLIENT_PART = 0.6  # of what is left: beyond it clients leave room for executors
+PROBE_PART = 0.75  # of what is left: beyond it no connection is opened for a probe
+PROGRAM = 20e6  # bytes of memory that the program takes without any task
+BODY_PART = 0.4  # of the rest: for bodies, from their first bytes to the end of their tasks
+BODY_COPIES = 2  # the body itself, and the bytes of an assignment
+CLIENT_MEMORY = 0.4  # of the rest: for connections without their bodies
+CLIENT_HOLDS = 24000  # bytes of that for one: buffer, reader, parser, and what belongs to a task
 
 
 class Budget:
--- a/firwalk/net/buffers.py
+++ b/firwalk/net/buffers.py
@@ -1,4 +1,5 @@
 """Buffers of one size for all reads, used again from a pool."""
+
 from __future__ import annotations
 
 from firwalk.log import must
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -1,4 +1,5 @@
 """Clients' connections: tasks in, one final answer each out."""
+
 from __future__ import annotations
 
 import asyncio
@@ -23,25 +24,25 @@
 from firwalk.net.waiting import hung_up, readable, received
 
 HEALTH = b"/_health"
-READ_TIME = 2.0        # seconds in which a message must be whole, the first one counted from the connect
-WRITE_TIME = 20.0      # seconds in which a client must take its answer
-LINGER = 1.0           # seconds in which one that is sent away may read why
-SLOW_LINGER = 0.25     # seconds of it for one whose message does not end
-LINGER_STEP = 0.02     # seconds between reads of what it still sends: at full speed it would take the core
-SETTLED = 0.1          # seconds after which a connection without a whole message gives way when short
-NEW = 0.5              # and at the end
-NEW_AT_LAST = 0.1      # and when all is answered
-ACCEPTS = 16           # connections that are let in at a time, before others have their turn
-LOOKS = 64             # at those still longest, for one that may give way: at all of them takes too long
-IDLE_TIME = 120.0      # seconds that a connection which has brought a task may stand idle
-SWEEP_TIME = 0.25      # seconds between looks for what has lasted too long
-AT_ONCE = 0.01         # seconds: sooner after it was turned away, a message shows that nobody waited
-TOO_SLOW = 408         # of a message that does not end in its time
-NO_ROOM = 503          # of a message whose body finds no memory
-PUSHES = 2             # such messages in a row that are met without a pause
-PAUSE = 0.25           # seconds that each one beyond waits
-READ_AHEAD = 32        # messages of a connection that are read while one is in work: their time runs by then
-HANG_UP_TIME = 0.03    # seconds between looks whether a client has gone whose further bytes are not read
+READ_TIME = 2.0  # seconds in which a message must be whole, the first one counted from the connect
+WRITE_TIME = 20.0  # seconds in which a client must take its answer
+LINGER = 1.0  # seconds in which one that is sent away may read why
+SLOW_LINGER = 0.25  # seconds of it for one whose message does not end
+LINGER_STEP = 0.02  # seconds between reads of what it still sends: at full speed it would take the core
+SETTLED = 0.1  # seconds after which a connection without a whole message gives way when short
+NEW = 0.5  # and at the end
+NEW_AT_LAST = 0.1  # and when all is answered
+ACCEPTS = 16  # connections that are let in at a time, before others have their turn
+LOOKS = 64  # at those still longest, for one that may give way: at all of them takes too long
+IDLE_TIME = 120.0  # seconds that a connection which has brought a task may stand idle
+SWEEP_TIME = 0.25  # seconds between looks for what has lasted too long
+AT_ONCE = 0.01  # seconds: sooner after it was turned away, a message shows that nobody waited
+TOO_SLOW = 408  # of a message that does not end in its time
+NO_ROOM = 503  # of a message whose body finds no memory
+PUSHES = 2  # such messages in a row that are met without a pause
+PAUSE = 0.25  # seconds that each one beyond waits
+READ_AHEAD = 32  # messages of a connection that are read while one is in work: their time runs by then
+HANG_UP_TIME = 0.03  # seconds between looks whether a client has gone whose further bytes are not read
 
 
 class Client:
@@ -53,14 +54,14 @@
         self.waiting: deque[tuple] = deque()
         self.room = asyncio.get_running_loop().create_future()
         self.busy, self.used, self.known, self.errand, self.writing = False, False, False, None, None
-        self.message: tuple = ()                         # of its task: id, target, headers, body, keep
+        self.message: tuple = ()  # of its task: id, target, headers, body, keep
         self.heard_at, self.closing, self.gone = monotonic(), False, False
         # What is there already when it is let in may have waited since then; None once that is read.
         self.accepted_at: float | None = None if self._read_up() else accepted_at
-        self.leaving = 0                                 # what it is told for a message that ends it all
+        self.leaving = 0  # what it is told for a message that ends it all
         self.turned_away_at, self.pushes = 0.0, 0
-        self.heir: Callable[[socket.socket], None] | None = None    # who gets it when its reader has let go
-        self.close_reason = CloseReason.PEER_LEFT        # until it is ended here
+        self.heir: Callable[[socket.socket], None] | None = None  # who gets it when its reader has let go
+        self.close_reason = CloseReason.PEER_LEFT  # until it is ended here
         self.reading = asyncio.get_running_loop().create_task(self._read())
         self.reading.add_done_callback(self._closed)
 
@@ -180,7 +181,7 @@
     async def answer(self, status: int, body: bytes, keep: bool, advice: float = 0.0) -> None:
         """Writes an answer and goes on to what waits; the connection's reader notices its end."""
         must(self.busy, "an answer belongs to a message")
-        more = keep    # whether its client may send more, by its own word or ours
+        more = keep  # whether its client may send more, by its own word or ours
         keep = keep and not self.clients.stopping or bool(self.waiting)  # those have been taken too
         if 400 <= status < 500 and self.waiting and not self.gone and self.clients.all_bad(self.waiting):
             self.busy = False
@@ -192,7 +193,8 @@
                 async with asyncio.timeout(WRITE_TIME):
                     self.writing = asyncio.current_task()
                     await asyncio.get_running_loop().sock_sendall(
-                        self.sock, http.answer(status, body, keep, advice))
+                        self.sock, http.answer(status, body, keep, advice)
+                    )
             except (OSError, TimeoutError):
                 keep = False
             finally:
@@ -289,8 +291,14 @@
 class Clients:
     """All clients' connections, and the attending of their tasks."""
 
-    def __init__(self, desk: Desk, executors: Executors, budget: Budget, buffers: Buffers,
-                 monitor: Monitor | None = None):
+    def __init__(
+        self,
+        desk: Desk,
+        executors: Executors,
+        budget: Budget,
+        buffers: Buffers,
+        monitor: Monitor | None = None,
+    ):
         self.monitor = monitor or Monitor(EventLog(), monotonic)
         self.desk, self.executors, self.budget, self.buffers = desk, executors, budget, buffers
         self.open: dict[Client, None] = {}
@@ -299,12 +307,12 @@
         self.untried: dict[Client, None] = {}
         self.rested: dict[Client, None] = {}
         self.works: dict[asyncio.Task, None] = {}
-        self.names: dict[bytes, None] = {}       # ids of the tasks in work
+        self.names: dict[bytes, None] = {}  # ids of the tasks in work
         self.ending, self.stopping, self.malformed = False, False, 0
         # Another process of this node gets each as soon as it is still: whom to give it to.
         self.moving: Callable[[bool, socket.socket], None] | None = None
         self.accepted_at, self.stalls = monotonic(), Stalls()
-        self.held: socket.socket | None = None   # accepted, while no descriptor is free for it
+        self.held: socket.socket | None = None  # accepted, while no descriptor is free for it
         budget.shed_client = self.shed
 
     def keep(self, work: asyncio.Task) -> None:
@@ -404,7 +412,8 @@
     def movable(self, client: Client) -> bool:
         """Its task may go over: nothing else is read from it, and no answer begun."""
         return client.errand is not None and not (
-            client.gone or client.closing or client.leaving or client.parser.partial or client.waiting)
+            client.gone or client.closing or client.leaving or client.parser.partial or client.waiting
+        )
 
     def move(self, client: Client) -> None:
         """The other process goes on with it, if there is one that does and nothing is in work."""
@@ -475,8 +484,16 @@
 
     # -- a task's life -----------------------------------------------------------------------------------
 
-    async def serve(self, client: Client, method: bytes, target: bytes, headers: dict, body: bytes,
-                    keep: bool, came_at: float) -> None:
+    async def serve(
+        self,
+        client: Client,
+        method: bytes,
+        target: bytes,
+        headers: dict,
+        body: bytes,
+        keep: bool,
+        came_at: float,
+    ) -> None:
         try:
             # The same again as soon as it was turned away: others need the core.
             if client.pushes > PUSHES and not self.stopping:
@@ -498,8 +515,9 @@
         finally:
             self.budget.let_go(len(body))
 
-    async def _task(self, client: Client, target: bytes, headers: dict, body: bytes, keep: bool,
-                    came_at: float) -> None:
+    async def _task(
+        self, client: Client, target: bytes, headers: dict, body: bytes, keep: bool, came_at: float
+    ) -> None:
         try:
             name, told = fields.read(target, headers)
         except fields.Unreadable:
@@ -517,7 +535,8 @@
             await client.answer(409, b"", keep)
             return
         errand = self.desk.report_task(
-            waited=monotonic() - came_at, request_id=name.decode("latin-1"), **told)
+            waited=monotonic() - came_at, request_id=name.decode("latin-1"), **told
+        )
         if errand is None and told["offering"] in self.desk.vanished:
             self._refused(name, 503, Refusal.CLASS_GONE)
             await client.answer(503, b"", keep, self.desk.node.longest_advice)  # nothing of it has run
@@ -548,15 +567,24 @@
         client.spare = False
         return True
 
-    async def _attend(self, client: Client, errand: Errand, name: bytes, target: bytes, headers: dict,
-                      body: bytes, keep: bool) -> None:
+    async def _attend(
+        self,
+        client: Client,
+        errand: Errand,
+        name: bytes,
+        target: bytes,
+        headers: dict,
+        body: bytes,
+        keep: bool,
+    ) -> None:
         """Does what each step says, until nothing more can come."""
         while (step := await self.desk.pick(errand)) is not None:
             kind = step[0]
             if kind is Step.SEND:
                 _, number, place, end, once = step
-                self.executors.carry(errand, number, place, name,
-                                     _message(target, headers, body, end, self.desk.clock), once)
+                self.executors.carry(
+                    errand, number, place, name, _message(target, headers, body, end, self.desk.clock), once
+                )
             elif kind is Step.CALL_OFF:
                 self.executors.call_off(errand, step[1])
             elif client.errand is not errand:
@@ -573,10 +601,18 @@
     def _refused(self, request_id: bytes, status: int, reason: Refusal) -> None:
         """Counts a request that is turned away before it is anybody's."""
         self.monitor.events.record(
-            Event.REQUEST_ANSWERED, reason, request_id.decode("latin-1"), status=status)
-
-    def _answer(self, client: Client, status: int, body: bytes, keep: bool, advice: float = 0.0,
-                reason: str = "served") -> None:
+            Event.REQUEST_ANSWERED, reason, request_id.decode("latin-1"), status=status
+        )
+
+    def _answer(
+        self,
+        client: Client,
+        status: int,
+        body: bytes,
+        keep: bool,
+        advice: float = 0.0,
+        reason: str = "served",
+    ) -> None:
         """Beside the steps: a client that is slow to read must not keep assignments from being called off."""
         if client.errand.record is not None:
             self.monitor.answered(client.errand.record, status, reason)
@@ -587,11 +623,15 @@
 def _message(target: bytes, headers: dict, body: bytes, end: float, clock: Callable[[], float]):
     """The bytes of an assignment, made when they are written: the time left until `end`, on the clock of the
     decisions, is told in them."""
+
     def message() -> bytes:
-        lines = [(b"Host", headers.get(b"host", b"backend.local")),
-                 (b"X-Request-Id", headers[b"x-request-id"]),
-                 (b"X-Deadline", b"%dm" % max(int((end - clock()) * 1e3), 1))]
+        lines = [
+            (b"Host", headers.get(b"host", b"backend.local")),
+            (b"X-Request-Id", headers[b"x-request-id"]),
+            (b"X-Deadline", b"%dm" % max(int((end - clock()) * 1e3), 1)),
+        ]
         if b"idempotency-key" in headers:
             lines.append((b"Idempotency-Key", headers[b"idempotency-key"]))
         return http.ask(b"POST", target, lines, body)
+
     return message
--- a/firwalk/net/cluster.py
+++ b/firwalk/net/cluster.py
@@ -4,6 +4,7 @@
 
 Datagrams share the socket of the warnings (`firwalk.net.peers`), which hands over what is longer than one.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -24,15 +25,21 @@
 from firwalk.log import say, trouble
 from firwalk.operations import LIVE, Operations
 
-VOTER_SILENT = 1.5     # lengths of the lease for which a voter that began must have told, before others go
-EARLY = 0.0005         # seconds by which a timer of the loop may be early on the clock
+VOTER_SILENT = 1.5  # lengths of the lease for which a voter that began must have told, before others go
+EARLY = 0.0005  # seconds by which a timer of the loop may be early on the clock
 
 
 class Cluster:
     """One seat of the fleet, for as long as this process speaks for the node. Each start is a new life."""
 
-    def __init__(self, operations: Operations, config: dict, send: Callable[[bytes, tuple[str, int]], None],
-                 addresses: list[tuple[str, int]], desk: Desk):
+    def __init__(
+        self,
+        operations: Operations,
+        config: dict,
+        send: Callable[[bytes, tuple[str, int]], None],
+        addresses: list[tuple[str, int]],
+        desk: Desk,
+    ):
         self.operations, self.send, self.addresses, self.desk = operations, send, addresses, desk
         self.zone, self.zones = config["settings"].get("az", 0), config["settings"].get("azs") or []
         self.number = config["settings"].get("self-index", 0)
@@ -41,9 +48,9 @@
         self.steering: Steering | None = None
         self.spending: Any = None
         self.changing: Any = None
-        self.tag: Callable[[], str] = lambda: ""         # of the configuration that is in force
+        self.tag: Callable[[], str] = lambda: ""  # of the configuration that is in force
         self.came, self.sent, self.bytes_sent = 0, 0, 0
-        self.strangers: Callable[[], int] = lambda: 0    # datagrams from addresses of no seat
+        self.strangers: Callable[[], int] = lambda: 0  # datagrams from addresses of no seat
         self.dropped: dict[str, int] = {}
         self.loop = asyncio.get_running_loop()
 
@@ -54,11 +61,22 @@
         told = self.operations
         life = int.from_bytes(os.urandom(4))
         now = time.monotonic()
-        self.seat = Seat(_Life(self), self.number, len(self.addresses), life, now, voters=told.lease.voters,
-                         length=told.lease.length, drift=told.lease.drift, period=told.members.period,
-                         answer=told.members.answer, report=told.plan.report, hold=told.plan.hold,
-                         zones=told.zones.terms(self.zones) if told.zones else None,
-                         budgets_by=_budgets(told))
+        self.seat = Seat(
+            _Life(self),
+            self.number,
+            len(self.addresses),
+            life,
+            now,
+            voters=told.lease.voters,
+            length=told.lease.length,
+            drift=told.lease.drift,
+            period=told.members.period,
+            answer=told.members.answer,
+            report=told.plan.report,
+            hold=told.plan.hold,
+            zones=told.zones.terms(self.zones) if told.zones else None,
+            budgets_by=_budgets(told),
+        )
         if told.zones or told.budgets:
             zones = len(self.zones) if told.zones else 0
             self.spending = _spending(told, self.seat)
@@ -81,7 +99,7 @@
             self.event("ended")
             self.seat, self.changing, self.desk.tally = None, None, None
             if self.steering is not None:
-                self.steering.stop()    # nobody is told any more: nothing is counted
+                self.steering.stop()  # nobody is told any more: nothing is counted
 
     def leave(self) -> None:
         """The node ends in good order."""
@@ -92,20 +110,28 @@
     def reload(self, operations: Operations) -> list[str]:
         """Takes over what can change live; the names of what needs a restart."""
         before = self.operations
-        fixed = [name for name in before.__struct_fields__
-                 if getattr(before, name) != getattr(operations, name)
-                 and (name not in LIVE or name == "zones" and not self._same_zones(operations))]
+        fixed = [
+            name
+            for name in before.__struct_fields__
+            if getattr(before, name) != getattr(operations, name)
+            and (name not in LIVE or name == "zones" and not self._same_zones(operations))
+        ]
         kept = {name: getattr(before, name) for name in fixed}
-        self.operations = Operations(**{name: kept.get(name, getattr(operations, name))
-                                        for name in before.__struct_fields__})
+        self.operations = Operations(
+            **{name: kept.get(name, getattr(operations, name)) for name in before.__struct_fields__}
+        )
         if self.seat is not None:
             told = self.operations
-            self.seat.retuned(period=told.members.period, answer=told.members.answer,
-                              report=told.plan.report, hold=told.plan.hold,
-                              zones=told.zones.terms(self.zones) if told.zones else None)
+            self.seat.retuned(
+                period=told.members.period,
+                answer=told.members.answer,
+                report=told.plan.report,
+                hold=told.plan.hold,
+                zones=told.zones.terms(self.zones) if told.zones else None,
+            )
         if self.spending is not None:
             _read_contracts(self.operations, self.spending)
-            if self.seat is not None:    # a file that a change wants may have come meanwhile
+            if self.seat is not None:  # a file that a change wants may have come meanwhile
                 self.spending.follow(time.monotonic())
         return fixed
 
@@ -146,8 +172,10 @@
         if self.operations.zones:
             found["ZONE SHOW"] = self._show
             names = list(enumerate(self.zones))
-            names += [(REGION + number, f"region {name}")
-                      for number, name in enumerate(self.operations.zones.regions)]
+            names += [
+                (REGION + number, f"region {name}")
+                for number, name in enumerate(self.operations.zones.regions)
+            ]
             for number, name in names:
                 for word in ("drain", "restore", "dry"):
                     found[f"ZONE {word.upper()} {name}"] = partial(self._wish, word, number)
@@ -161,8 +189,12 @@
         """Operators' calls with something behind their first two words."""
         if not self.operations.stages:
             return {}
-        return {"ROLL START ": partial(self._of_file, "start"), "ROLL DRY ": partial(self._of_file, "dry"),
-                "ROLL PAGE ": self._page, "ROLL FAILED ": self._failed}
+        return {
+            "ROLL START ": partial(self._of_file, "start"),
+            "ROLL DRY ": partial(self._of_file, "dry"),
+            "ROLL PAGE ": self._page,
+            "ROLL FAILED ": self._failed,
+        }
 
     async def _wanted(self) -> tuple[str, str]:
         """What the plan in force wants this node to run, and what it runs."""
@@ -182,6 +214,7 @@
     async def _of_file(self, word: str, rest: str) -> tuple[str, str]:
         """Checked here first: a fault in the file is told without the coordinator."""
         from firwalk import changes
+
         name, _, page = rest.partition(" ")
         change, check, faults = changes.named(self.operations.stages.changes, name)
         if change is None:
@@ -201,8 +234,9 @@
         return await self._word("failed", "", int(number), why[:100])
 
     async def _word(self, word: str, name: str = "", check: int = 0, text: str = "") -> tuple[str, str]:
-        return await self._coordinator_says(lambda now, done: self.seat.word(
-            now, word, name[:messages.MOST_NAME], check, text, done))
+        return await self._coordinator_says(
+            lambda now, done: self.seat.word(now, word, name[: messages.MOST_NAME], check, text, done)
+        )
 
     async def _line(self) -> tuple[str, str]:
         return self.line(), ""
@@ -230,11 +264,11 @@
         return "; ".join([f"contracts {self.spending.ledger.contracts.version}", *told]), ""
 
     async def _wish(self, word: str, number: int) -> tuple[str, str]:
-        return await self._coordinator_says(
-            lambda now, done: self.seat.wish(now, word, number, done))
+        return await self._coordinator_says(lambda now, done: self.seat.wish(now, word, number, done))
 
-    async def _coordinator_says(self, ask: Callable[[float, Callable[[bool, str], None]], None]
-                                ) -> tuple[str, str]:
+    async def _coordinator_says(
+        self, ask: Callable[[float, Callable[[bool, str], None]], None]
+    ) -> tuple[str, str]:
         if self.seat is None:
             return "", "another process speaks for this node"
         answer = self.loop.create_future()
@@ -242,6 +276,7 @@
         def done(granted: bool, text: str) -> None:
             if not answer.done():
                 answer.set_result((text, "") if granted else ("", text))
+
         ask(time.monotonic(), done)
         return await answer
 
@@ -253,19 +288,31 @@
         follower, counts = seat.follower, seat.members.counts()
         term, version = follower.stamp
         known = follower.office != messages.NOBODY
-        words = {"seat": self.number, "seats": len(self.addresses), **counts,
-                 "coordinator": follower.office[1] if known else "none",
-                 "ballot": ".".join(map(str, term)), "version": version,
-                 "age": f"{now - follower.taken_at:.2f}" if version else "none",
-                 "plan": "holds" if follower.now_in_force(now) is not None else "over" if version else "none",
-                 "dropped": sum(self.dropped.values()) + self.strangers()}
+        words = {
+            "seat": self.number,
+            "seats": len(self.addresses),
+            **counts,
+            "coordinator": follower.office[1] if known else "none",
+            "ballot": ".".join(map(str, term)),
+            "version": version,
+            "age": f"{now - follower.taken_at:.2f}" if version else "none",
+            "plan": "holds" if follower.now_in_force(now) is not None else "over" if version else "none",
+            "dropped": sum(self.dropped.values()) + self.strangers(),
+        }
         return " ".join(f"{word} {value}" for word, value in words.items())
 
     def event(self, what: str, **about: Any) -> None:
         """All events as JSON for whoever checks from outside, or lines to be read of those that matter."""
         if self.operations.log.events == "all":
-            text = orjson.dumps({"event": what, "at": time.clock_gettime(time.CLOCK_MONOTONIC),
-                                 "seat": self.number, "life": self.seat.life if self.seat else 0, **about})
+            text = orjson.dumps(
+                {
+                    "event": what,
+                    "at": time.clock_gettime(time.CLOCK_MONOTONIC),
+                    "seat": self.number,
+                    "life": self.seat.life if self.seat else 0,
+                    **about,
+                }
+            )
             log.write(f"cluster {text.decode()}")
         elif what in WORDS:
             say(f"cluster: {WORDS[what].format(**about)}")
@@ -276,11 +323,20 @@
     from firwalk import changes
     from firwalk.cluster.changing import Changing, Tally
     from firwalk.cluster.stages import Terms
+
     cluster.desk.tally = Tally()
     settle = max(told.stages.settle, VOTER_SILENT * told.lease.length)
     terms = Terms(told.stages.at_once, settle, told.plan.report, tuple(cluster.zones))
-    return Changing(cluster.seat, cluster.desk.tally, os.environ.get("FIRWALK_RELEASE", ""), cluster.tag,
-                    cluster.zone, _memory, terms, partial(changes.named, told.stages.changes))
+    return Changing(
+        cluster.seat,
+        cluster.desk.tally,
+        os.environ.get("FIRWALK_RELEASE", ""),
+        cluster.tag,
+        cluster.zone,
+        _memory,
+        terms,
+        partial(changes.named, told.stages.changes),
+    )
 
 
 def _memory() -> float:
@@ -294,6 +350,7 @@
     if told.budgets is None:
         return None
     from firwalk.cluster.budgets import Terms
+
     return Terms(told.budgets.length, told.lease.drift, told.budgets.floor)
 
 
@@ -301,6 +358,7 @@
     if told.budgets is None:
         return None
     from firwalk.cluster.spending import Spending
+
     made = Spending(seat, time.monotonic, time.time, partial(_brought, told) if told.stages else _none)
     _read_contracts(told, made)
     return made
@@ -313,6 +371,7 @@
 def _brought(told: Operations, version: int) -> Any:
     """Contracts of a change, by their file in the folder of changes."""
     from firwalk import changes
+
     path = changes.contracts_file(told.stages.changes, version)
     found, faults = changes.brought(path)
     for fault in faults if os.path.exists(path) else ():
@@ -323,6 +382,7 @@
 def _read_contracts(told: Operations, spending: Any) -> None:
     """Checked with the operators' file just before; one that was changed since and is bad changes nothing."""
     from firwalk.broker import contracts
+
     found, faults = contracts.load(told.budgets.contracts)
     for fault in faults:
         say(f"contracts stay as they were: {fault}")
@@ -341,15 +401,16 @@
     "runs": "runs release {release!r}, tag {tag!r}, contracts {contracts}",
     "stage": "change {number} {name}: {state}, stage {stage} of {of}, seats on {brings}: {new} {why}",
     "figure": "change {number}, stage {stage}: {figure} of offering {offering:08x}: {new} with the new one,"
-              " {old} with the old one, of {of}: {verdict}",
+    " {old} with the old one, of {of}: {verdict}",
     "spent": "team {team}: {settled} of work spent here, {reserved} under way, {beyond} turned away or served"
-             " for nothing, {part} a second may be spent",
+    " for nothing, {part} a second may be spent",
     "zone_refused": "zone {number} of the operators' file stays in use: {reason}",
     "zone": "zone {number} is {mode}: {keeps:.0%} of its own tasks count it as theirs",
     "up": "seat {seat} is up, incarnation {incarnation}",
     "suspected": "seat {seat} is suspected by seat {by}",
     "down": "seat {seat} is down",
-    "left": "seat {seat} has left"}
+    "left": "seat {seat} has left",
+}
 
 
 class _Life:
--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -1,4 +1,5 @@
 """The list of executors: a watch that stays open, and single calls."""
+
 from __future__ import annotations
 
 import asyncio
@@ -17,11 +18,11 @@
 # What discovery has to tell counts as known six seconds later, whatever failed before. A watch that falls
 # silent, the pause before the next call, its connect and its answer must fit in that time together, and so
 # must a call that hangs, the pause and the call after it: the longest pauses are in `firwalk.logic`.
-CONNECT_TIME = 0.4     # seconds
-SILENCE = 2.4          # seconds without a whole line (one comes every two) after which a watch has ended
-CALL_TIME = 2.2        # seconds from the request to a whole first list, of a watch and of a single call: one
-                       # that waits its turn gets a 503 after two, so that one without an answer fell silent
-MOST_LIST = 1 << 22    # bytes of one update, over all its lines
+CONNECT_TIME = 0.4  # seconds
+SILENCE = 2.4  # seconds without a whole line (one comes every two) after which a watch has ended
+CALL_TIME = 2.2  # seconds from the request to a whole first list, of a watch and of a single call: one
+# that waits its turn gets a 503 after two, so that one without an answer fell silent
+MOST_LIST = 1 << 22  # bytes of one update, over all its lines
 
 
 class Discovery:
@@ -29,8 +30,8 @@
         self.desk, self.buffers, self.address = desk, buffers, address
         self.watching: asyncio.Task | None = None
         self.asking: asyncio.Task | None = None
-        self.left: asyncio.Task | None = None    # the watch of the service before, until the new one tells
-        self.heard = True                        # whether the service of this address has told a list
+        self.left: asyncio.Task | None = None  # the watch of the service before, until the new one tells
+        self.heard = True  # whether the service of this address has told a list
 
     def watch(self, on: bool) -> None:
         if self.watching is not None and not self.watching.done():
@@ -116,7 +117,7 @@
     def __init__(self, list_came: Callable[[listing.Update], None], watch: bool):
         self.list_came, self.watch, self.until = list_came, watch, 0.0
         self.status, self.lists, self.over = 0, 0, False
-        self.text = b""          # of an update that is not whole yet
+        self.text = b""  # of an update that is not whole yet
 
     def begin(self) -> None:
         """The request is about to be written: a first list has to be whole in the time of a call."""
--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -5,6 +5,7 @@
 decisions go on from there. The last byte is held back for a moment, in which a dead connection shows: until
 then nothing can have run, and another connection is taken.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -25,20 +26,20 @@
 from firwalk.net.buffers import Buffers
 from firwalk.net.waiting import connected, received
 
-WAIT = 0.01            # seconds between looks for a free descriptor
-HOLD_TRIPS = 2.0       # times the shortest way to an executor and back that a last byte is held back
-HOLD_LEAST = 0.004     # seconds of it at least
-HOLD_MOST = 0.02       # and at most
-MOST_HELD = 0.1        # seconds from an assignment's first byte to its last: the time told in it is as old
-NEW_LINKS = 2          # new connections that may break under one assignment before it counts as out of reach
-DEAD_MEMORY = 30.0     # seconds for which dead connections tell how long one can be relied on
-DEAD_MOST = 16         # of them that are looked at
-SHORT_LIFE = 1.0       # seconds: an executor that closes kept connections sooner is asked for its load on
-SHORT_MEMORY = 10.0    # those that are there only, for so long: each one opened for that would be wasted
-END_TIME = 2.0         # seconds from an answer's last line to its end
-MAY_PASS = (408, 425, 429)    # answers that blame the task, or the moment: another try may fare better
-MOST_SEEN = 8192       # bytes of an answer that has come, beyond which its task stays in this process
-IDLE_PART = 0.8        # of the time after which an executor closes an idle connection: ours ends before
+WAIT = 0.01  # seconds between looks for a free descriptor
+HOLD_TRIPS = 2.0  # times the shortest way to an executor and back that a last byte is held back
+HOLD_LEAST = 0.004  # seconds of it at least
+HOLD_MOST = 0.02  # and at most
+MOST_HELD = 0.1  # seconds from an assignment's first byte to its last: the time told in it is as old
+NEW_LINKS = 2  # new connections that may break under one assignment before it counts as out of reach
+DEAD_MEMORY = 30.0  # seconds for which dead connections tell how long one can be relied on
+DEAD_MOST = 16  # of them that are looked at
+SHORT_LIFE = 1.0  # seconds: an executor that closes kept connections sooner is asked for its load on
+SHORT_MEMORY = 10.0  # those that are there only, for so long: each one opened for that would be wasted
+END_TIME = 2.0  # seconds from an answer's last line to its end
+MAY_PASS = (408, 425, 429)  # answers that blame the task, or the moment: another try may fare better
+MOST_SEEN = 8192  # bytes of an answer that has come, beyond which its task stays in this process
+IDLE_PART = 0.8  # of the time after which an executor closes an idle connection: ours ends before
 
 
 class NoDescriptor(Exception):
@@ -51,13 +52,13 @@
     def __init__(self, pool: Executors, place: Place, sock: socket.socket):
         self.pool, self.place, self.sock, self.address = pool, place, sock, place.address
         self.exchange: Exchange | Probe | None = None
-        self.writer: asyncio.Task | None = None      # while bytes are still to be written
+        self.writer: asyncio.Task | None = None  # while bytes are still to be written
         self.idle_since, self.open, self.wrote_at = monotonic(), True, 0.0
-        self.idled = 0.0                             # how long it stood idle before its exchange
-        self.at_last, self.broken = True, False      # the last byte is under way; it broke before that
-        self.seen = b""                              # of the answer in hand
-        self.heir: Callable[[socket.socket], None] | None = None    # who gets it when its reader has let go
-        self.close_reason = CloseReason.PEER_LEFT    # until it is ended here
+        self.idled = 0.0  # how long it stood idle before its exchange
+        self.at_last, self.broken = True, False  # the last byte is under way; it broke before that
+        self.seen = b""  # of the answer in hand
+        self.heir: Callable[[socket.socket], None] | None = None  # who gets it when its reader has let go
+        self.close_reason = CloseReason.PEER_LEFT  # until it is ended here
         self.parser = http.Answers(self._began, self._line, self._ended)
         self.reading = asyncio.get_running_loop().create_task(self._read())
         self.reading.add_done_callback(self._closed)
@@ -281,8 +282,15 @@
 class Executors:
     """All connections to executors."""
 
-    def __init__(self, desk: Desk, budget: Budget, buffers: Buffers, connect_time: float, idle_time: float,
-                 events: EventLog | None = None):
+    def __init__(
+        self,
+        desk: Desk,
+        budget: Budget,
+        buffers: Buffers,
+        connect_time: float,
+        idle_time: float,
+        events: EventLog | None = None,
+    ):
         self.events = events or EventLog()
         self.desk, self.budget, self.buffers = desk, budget, buffers
         self.connect_time, self.idle_time = connect_time, idle_time * IDLE_PART
@@ -290,8 +298,8 @@
         self.idle: dict[Place, list[Link]] = {}
         self.probes: dict[Place, asyncio.Task] = {}
         self.carried: dict[tuple[Errand, int], tuple] = {}
-        self.trips: dict[Place, float] = {}      # the shortest times to it and back
-        self.short_at: dict[Place, float] = {}   # when a kept connection ended early last
+        self.trips: dict[Place, float] = {}  # the shortest times to it and back
+        self.short_at: dict[Place, float] = {}  # when a kept connection ended early last
         self.dead: deque[tuple[float, float]] = deque(maxlen=DEAD_MOST)  # when, and how long idle
         budget.shed_link = self.shed
 
@@ -299,7 +307,7 @@
 
     def give(self, link: Link) -> None:
         if not link.open or link.address != link.place.address or not self.desk.kept(link.place):
-            link.close(CloseReason.EXECUTOR_GONE)    # moved: at its old address may be another one
+            link.close(CloseReason.EXECUTOR_GONE)  # moved: at its old address may be another one
             return
         link.idle_since = monotonic()
         self.idle.setdefault(link.place, []).append(link)
@@ -412,8 +420,9 @@
 
     # -- assignments ---------------------------------------------------------------------------------------
 
-    def carry(self, errand: Errand, number: int, place: Place, name: bytes, message: Callable,
-              once: bool = False) -> None:
+    def carry(
+        self, errand: Errand, number: int, place: Place, name: bytes, message: Callable, once: bool = False
+    ) -> None:
         """Starts an assignment; `message()` gives its bytes when they are to be written."""
         exchange = Exchange(self, errand, number, name)
         work = asyncio.get_running_loop().create_task(self._carry(exchange, place, message, once))
@@ -454,6 +463,7 @@
             """Not if the rest was long in writing: the message tells what was left before that."""
             held = monotonic() - began
             return held < MOST_HELD and self.desk.report_last_byte(exchange.errand, exchange.number)
+
         if not await link.write(message(), min(hold, HOLD_MOST), last):
             exchange.end(Outcome.NOT_SENT)
             link.close(CloseReason.NOT_SENT)
--- a/firwalk/net/fields.py
+++ b/firwalk/net/fields.py
@@ -1,13 +1,14 @@
 """The head of a task, read strictly: what an executor could not read, or would read otherwise, stays here."""
+
 from __future__ import annotations
 
 import re
 
 UNITS = {b"m": 1e-3, b"u": 1e-6}
-NUMBER = rb"[0-9]{1,15}(?:\.[0-9]{1,9})?"    # no signs, no exponents, nothing else that `float` would take
+NUMBER = rb"[0-9]{1,15}(?:\.[0-9]{1,9})?"  # no signs, no exponents, nothing else that `float` would take
 TIME = re.compile(rb"(%s)([mu])" % NUMBER)
 FIGURE = re.compile(NUMBER)
-NAME = re.compile(rb"[!-~]{1,128}")          # ids and fingerprints
+NAME = re.compile(rb"[!-~]{1,128}")  # ids and fingerprints
 TARGET = re.compile(rb"/([\w.~-]+)(?:[\w.~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*", re.ASCII)
 
 
@@ -24,8 +25,9 @@
 
 def _figures(text: bytes) -> dict[bytes, float]:
     pairs = [pair.partition(b"=") for pair in text.split(b",") if pair.strip()]
-    return {name.strip(): float(_matched(FIGURE, value.strip(), "further figures")[0])
-            for name, _, value in pairs}
+    return {
+        name.strip(): float(_matched(FIGURE, value.strip(), "further figures")[0]) for name, _, value in pairs
+    }
 
 
 def seconds(text: bytes | None) -> float | None:
@@ -53,6 +55,9 @@
         "tenant": headers.get(b"x-tenant", b"").decode("latin-1"),
         "budget": seconds(headers.get(b"x-deadline")),
         "cost": float(_matched(FIGURE, headers.get(b"x-cost-hint", b"0"), "the hint of cost")[0]) * 1e-6,
-        "slots": further.get(b"slots", 1.0), "memory": further.get(b"memory", further.get(b"mem", 0.0)),
-        "again": headers.get(b"x-retry") == b"1", "marked": b"idempotency-key" in headers,
-        "key": _key(target)}
+        "slots": further.get(b"slots", 1.0),
+        "memory": further.get(b"memory", further.get(b"mem", 0.0)),
+        "again": headers.get(b"x-retry") == b"1",
+        "marked": b"idempotency-key" in headers,
+        "key": _key(target),
+    }
--- a/firwalk/net/handover.py
+++ b/firwalk/net/handover.py
@@ -3,6 +3,7 @@
 They talk over a Unix socket in `$TMPDIR`, a JSON object a line, descriptors beside the line that names them.
 Nothing is decided here: who accepts follows from one message, who is out is kept by `firwalk.maintenance`.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -23,15 +24,15 @@
 from firwalk.net.waiting import readable
 
 VERSION = 1
-ANSWER_TIME = 2.0      # seconds in which the one before must answer, or it hangs
-BUSY_TIME = 5.0        # seconds to wait while it is still handing over to another
-AGAIN = 0.1            # seconds between tries meanwhile
-PART = 65536           # bytes of a read
-MOST_TEXT = 1 << 24    # bytes of a line: the list of a large fleet is one
-MOST_FILE = 1 << 20    # bytes of the file
-MOST_FILES = 8         # descriptors beside a line
-MOST_AT_ONCE = 32      # reads before others have their turn
-TOLD_TIME = 0.5        # seconds in which the other process takes over an operator's call
+ANSWER_TIME = 2.0  # seconds in which the one before must answer, or it hangs
+BUSY_TIME = 5.0  # seconds to wait while it is still handing over to another
+AGAIN = 0.1  # seconds between tries meanwhile
+PART = 65536  # bytes of a read
+MOST_TEXT = 1 << 24  # bytes of a line: the list of a large fleet is one
+MOST_FILE = 1 << 20  # bytes of the file
+MOST_FILES = 8  # descriptors beside a line
+MOST_AT_ONCE = 32  # reads before others have their turn
+TOLD_TIME = 0.5  # seconds in which the other process takes over an operator's call
 
 
 class Broken(Exception):
@@ -47,7 +48,7 @@
         self.out: deque[tuple[bytes, list[socket.socket]]] = deque()
         self.open, self.writing, self.number = True, False, 0
         self.asked: dict[int, asyncio.Future] = {}
-        self.at_once = 0    # reads since others had their turn
+        self.at_once = 0  # reads since others had their turn
 
     def same_user(self) -> bool:
         _, user, _ = struct.unpack("3i", self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
@@ -125,7 +126,7 @@
                 raise Broken(str(problem)) from problem
             for _, kind, data in beside:
                 if kind == socket.SCM_RIGHTS:
-                    numbers = array("i", data[:len(data) // 4 * 4])
+                    numbers = array("i", data[: len(data) // 4 * 4])
                     self.files.extend(_taken(number) for number in numbers)
             if not part or len(self.text) > MOST_TEXT:
                 raise Broken("it has ended")
--- a/firwalk/net/http.py
+++ b/firwalk/net/http.py
@@ -1,4 +1,5 @@
 """HTTP/1.1 taken apart by httptools, within limits, and put together."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -15,13 +16,34 @@
 MOST_BODY = 65536
 MOST_HEAD = 16384
 LENGTHS = (b"content-length", b"transfer-encoding")
-ONCE = frozenset((*LENGTHS, b"host", b"x-request-id", b"x-tenant", b"x-deadline", b"idempotency-key",
-                  b"x-retry", b"x-cost-hint", b"x-extras"))
-MOST_LINE = 1 << 22    # of a line in a stream: the whole list of a large fleet is one
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-           409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
-           431: "Request Header Fields Too Large", 500: "Internal Server Error",
-           503: "Service Unavailable", 504: "Gateway Timeout"}
+ONCE = frozenset(
+    (
+        *LENGTHS,
+        b"host",
+        b"x-request-id",
+        b"x-tenant",
+        b"x-deadline",
+        b"idempotency-key",
+        b"x-retry",
+        b"x-cost-hint",
+        b"x-extras",
+    )
+)
+MOST_LINE = 1 << 22  # of a line in a stream: the whole list of a large fleet is one
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 class Malformed(Exception):
@@ -72,7 +94,7 @@
         super().__init__()
         self.came, self.hold, self.let_go = came, hold, let_go
         self.target, self.parts, self.partial, self.in_head = b"", [], False, False
-        self.expects = False                 # its client waits for the word before it sends the body
+        self.expects = False  # its client waits for the word before it sends the body
         self.parser = HttpRequestParser(self)
 
     def on_message_begin(self) -> None:
@@ -99,7 +121,8 @@
         if int(self.headers.get(LENGTHS[0], 0)) > MOST_BODY:
             self._too_much(413, "a body over the limit")
         self.expects = self.headers.get(b"expect", b"").lower() == b"100-continue" and (
-            self.parser.get_http_version() != "1.0")
+            self.parser.get_http_version() != "1.0"
+        )
 
     def drop(self) -> None:
         self.let_go(sum(map(len, self.parts)))
@@ -158,8 +181,9 @@
 def answer(status: int, body: bytes = b"", keep: bool = True, advice: float = 0.0) -> bytes:
     more = f"Retry-After: {advice:.3f}\r\n" if advice > 0.0 else ""
     more += "" if keep else "Connection: close\r\n"
-    return (f"HTTP/1.1 {status} {REASONS.get(status, 'Answer')}\r\nContent-Length: {len(body)}\r\n"
-            f"{more}\r\n").encode() + body
+    return (
+        f"HTTP/1.1 {status} {REASONS.get(status, 'Answer')}\r\nContent-Length: {len(body)}\r\n{more}\r\n"
+    ).encode() + body
 
 
 def ask(method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes | None = None) -> bytes:
--- a/firwalk/net/management.py
+++ b/firwalk/net/management.py
@@ -3,6 +3,7 @@
 It has descriptors of its own. Callers that say nothing, or half a call, go after a while, or as soon as
 their place is wanted; a whole call never waits, since it is answered when it is read.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -14,12 +15,12 @@
 from firwalk.net.address import new_socket
 from firwalk.net.errors import Pause, concerns_connection
 
-SILENT_TIME = 5.0      # seconds in which a call must be whole
-LONGEST = 256          # bytes of a call
+SILENT_TIME = 5.0  # seconds in which a call must be whole
+LONGEST = 256  # bytes of a call
 BACKLOG = 128
-MOST = 24              # callers at a time
-LEAST = 4              # of these where descriptors are few
-PART = 16              # of the descriptors, one in so many
+MOST = 24  # callers at a time
+LEAST = 4  # of these where descriptors are few
+PART = 16  # of the descriptors, one in so many
 WORD = re.compile(rb"[!-~]+")
 
 
@@ -37,7 +38,7 @@
         self.more: dict[str, Callable[[], Awaitable[tuple[str, str]]]] = {}
         # The same with something behind the words, which is handed over.
         self.more_with: dict[str, Callable[[str], Awaitable[tuple[str, str]]]] = {}
-        self.open: dict[asyncio.Task, None] = {}     # the one that has been there longest first
+        self.open: dict[asyncio.Task, None] = {}  # the one that has been there longest first
         self.listener: socket.socket | None = None
         self.accepting: asyncio.Task | None = None
 
@@ -63,7 +64,7 @@
                 oldest = next(iter(self.open))
                 oldest.cancel()
                 self.open.pop(oldest)
-                await asyncio.sleep(0)   # its descriptor is given back before this one is counted
+                await asyncio.sleep(0)  # its descriptor is given back before this one is counted
             caller = loop.create_task(self._attend(sock))
             self.open[caller] = None
             caller.add_done_callback(lambda _, sock=sock, caller=caller: self._over(caller, sock))
@@ -78,8 +79,10 @@
             line, complaint = await self._call(loop, sock)
             if line is not None or complaint:
                 told, complaint = ("", complaint) if complaint else await self._answer(line)
-                await loop.sock_sendall(sock, f"-ERR {complaint}\n".encode() if complaint
-                                        else f"+OK {told}".rstrip().encode() + b"\n")
+                await loop.sock_sendall(
+                    sock,
+                    f"-ERR {complaint}\n".encode() if complaint else f"+OK {told}".rstrip().encode() + b"\n",
+                )
                 sock.shutdown(socket.SHUT_WR)
                 while len(sock.recv(4096)) == 4096:  # unread bytes at the close would take the answer along
                     pass
@@ -114,7 +117,7 @@
             return await told()
         for start, act in self.more_with.items():
             if text.startswith(start) and len(text) > len(start) and text.isprintable():
-                return await act(text[len(start):])
+                return await act(text[len(start) :])
         return "", await self._carried_out(line, words)
 
     async def _carried_out(self, line: bytes, words: list[bytes]) -> str:
--- a/firwalk/net/peers.py
+++ b/firwalk/net/peers.py
@@ -1,4 +1,5 @@
 """Short messages between nodes, by UDP."""
+
 from __future__ import annotations
 
 import asyncio
@@ -9,7 +10,7 @@
 from firwalk.log import say
 from firwalk.net.address import new_socket
 
-LONGEST = 256          # bytes of a datagram
+LONGEST = 256  # bytes of a datagram
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -18,7 +19,7 @@
         self.numbers = {address: number for number, address in enumerate(peers)}
         self.dropped, self.transport = 0, None
         self.sock: socket.socket | None = None
-        self.cluster = None    # takes what is longer than a warning, if there is one
+        self.cluster = None  # takes what is longer than a warning, if there is one
 
     def bind(self, address: tuple[str, int]) -> None:
         self.sock = new_socket(address, socket.SOCK_DGRAM)
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -1,4 +1,5 @@
 """One node on its sockets: puts the parts together, keeps time for the decisions, and ends in good order."""
+
 from __future__ import annotations
 
 import asyncio
@@ -27,7 +28,7 @@
 
 BACKLOG = 1024
 MOST_UNREAD = 1 << 16  # bytes of a client that wait unread with the machine, which may charge them to us
-LIST_TIME = 2.0        # seconds that the first yes waits for a fresh list
+LIST_TIME = 2.0  # seconds that the first yes waits for a fresh list
 
 
 class Clock:
@@ -46,8 +47,11 @@
         self.config, self.clock = config, Clock()
         self.loop = asyncio.get_running_loop()
         self.turns = Turns(self.loop, self._turn)
-        self.loop.set_exception_handler(lambda _, about: trouble(
-            about.get("message", "running"), about.get("exception") or RuntimeError("unknown")))
+        self.loop.set_exception_handler(
+            lambda _, about: trouble(
+                about.get("message", "running"), about.get("exception") or RuntimeError("unknown")
+            )
+        )
         self.desk = Desk(settings, int(str(config.get("seed", "0")), 16), self.clock, self.turns.soon)
         files = min(int(limits.get("sockets", 1024)), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.managed = bool(config.get("management"))
@@ -58,31 +62,39 @@
         self.buffers = Buffers()
         allowed = settings.get("limits", {})
         self.executors = Executors(
-            self.desk, self.budget, self.buffers, allowed.get("connect-timeout-us", 1000000) * 1e-6,
-            allowed.get("idle-close-us", 60000000) * 1e-6, self.desk.events)
+            self.desk,
+            self.budget,
+            self.buffers,
+            allowed.get("connect-timeout-us", 1000000) * 1e-6,
+            allowed.get("idle-close-us", 60000000) * 1e-6,
+            self.desk.events,
+        )
         self.clients = Clients(self.desk, self.executors, self.budget, self.buffers, self.desk.monitor)
         self.discovery = discovery.Discovery(self.desk, self.buffers, parse(config["discovery"]))
         to_all = config.get("peers_all")
-        self.peers = Peers(self.desk, [parse(text) for text in config.get("peers", [])],
-                           parse(to_all) if to_all else None)
+        self.peers = Peers(
+            self.desk, [parse(text) for text in config.get("peers", [])], parse(to_all) if to_all else None
+        )
         known = config.get("known")
         if known:
             update = listing.read(known)
             self.desk.report_list(update.version, True, update.entries)
         self.opened_at = self.clock()
         self.stop = Stop(self, Deadlines(longest_deadline(settings)))
-        self.reread: Callable[[], None] = lambda: None   # reads the file of the configuration again
+        self.reread: Callable[[], None] = lambda: None  # reads the file of the configuration again
         self.begun_at = monotonic()
         self.accepting: asyncio.Task | None = None
         self.listener: socket.socket | None = None
         self.succession = Succession(self)
-        self.cluster = None    # `join` gives it one
+        self.cluster = None  # `join` gives it one
 
     def join(self, operations) -> None:
         """Acts together with other nodes from the time on at which it serves; by the operators' file only."""
         from firwalk.net.cluster import Cluster
+
         self.cluster = self.peers.cluster = Cluster(
-            operations, self.config, self.peers.send, list(self.peers.numbers), self.desk)
+            operations, self.config, self.peers.send, list(self.peers.numbers), self.desk
+        )
         self.cluster.strangers = lambda: self.peers.dropped
         self.cluster.tag = lambda: str(self.config.get("tag", ""))
         self.management.more |= self.cluster.calls()
@@ -235,14 +247,19 @@
         self.discovery.move(address)
         self.config = self.config | {word: config[word] for word in ("discovery", "tag") if word in config}
         self.desk.events.record(Event.STATE, State.RELOADED)
-        report(f"reloaded; the list's service is {config['discovery']}; offerings:"
-               f" {', '.join(map(str, self.desk.offerings))}")
+        report(
+            f"reloaded; the list's service is {config['discovery']}; offerings:"
+            f" {', '.join(map(str, self.desk.offerings))}"
+        )
         if fixed:
             report(f"changes that need a restart: {', '.join(fixed)}")
 
     async def run(self) -> None:
-        standing = [self.loop.create_task(self.clients.sweep()), self.loop.create_task(self._sweep()),
-                    self.loop.create_task(self.clients.stalls.run())]
+        standing = [
+            self.loop.create_task(self.clients.sweep()),
+            self.loop.create_task(self._sweep()),
+            self.loop.create_task(self.clients.stalls.run()),
+        ]
         self.turns.soon()
         if not await self._begin():
             report("told to end before it served: nothing was taken")
--- a/firwalk/net/stalls.py
+++ b/firwalk/net/stalls.py
@@ -4,6 +4,7 @@
 than its client does would be sent on when nobody waits for it any more. How long its last bytes have waited
 the machine tells (tcp(7), TCP_INFO: `tcpi_last_data_recv`). Times are seconds of the monotonic clock.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -11,11 +12,11 @@
 from struct import error, unpack_from
 from time import monotonic
 
-BEAT = 0.25            # seconds between beats
-STALL = 1.0            # seconds without one, beyond the beat's own, that count: a busy moment is none
-PAUSE = 0.1            # the same, where the time of a signal is in question
-WAKING = 5.0           # seconds after a stall in which the machine is asked: what waited is read in turn
-LAST_CAME = 52         # where `tcpi_last_data_recv` is: milliseconds, in 32 bits of the machine's order
+BEAT = 0.25  # seconds between beats
+STALL = 1.0  # seconds without one, beyond the beat's own, that count: a busy moment is none
+PAUSE = 0.1  # the same, where the time of a signal is in question
+WAKING = 5.0  # seconds after a stall in which the machine is asked: what waited is read in turn
+LAST_CAME = 52  # where `tcpi_last_data_recv` is: milliseconds, in 32 bits of the machine's order
 
 
 class Stalls:
--- a/firwalk/net/succession.py
+++ b/firwalk/net/succession.py
@@ -1,4 +1,5 @@
 """What the two processes of one node do for each other, on both sides: see `firwalk.net.handover`."""
+
 from __future__ import annotations
 
 import asyncio
@@ -20,10 +21,10 @@
     from firwalk.net.clients import Client, Clients
     from firwalk.net.executors import Executors
 
-HAND_OVER_EVERY = 0.01 # seconds between looks for connections that can be handed over
-NEW_PART = 4           # of the descriptors, one in so many is the new process's until it takes over
-NEW_LEAST = 36         # or so many, where that is less
-MARGIN = 4             # descriptors that the old process may still open beside what its clients' tasks need
+HAND_OVER_EVERY = 0.01  # seconds between looks for connections that can be handed over
+NEW_PART = 4  # of the descriptors, one in so many is the new process's until it takes over
+NEW_LEAST = 36  # or so many, where that is less
+MARGIN = 4  # descriptors that the old process may still open beside what its clients' tasks need
 
 
 class Served(Protocol):
@@ -62,13 +63,13 @@
         self.meeting = None
         if service.managed and folder and os.path.isdir(folder):
             self.meeting = Meeting(folder, str(config.get("name", "")), config["listen"], self._come)
-        self.before: Line | None = None      # to the process that this one replaces
-        self.after: Line | None = None       # to the one that replaces this one
-        self.handed = False                  # the one after accepts now
-        self.gives_tasks = False             # and goes on with tasks in work
-        self.given = 0                       # of these so far
-        self.holds = -1                      # descriptors of this process that the one after was told of last
-        self.hung = False                    # the one before does not answer
+        self.before: Line | None = None  # to the process that this one replaces
+        self.after: Line | None = None  # to the one that replaces this one
+        self.handed = False  # the one after accepts now
+        self.gives_tasks = False  # and goes on with tasks in work
+        self.given = 0  # of these so far
+        self.holds = -1  # descriptors of this process that the one after was told of last
+        self.hung = False  # the one before does not answer
         self.yours: asyncio.Future | None = None
         self.closed = False
         self.works: dict[asyncio.Task, None] = {}
@@ -104,9 +105,13 @@
 
     def _learn(self, state: dict) -> None:
         try:
-            version, entries = int(state["version"]), [
-                (str(e[0]), (str(e[1][0]), int(e[1][1])), *e[2:5], Condition(e[5]), *e[6:])
-                for e in state["entries"]]
+            version, entries = (
+                int(state["version"]),
+                [
+                    (str(e[0]), (str(e[1][0]), int(e[1][1])), *e[2:5], Condition(e[5]), *e[6:])
+                    for e in state["entries"]
+                ],
+            )
             self.desk.report_kept_list(version, entries)
             if state["discovery"] != self.service.config["discovery"]:
                 self.desk.forget_version()
@@ -207,11 +212,15 @@
 
     def _state(self) -> dict:
         desk = self.desk
-        return {"version": desk.version, "discovery": self.service.config["discovery"],
-                "entries": list(desk.entries.values()), "out": desk.maintenance.state()}
+        return {
+            "version": desk.version,
+            "discovery": self.service.config["discovery"],
+            "entries": list(desk.entries.values()),
+            "out": desk.maintenance.state(),
+        }
 
     def _hand(self, line: Line) -> None:
-        self.meeting.close()    # the path belongs to the new process from here on
+        self.meeting.close()  # the path belongs to the new process from here on
         self.handed = True
         self.service.clients.moving = lambda known, sock: line.say({"client": known}, sock, give=True)
         held = self.service.stop_accepting()
@@ -234,7 +243,7 @@
     def _hand_over_now(self, line: Line) -> None:
         for client in list(self.service.clients.open) if self.gives_tasks else ():
             if self.service.clients.movable(client):
-                self._give_task(line, client)    # first: their time runs on
+                self._give_task(line, client)  # first: their time runs on
         for client in list(self.service.clients.open):
             self.service.clients.move(client)
         self.service.executors.hand_over(lambda about, sock: line.say(about, sock, give=True))
@@ -253,8 +262,16 @@
             return
         name, target, headers, body, keep = client.message
         data = [name, target, body, link.seen, *(part for pair in headers.items() for part in pair)]
-        line.say({"task": about, "at": monotonic(), "keep": keep,
-                  "bytes": [part.decode("latin-1") for part in data]}, client.sock, link.sock)
+        line.say(
+            {
+                "task": about,
+                "at": monotonic(),
+                "keep": keep,
+                "bytes": [part.decode("latin-1") for part in data],
+            },
+            client.sock,
+            link.sock,
+        )
         self.given += 1
         executors.let_go(errand, about["out"])
         client.errand, client.busy = None, False
@@ -348,4 +365,3 @@
             self.meeting.close(unlink=not self.handed)
         for work in list(self.works):
             work.cancel()
-
--- a/firwalk/net/waiting.py
+++ b/firwalk/net/waiting.py
@@ -1,5 +1,6 @@
 """Waiting until a socket can be read, taking nothing from it: a wait that is cancelled loses nothing. Waiting
 until it is connected, on this thread alone."""
+
 from __future__ import annotations
 
 import asyncio
--- a/firwalk/operations.py
+++ b/firwalk/operations.py
@@ -2,6 +2,7 @@
 
 Keys are told one by one in `docs/configuration.md`; `deploy/cluster.toml` is an example.
 """
+
 from __future__ import annotations
 
 import os
@@ -13,9 +14,9 @@
 from firwalk.cluster.messages import MOST_ZONES
 from firwalk.cluster.zones import Terms
 
-Span = Annotated[float, Meta(gt=0, le=600)]      # seconds
+Span = Annotated[float, Meta(gt=0, le=600)]  # seconds
 Seats = list[Annotated[int, Meta(ge=0, le=65535)]]
-LIVE = ("members", "plan", "log", "zones")      # what a running node takes over at SIGHUP
+LIVE = ("members", "plan", "log", "zones")  # what a running node takes over at SIGHUP
 
 
 class Fleet(Struct, frozen=True):
@@ -77,14 +78,19 @@
 
     def __post_init__(self) -> None:
         zones = [zone for names in self.regions.values() for zone in names]
-        wrong = [f"regions: {zone} stands there twice"
-                 for zone in dict.fromkeys(zones) if zones.count(zone) > 1]
+        wrong = [
+            f"regions: {zone} stands there twice" for zone in dict.fromkeys(zones) if zones.count(zone) > 1
+        ]
         wrong += [f"stays: {zone} is in no region" for zone in self.stays if zone not in zones]
-        wrong += [f"drained: {zone} is in no region" for zone in self.drained
-                  if self.regions and zone not in zones]
-        wrong += [f"order: there is no region {name}"
-                  for first, rest in self.order.items()
-                  for name in (first, *rest) if name not in self.regions]
+        wrong += [
+            f"drained: {zone} is in no region" for zone in self.drained if self.regions and zone not in zones
+        ]
+        wrong += [
+            f"order: there is no region {name}"
+            for first, rest in self.order.items()
+            for name in (first, *rest)
+            if name not in self.regions
+        ]
         if self.regions and not 1 <= len(zones) <= MOST_ZONES:
             wrong.append(f"regions: 1 to {MOST_ZONES} zones in all are wanted, not {len(zones)}")
         if wrong:
@@ -94,10 +100,13 @@
         """By the zones' numbers, which are their places in the settings."""
         regions = list(self.regions)
         of = {zone: number for number, zones in enumerate(self.regions.values()) for zone in zones}
-        return Terms(tuple(of.get(name, 0) for name in names), self.head_room,
-                     tuple(names.index(zone) for zone in self.stays),
-                     {regions.index(a): tuple(map(regions.index, rest)) for a, rest in self.order.items()},
-                     tuple(names.index(zone) for zone in self.drained if zone in names))
+        return Terms(
+            tuple(of.get(name, 0) for name in names),
+            self.head_room,
+            tuple(names.index(zone) for zone in self.stays),
+            {regions.index(a): tuple(map(regions.index, rest)) for a, rest in self.order.items()},
+            tuple(names.index(zone) for zone in self.drained if zone in names),
+        )
 
 
 class Budgets(Struct, frozen=True):
@@ -151,6 +160,7 @@
 
 def _contracts(path: str, settings: dict) -> list[str]:
     from firwalk.broker import contracts
+
     told, faults = contracts.load(path)
     return faults if told is None else [f"{path}: {line}" for line in contracts.misfits(told, settings)]
 
@@ -171,8 +181,10 @@
         if seats and seat >= seats:
             wrong.append(f"lease.voters: there is no seat {seat} among the {seats} peers")
     if operations.budgets and operations.budgets.length < 2 * operations.lease.length:
-        wrong.append("budgets.length: must be twice lease.length at least: all parts would be over before "
-                     "there is another coordinator")
+        wrong.append(
+            "budgets.length: must be twice lease.length at least: all parts would be over before "
+            "there is another coordinator"
+        )
     if operations.budgets:
         wrong += _contracts(operations.budgets.contracts, settings)
     if operations.stages and not config.get("management"):
@@ -184,8 +196,10 @@
     if operations.zones and len(names) > MOST_ZONES:
         wrong.append(f"zones: settings.azs has {len(names)} zones; the most is {MOST_ZONES}")
     drained = operations.zones.drained if operations.zones else []
-    wrong += [f"zones.drained: there is no zone {zone} in settings.azs"
-              for zone in drained if zone not in names]
-    wrong += [f"zones.regions: zone {name} of settings.azs is in no region"
-              for name in names if name not in told]
+    wrong += [
+        f"zones.drained: there is no zone {zone} in settings.azs" for zone in drained if zone not in names
+    ]
+    wrong += [
+        f"zones.regions: zone {name} of settings.azs is in no region" for name in names if name not in told
+    ]
     return wrong
--- a/firwalk/settings.py
+++ b/firwalk/settings.py
@@ -1,5 +1,6 @@
 """Checks a node's configuration, and builds a decision node from its deployment's settings; the bench's
 adapter and the real node share it. What the settings leave out gets the value that promises least."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -10,33 +11,62 @@
 from firwalk.logic import Node, Offering, Tenant
 
 MICRO = 1e-6
-ZONES = 2              # of the new shape of deployment
+ZONES = 2  # of the new shape of deployment
 EFFECTS = {"safe": Effect.IDEMPOTENT, "keyed": Effect.FINGERPRINTED, "unsafe": Effect.SIDE_EFFECTING}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
-SIZED = ("nominal", "rough")    # kinds of weights in the list that are an executor's size
+SIZED = ("nominal", "rough")  # kinds of weights in the list that are an executor's size
 # What a running node can take over; of its own keys the last two mean something at a start.
 LIVE = ("discovery", "known", "seed", "tag")
-LIVE_SETTINGS = ("offerings", "tenants", "excess-importance", "importance-by",
-                 "limits", "prices", "specifics")    # of these three what is named here
-LIVE_PARTS = {"limits": ("most-assignments", "retry-after", "max-retry-after-us"),
-              "prices": ("cross-zone", "handshake"),
-              "specifics": ("class-kind", "class-stretch", "class-priority")}
-LEARNT = ("most", "met", "log_mean", "log_spread", "finished", "log_hint", "log_work", "hint_spread",
-          "together")                       # by an offering, of its tasks
-ABOVE_ZERO = ("due-time-us", "expiry-us")   # in each offering
-LEAST_SOCKETS = 32     # descriptors with which a node can serve one client at all: most are its own
+LIVE_SETTINGS = (
+    "offerings",
+    "tenants",
+    "excess-importance",
+    "importance-by",
+    "limits",
+    "prices",
+    "specifics",
+)  # of these three what is named here
+LIVE_PARTS = {
+    "limits": ("most-assignments", "retry-after", "max-retry-after-us"),
+    "prices": ("cross-zone", "handshake"),
+    "specifics": ("class-kind", "class-stretch", "class-priority"),
+}
+LEARNT = (
+    "most",
+    "met",
+    "log_mean",
+    "log_spread",
+    "finished",
+    "log_hint",
+    "log_work",
+    "hint_spread",
+    "together",
+)  # by an offering, of its tasks
+ABOVE_ZERO = ("due-time-us", "expiry-us")  # in each offering
+LEAST_SOCKETS = 32  # descriptors with which a node can serve one client at all: most are its own
 # The words of load reports: those of the settings, and those that executors use on sockets.
-REPORT_WORDS = {"rif": "held", "inflight": "held", "busy": "busy", "util": "busy",
-                "x0": "free_slots", "x1": "free_memory"}
+REPORT_WORDS = {
+    "rif": "held",
+    "inflight": "held",
+    "busy": "busy",
+    "util": "busy",
+    "x0": "free_slots",
+    "x1": "free_memory",
+}
 
 
 # -- what a configuration may say ------------------------------------------------------------------------
 
+
 def _number(least: float, most: float = 1e12, whole: bool = False) -> Callable[[object], str]:
     def check(value: object) -> str:
         fits = isinstance(value, int if whole else int | float) and not isinstance(value, bool)
-        return "" if fits and least <= value <= most else (
-            f"{'a whole number' if whole else 'a number'} from {least:g} to {most:g}")
+        return (
+            ""
+            if fits and least <= value <= most
+            else (f"{'a whole number' if whole else 'a number'} from {least:g} to {most:g}")
+        )
+
     return check
 
 
@@ -57,29 +87,60 @@
     return "" if fits else "a list of text"
 
 
-SPAN = _number(0, 1e11)         # microseconds
+SPAN = _number(0, 1e11)  # microseconds
 CONFIG = {
-    "name": _text, "listen": _text, "discovery": _text, "peer_listen": _text, "peers": _texts,
-    "peers_all": _text, "management": _text, "tag": _text,
-    "limits.memory_mb": _number(1), "limits.sockets": _number(LEAST_SOCKETS, whole=True),
+    "name": _text,
+    "listen": _text,
+    "discovery": _text,
+    "peer_listen": _text,
+    "peers": _texts,
+    "peers_all": _text,
+    "management": _text,
+    "tag": _text,
+    "limits.memory_mb": _number(1),
+    "limits.sockets": _number(LEAST_SOCKETS, whole=True),
 }
 SETTINGS = {
-    "self-index": _number(0, 65535, True), "siblings": _number(1, 65535, True), "az": _number(0, 255, True),
-    "azs": _texts, "kinds": _texts, "resolution-us": SPAN, "discovery": _word("ask", "push"),
-    "weights": _word("off", "live", *SIZED), "importance-by": _word("work", "request"),
-    "excess-importance": _number(0, 1), "clients.marks-retry": _flag, "load-report.how": _text,
-    "load-report.names": _texts, "specifics.tells-start": _flag,
-    "limits.most-assignments": _number(1, 255, True), "limits.second-copies": _flag, "limits.cancel": _flag,
-    "limits.probing": _flag, "limits.peers": _flag, "limits.retry-after": _flag,
-    "limits.max-retry-after-us": SPAN, "limits.connect-timeout-us": _number(1, 1e11),
+    "self-index": _number(0, 65535, True),
+    "siblings": _number(1, 65535, True),
+    "az": _number(0, 255, True),
+    "azs": _texts,
+    "kinds": _texts,
+    "resolution-us": SPAN,
+    "discovery": _word("ask", "push"),
+    "weights": _word("off", "live", *SIZED),
+    "importance-by": _word("work", "request"),
+    "excess-importance": _number(0, 1),
+    "clients.marks-retry": _flag,
+    "load-report.how": _text,
+    "load-report.names": _texts,
+    "specifics.tells-start": _flag,
+    "limits.most-assignments": _number(1, 255, True),
+    "limits.second-copies": _flag,
+    "limits.cancel": _flag,
+    "limits.probing": _flag,
+    "limits.peers": _flag,
+    "limits.retry-after": _flag,
+    "limits.max-retry-after-us": SPAN,
+    "limits.connect-timeout-us": _number(1, 1e11),
     "limits.idle-close-us": SPAN,
-    "prices.cross-zone": _number(0), "prices.handshake": _number(0),
-    "guarantees.cold-from": _number(0, 1), "guarantees.cold-us": SPAN, "guarantees.fall-multiple": _number(0),
-    "guarantees.tip-after-us": SPAN, "guarantees.ask-within-us": SPAN,
+    "prices.cross-zone": _number(0),
+    "prices.handshake": _number(0),
+    "guarantees.cold-from": _number(0, 1),
+    "guarantees.cold-us": SPAN,
+    "guarantees.fall-multiple": _number(0),
+    "guarantees.tip-after-us": SPAN,
+    "guarantees.ask-within-us": SPAN,
 }
 OFFERING = {
-    "name": _text, "due-time-us": SPAN, "expiry-us": SPAN, "importance": _number(0),
-    "repeat": _word(*EFFECTS), "group": _word(*GROUPS), "key-ttl-us": SPAN, "aim-stretch": _number(0),
+    "name": _text,
+    "due-time-us": SPAN,
+    "expiry-us": SPAN,
+    "importance": _number(0),
+    "repeat": _word(*EFFECTS),
+    "group": _word(*GROUPS),
+    "key-ttl-us": SPAN,
+    "aim-stretch": _number(0),
 }
 TENANT = {"name": _text, "quota-per-s": _number(0)}
 
@@ -96,7 +157,7 @@
     """What is wrong with the fields that are there; those that are not known are passed over."""
     if not isinstance(part, dict):
         return [f"{where or 'the configuration'} must be an object"]
-    faults: dict[str, None] = {}     # each once, in order
+    faults: dict[str, None] = {}  # each once, in order
     for path, fits in fields.items():
         value: object = part
         name = where
@@ -215,18 +276,23 @@
 
 # -- from settings to a node -----------------------------------------------------------------------------
 
+
 def _offerings(settings: dict) -> list[Offering]:
     family = settings.get("specifics", {})
     stretch, kinds = family.get("class-stretch", []), family.get("class-kind", [])
     return [
         Offering(
-            o.get("due-time-us", o.get("expiry-us", 0)) * MICRO, o.get("expiry-us", 0) * MICRO,
+            o.get("due-time-us", o.get("expiry-us", 0)) * MICRO,
+            o.get("expiry-us", 0) * MICRO,
             importance=o.get("importance", 1.0),
             effect=EFFECTS.get(o.get("repeat"), Effect.SIDE_EFFECTING),
-            group=GROUPS.get(o.get("group"), Group.CELL), remembered=o.get("key-ttl-us", 0) * MICRO,
+            group=GROUPS.get(o.get("group"), Group.CELL),
+            remembered=o.get("key-ttl-us", 0) * MICRO,
             stretch=o.get("aim-stretch", stretch[i] if i < len(stretch) else 0.0),
-            kind=kinds[i] if i < len(kinds) else -1)
-        for i, o in enumerate(settings.get("offerings", []))]
+            kind=kinds[i] if i < len(kinds) else -1,
+        )
+        for i, o in enumerate(settings.get("offerings", []))
+    ]
 
 
 def _tunable(settings: dict) -> dict:
@@ -239,14 +305,17 @@
         "longest_advice": limits.get("max-retry-after-us", 0) * MICRO if limits.get("retry-after") else 0.0,
         "beyond_share": settings.get("excess-importance", 1.0),
         "by_work": settings.get("importance-by") == "work",
-        "crossing": prices.get("cross-zone", 0.0), "handshake": prices.get("handshake", 0.0)}
+        "crossing": prices.get("cross-zone", 0.0),
+        "handshake": prices.get("handshake", 0.0),
+    }
 
 
 def retune(node: Node, old: dict, new: dict) -> None:
     """Gives a running node new settings; offerings that stay by name keep what they learnt."""
     figures = _tunable(new)
-    before = {o.get("name"): offering
-              for o, offering in zip(old.get("offerings", []), node.offerings, strict=True)}
+    before = {
+        o.get("name"): offering for o, offering in zip(old.get("offerings", []), node.offerings, strict=True)
+    }
     for o, offering in zip(new.get("offerings", []), figures["offerings"], strict=True):
         learnt = before.get(o.get("name"))
         for word in LEARNT if learnt is not None else ():
@@ -263,9 +332,14 @@
 
 def needs_restart(old: dict, new: dict) -> list[str]:
     """What differs and cannot be taken over by a running node, by name."""
+
     def differing(a: dict, b: dict, live: tuple, where: str = "") -> list[str]:
-        return [where + word for word in sorted(a.keys() | b.keys())
-                if word not in live and a.get(word) != b.get(word)]
+        return [
+            where + word
+            for word in sorted(a.keys() | b.keys())
+            if word not in live and a.get(word) != b.get(word)
+        ]
+
     a, b = old["settings"], new["settings"]
     parts = [differing(old, new, (*LIVE, "settings")), differing(a, b, LIVE_SETTINGS, "settings.")]
     for word, live in LIVE_PARTS.items():
@@ -277,16 +351,26 @@
     """What the settings leave out gets the value that promises least."""
     limits, rules = settings.get("limits", {}), settings.get("guarantees", {})
     return Node(
-        host, seed, now, own_number=settings.get("self-index", 0), nodes=max(settings.get("siblings", 1), 1),
-        zone=settings.get("az", 0), tick=settings.get("resolution-us", 0) * MICRO,
+        host,
+        seed,
+        now,
+        own_number=settings.get("self-index", 0),
+        nodes=max(settings.get("siblings", 1), 1),
+        zone=settings.get("az", 0),
+        tick=settings.get("resolution-us", 0) * MICRO,
         copies=limits.get("second-copies", False),
-        may_cancel=limits.get("cancel", False), may_probe=limits.get("probing", False),
+        may_cancel=limits.get("cancel", False),
+        may_probe=limits.get("probing", False),
         reports=settings.get("load-report", {}).get("how", "off"),
         tells_start=bool(settings.get("specifics", {}).get("tells-start", False)),
         must_ask=settings.get("discovery") == "ask",
         marked=settings.get("clients", {}).get("marks-retry", True),
         sized=settings.get("weights") in SIZED,
-        cold_from=rules.get("cold-from", 1.0), cold_for=rules.get("cold-us", 0) * MICRO,
-        fall_multiple=rules.get("fall-multiple", 1.0), fall_window=rules.get("tip-after-us", 0) * MICRO,
-        ask_within=rules.get("ask-within-us", 0) * MICRO, peers=limits.get("peers", False),
-        **_tunable(settings))
+        cold_from=rules.get("cold-from", 1.0),
+        cold_for=rules.get("cold-us", 0) * MICRO,
+        fall_multiple=rules.get("fall-multiple", 1.0),
+        fall_window=rules.get("tip-after-us", 0) * MICRO,
+        ask_within=rules.get("ask-within-us", 0) * MICRO,
+        peers=limits.get("peers", False),
+        **_tunable(settings),
+    )
--- a/firwalk/wirehost/__main__.py
+++ b/firwalk/wirehost/__main__.py
@@ -3,6 +3,7 @@
 Translates ids to objects and the wire's units and words to ours; every decision is `firwalk.logic`'s.
 Instances share nothing but the numbered lists that the wire itself shares.
 """
+
 from __future__ import annotations
 
 import sys
@@ -80,7 +81,7 @@
         self.out.append(c.QUERY_ALL.pack(c.DO_QUERY_ALL, self.number))
 
     def note(self, line):
-        text = line.encode()[:LONGEST & 0xFFFF]
+        text = line.encode()[: LONGEST & 0xFFFF]
         self.out.append(c.TEXT.pack(c.DO_TRACE, self.number, len(text)) + text)
 
     # -- the wire's side: what has happened ------------------------------------------------------------
@@ -91,8 +92,17 @@
 
     def item(self, now, xid, band, account, entity, budget, cost, slots, memory, attrs):
         task = self.node.task_arrived(
-            now, xid, band, account, budget * MICRO, cost * MICRO if attrs & 1 and cost else 0.0,
-            slots, memory, bool(attrs & 2), b"%d" % entity if entity else b"")
+            now,
+            xid,
+            band,
+            account,
+            budget * MICRO,
+            cost * MICRO if attrs & 1 and cost else 0.0,
+            slots,
+            memory,
+            bool(attrs & 2),
+            b"%d" % entity if entity else b"",
+        )
         if task.open or task.still_out:
             self.tasks[xid] = task
 
@@ -117,8 +127,7 @@
         for kind, zone, condition, size, address, came_up, cell in entries:
             executor = known.get(address)
             if executor is None:
-                executor = known[address] = node.new_executor(
-                    address, kind, zone, cell, size, crc32(address))
+                executor = known[address] = node.new_executor(address, kind, zone, cell, size, crc32(address))
                 self.marks.add(address, executor)
             named[address] = executor
             node.heard(now, executor, c.CONDITIONS[condition], came_up * MICRO)
@@ -192,7 +201,7 @@
                     extra = 4 * fields[-1]
                 elif code == c.SAID:
                     extra = fields[-1]
-                content = body[at:at + extra]
+                content = body[at : at + extra]
                 if len(content) < extra:
                     raise c.Malformed(f"batch {number}: record {code} is cut short")
                 at += extra
--- a/firwalk/wirehost/codec.py
+++ b/firwalk/wirehost/codec.py
@@ -3,6 +3,7 @@
 A record is a u8 code followed by fixed fields and, for some codes, counted content. `EVENTS` gives the
 fixed part of each event; the loop reads counted content right behind it.
 """
+
 from __future__ import annotations
 
 from struct import Struct
@@ -11,7 +12,7 @@
 
 BATCH = Struct("<IIIQ")  # number, size of what follows the size field, records, clock
 REPLY = Struct("<III")
-AFTER_SIZE = 8           # bytes of a header up to and including the size field
+AFTER_SIZE = 8  # bytes of a header up to and including the size field
 
 ESTABLISHED, DOWN, DROPPED, HINT, SHEET, TARGETS = 10, 20, 30, 40, 50, 60
 SAID, TIMER, INIT, PINGED, ITEM, RESPONSE = 70, 80, 90, 100, 110, 120
@@ -49,8 +50,14 @@
 EVERY_PEER = 0xFFFF
 
 OUTCOMES = {
-    0: Outcome.FINISHED, 13: Outcome.ERROR, 8: Outcome.FULL, 4: Outcome.TIMED_OUT, 14: Outcome.NO_CONNECTION,
-    10: Outcome.BROKEN, 1: Outcome.CANCELLED, 9: Outcome.NOT_SENT,
+    0: Outcome.FINISHED,
+    13: Outcome.ERROR,
+    8: Outcome.FULL,
+    4: Outcome.TIMED_OUT,
+    14: Outcome.NO_CONNECTION,
+    10: Outcome.BROKEN,
+    1: Outcome.CANCELLED,
+    9: Outcome.NOT_SENT,
 }
 CONDITIONS = {0: Condition.GONE, 1: Condition.READY, 2: Condition.DRAINING}
 
--- a/tests/agent/test_keeper.py
+++ b/tests/agent/test_keeper.py
@@ -1,4 +1,5 @@
 """What an agent does with its node's processes: each thing that can happen, without processes."""
+
 import signal
 
 import msgspec
@@ -109,18 +110,24 @@
     assert made.did() == ["start v2 1"]
     made.after(1.0, [made.kept.serving])
     made.ready(made.kept.coming)
-    assert made.did() == []                       # ready alone is not enough
+    assert made.did() == []  # ready alone is not enough
     made.keeper.wanted(made.now, made.kept.coming, None, "s1")
-    assert made.did() == []                       # nor that it answers: it follows no plan yet
+    assert made.did() == []  # nor that it answers: it follows no plan yet
     made.wants("v2", child=made.kept.coming)
     assert made.did() == ["end v1"] and made.kept.serving.release == "v2" and made.kept.release == "v2"
     made.keeper.ended(made.now, made.kept.leaving, 0)
     assert made.written.leaving is None and made.written.serving.release == "v2"
 
 
-@pytest.mark.parametrize("how, why", [
-    ("crash", "it does not come up"), ("never ready", "it is not ready in time"),
-    ("no plan", "it does not follow the plan"), ("none there", "there is no release v2")])
+@pytest.mark.parametrize(
+    "how, why",
+    [
+        ("crash", "it does not come up"),
+        ("never ready", "it is not ready in time"),
+        ("no plan", "it does not follow the plan"),
+        ("none there", "there is no release v2"),
+    ],
+)
 def test_one_that_does_not_come_so_far_is_left_and_told_once_and_the_old_one_goes_on(how, why):
     made = served(releases=("v1",)) if how == "none there" else served()
     made.wants("v2")
@@ -141,10 +148,11 @@
         made.wants("v2")
     acts = made.did()
     assert [act for act in acts if act.startswith("failed")] == [
-        next(act for act in acts if act.startswith(f"failed 7 {why}"))]
+        next(act for act in acts if act.startswith(f"failed 7 {why}"))
+    ]
     assert not [act for act in acts if act.startswith("start")] and made.kept.serving is serving
     made.after(keeper_module.AGAIN)
-    made.wants("v2", number=8)                    # a later change may have it again
+    made.wants("v2", number=8)  # a later change may have it again
     assert made.did()[:1] == ["start v2 1"] and made.written.failed[7].startswith(why)
 
 
@@ -203,7 +211,7 @@
     old = served()
     for _ in range(5):
         old.keeper.checked(old.now, False)
-    assert not old.kept.failed                    # of a version that is not on trial it says nothing
+    assert not old.kept.failed  # of a version that is not on trial it says nothing
 
 
 def test_a_change_that_goes_back_is_followed_back_however_often_it_takes():
@@ -256,7 +264,7 @@
     assert third.did() == ["end v1", "kill v1"]
     third.keeper.ended(third.now, third.kept.leaving, None)
     assert third.keeper.children() == [third.kept.serving]
-    lost = Machine(made.written)                  # the new one died meanwhile, nobody knows how
+    lost = Machine(made.written)  # the new one died meanwhile, nobody knows how
     lost.keeper.ended(lost.now, lost.kept.coming, None)
     assert lost.kept.failed == {7: "it does not come up"} and lost.kept.serving.release == "v1"
 
@@ -294,11 +302,18 @@
     assert made.did() == [] and made.keeper.stop(made.now) and not made.kept.failed
 
 
-@pytest.mark.parametrize("text, order", [
-    ("hold", None), ("nothing", None), ("7 release v2 going", Order(7, "release", "v2", True)),
-    ("7 release v1 back", Order(7, "release", "v1", False)), ("x release v1 back", None),
-    ("7 release ../v1 going", None),
-    ("8 settings s2 held", Order(8, "settings", "s2", True))])
+@pytest.mark.parametrize(
+    "text, order",
+    [
+        ("hold", None),
+        ("nothing", None),
+        ("7 release v2 going", Order(7, "release", "v2", True)),
+        ("7 release v1 back", Order(7, "release", "v1", False)),
+        ("x release v1 back", None),
+        ("7 release ../v1 going", None),
+        ("8 settings s2 held", Order(8, "settings", "s2", True)),
+    ],
+)
 def test_what_a_node_says_is_read(text, order):
     assert _order(text) == order
 
@@ -313,6 +328,7 @@
         real(self, now, child, ready)
         if ready and child is self.kept.coming:
             self._confirmed(now, child)
+
     patch.setattr(Keeper, "answered", answered)
 
 
@@ -321,17 +337,29 @@
 
 
 def writes_nothing_down(patch):
-    patch.setattr(Machine, "keep", lambda self, kept: setattr(
-        self, "text", msgspec.json.encode(State(Kept("v1", "s1"), {}))))
-
-
-@pytest.mark.parametrize("mutant, test", [
-    (ends_the_old_one_when_the_new_one_is_ready,
-     test_the_new_one_comes_beside_the_old_one_which_ends_when_the_new_one_is_confirmed),
-    (tries_a_failed_version_again,
-     lambda: test_one_that_does_not_come_so_far_is_left_and_told_once_and_the_old_one_goes_on(
-         "crash", "it does not come up")),
-    (writes_nothing_down, test_an_agent_that_died_goes_on_with_what_it_finds_at_each_step)])
+    patch.setattr(
+        Machine,
+        "keep",
+        lambda self, kept: setattr(self, "text", msgspec.json.encode(State(Kept("v1", "s1"), {}))),
+    )
+
+
+@pytest.mark.parametrize(
+    "mutant, test",
+    [
+        (
+            ends_the_old_one_when_the_new_one_is_ready,
+            test_the_new_one_comes_beside_the_old_one_which_ends_when_the_new_one_is_confirmed,
+        ),
+        (
+            tries_a_failed_version_again,
+            lambda: test_one_that_does_not_come_so_far_is_left_and_told_once_and_the_old_one_goes_on(
+                "crash", "it does not come up"
+            ),
+        ),
+        (writes_nothing_down, test_an_agent_that_died_goes_on_with_what_it_finds_at_each_step),
+    ],
+)
 def test_the_checks_see_each_mutant(mutant, test, monkeypatch):
     mutant(monkeypatch)
     with pytest.raises((AssertionError, AttributeError, StopIteration)):
--- a/tests/cluster/mutants.py
+++ b/tests/cluster/mutants.py
@@ -1,4 +1,5 @@
 """Deliberately broken variants of the cluster's code; the checks must catch each. Named by what is wrong."""
+
 import msgspec
 
 from firwalk.cluster import lease, plan
@@ -8,10 +9,12 @@
 
 def _of(change):
     """Makes seats whose parts are changed by `change(seat)` before they start."""
+
     def make(*args, **named):
         seat = Seat(*args, **named)
         change(seat)
         return seat
+
     make.__name__ = change.__name__
     return make
 
@@ -37,6 +40,7 @@
             voter.accepted = voter.last = message.ballot
             voter.accepted_until = now + message.length / 1e3
             voter.host.tell(sender, Accept(message.ballot))
+
     if voter:
         voter.propose_came = propose_came
 
@@ -49,6 +53,7 @@
         if now >= voter.quiet_until:
             voter.promised = ballot
             voter.host.tell(sender, Promise(ballot, voter.holder(now)))
+
     if voter:
         voter.prepare_came = prepare_came
 
@@ -61,6 +66,7 @@
         lease.Voter.propose_came(voter, now, sender, message)
         if voter.accepted == message.ballot:
             voter.accepted_until = now + message.length / 2e3
+
     if voter:
         voter.propose_came = propose_came
 
@@ -72,6 +78,7 @@
     def accept_came(now, sender, message):
         candidate.began = now
         lease.Candidate.accept_came(candidate, now, sender, message)
+
     if candidate:
         candidate.accept_came = accept_came
 
@@ -94,6 +101,7 @@
 
     def promise_came(now, sender, life, message):
         lease.Candidate.promise_came(candidate, now, sender, life, Promise(message.ballot, None))
+
     if candidate:
         candidate.promise_came = promise_came
 
@@ -110,6 +118,7 @@
     def take(now, stamp, text, since):
         seat.follower.stamp = plan.NONE
         return plan.Follower.take(seat.follower, now, stamp, text, since)
+
     seat.follower.take = take
     seat.follower.piece_came = lambda now, piece: _any_piece(seat.follower, now, piece)
 
@@ -133,8 +142,10 @@
         sections = msgspec.json.decode(text)
         for name in [name for name in sections if name in follower.sections][1:]:
             sections[name] = follower.sections[name]
-        return plan.Follower.take(follower, now, stamp, msgspec.json.encode(sections, order="deterministic"),
-                                  since)
+        return plan.Follower.take(
+            follower, now, stamp, msgspec.json.encode(sections, order="deterministic"), since
+        )
+
     follower.take = take
 
 
@@ -151,6 +162,7 @@
         if len(parts.got) == piece.count:
             text = b"".join(parts.got[number] for number in range(piece.count))
             follower.take(now, parts.stamp, text, now)
+
     follower.piece_came = piece_came
 
 
@@ -164,12 +176,24 @@
         if done and writer.version > 1:
             writer.version -= 1
         return done
+
     if writer:
         writer.set = set_
 
 
-ALL = [voter_grants_at_once_after_its_start, voter_forgets_what_it_accepted, voter_accepts_below_its_promise,
-       voter_promises_any_ballot, voter_counts_half_of_the_length, holder_counts_from_the_last_accept,
-       holder_holds_for_two_lengths, minority_is_enough, candidate_passes_over_another_holder,
-       holder_acts_after_its_end, follower_goes_back, plan_applied_by_halves, plan_of_pieces_of_two,
-       writer_counts_no_changes]
+ALL = [
+    voter_grants_at_once_after_its_start,
+    voter_forgets_what_it_accepted,
+    voter_accepts_below_its_promise,
+    voter_promises_any_ballot,
+    voter_counts_half_of_the_length,
+    holder_counts_from_the_last_accept,
+    holder_holds_for_two_lengths,
+    minority_is_enough,
+    candidate_passes_over_another_holder,
+    holder_acts_after_its_end,
+    follower_goes_back,
+    plan_applied_by_halves,
+    plan_of_pieces_of_two,
+    writer_counts_no_changes,
+]
--- a/tests/cluster/test_budgets.py
+++ b/tests/cluster/test_budgets.py
@@ -1,4 +1,5 @@
 """I2 over drawn schedules, and mutants that it must catch; how parts are divided and given back."""
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -47,12 +48,16 @@
     def longer(self, *args):
         init(self, *args)
         self.good *= 1.6
+
     patch.setattr(budgets.Holder, "__init__", longer)
 
 
 def double_refund(patch):
-    patch.setattr(Reservation, "settle", lambda self, now, spent, measured=False: (
-        self.account.settle(now, self.work, spent)))
+    patch.setattr(
+        Reservation,
+        "settle",
+        lambda self, now, spent, measured=False: self.account.settle(now, self.work, spent),
+    )
 
 
 def half_of_the_seats_are_enough(patch):
@@ -63,6 +68,7 @@
         heard(self, seat, life, got)
         if 2 * len(self.told) >= len(self.seats()):
             self.renews_until = 0.0
+
     patch.setattr(Dealer, "_heard", soon)
 
 
@@ -72,12 +78,18 @@
     def at_once(self, now, *about):
         init(self, now, *about)
         self.renews_until = now
+
     patch.setattr(Dealer, "__init__", at_once)
 
 
 def answers_that_were_lost_count_no_more(patch):
-    patch.setattr(budgets.Held, "live", lambda self, now: self.grants[max(self.grants)][1]
-                  if self.grants and max(self.grants.values())[0] > now else 0)
+    patch.setattr(
+        budgets.Held,
+        "live",
+        lambda self, now: (
+            self.grants[max(self.grants)][1] if self.grants and max(self.grants.values())[0] > now else 0
+        ),
+    )
 
 
 def what_is_out_is_not_looked_at(patch):
@@ -91,12 +103,19 @@
         if got.mark in self.marks:
             self.marks[got.mark] = now
         came(self, now, sender, got)
+
     patch.setattr(budgets.Holder, "grant_came", from_now)
 
 
-MUTANTS = [part_outlives_its_lease, double_refund, coordinator_forgets_what_was_granted_before,
-           what_is_out_is_not_looked_at, time_counts_from_the_answer, half_of_the_seats_are_enough,
-           answers_that_were_lost_count_no_more]
+MUTANTS = [
+    part_outlives_its_lease,
+    double_refund,
+    coordinator_forgets_what_was_granted_before,
+    what_is_out_is_not_looked_at,
+    time_counts_from_the_answer,
+    half_of_the_seats_are_enough,
+    answers_that_were_lost_count_no_more,
+]
 
 
 @pytest.mark.parametrize("mutant", MUTANTS)
@@ -121,6 +140,7 @@
         take(self, offer, beside)
         sides = [dict(zip(one.names, one.wholes, strict=True)) for one in self.sides.values()]
         self.wholes = {name: sum(side.get(name, 0) for side in sides) for name in self.wholes}
+
     patch.setattr(Dealer, "_take", summed)
 
 
@@ -131,6 +151,7 @@
         self.books = {}
         changed(self, now, *about)
         self.renews_until = 0.0
+
     patch.setattr(Dealer, "changed", forgets)
 
 
@@ -151,8 +172,9 @@
 
 def test_each_node_has_its_part_of_the_whole_of_its_own_contracts():
     """A budget that is ten times too small shows at the node on it alone."""
-    dealer = Dealer(0.0, Terms(LENGTH), offer(1, south=1.0, north=10.0), lambda: [0, 1, 2],
-                    offer(2, north=1.0, east=3.0))
+    dealer = Dealer(
+        0.0, Terms(LENGTH), offer(1, south=1.0, north=10.0), lambda: [0, 1, 2], offer(2, north=1.0, east=3.0)
+    )
     at = LENGTH * 2
     for mark in (1, 2, 3):
         parts = [dealt(dealer, at, node, 1, 1, mark) for node in (0, 1)] + [dealt(dealer, at, 2, 2, 0, mark)]
@@ -179,9 +201,17 @@
 
     def __init__(self, number):
         self.left, self.killed = number, False
-        super().__init__(Schedule(7, 4, [0, 1, 2], 7.0, rates=[1.01, 0.99, 1.0, 1.01],
-                                  settings={"length": 0.4, "period": 0.2, "answer": 0.05, "report": 0.1,
-                                            "hold": 0.6}), [purses.contracts(1)[0]])
+        super().__init__(
+            Schedule(
+                7,
+                4,
+                [0, 1, 2],
+                7.0,
+                rates=[1.01, 0.99, 1.0, 1.01],
+                settings={"length": 0.4, "period": 0.2, "answer": 0.05, "report": 0.1, "hold": 0.6},
+            ),
+            [purses.contracts(1)[0]],
+        )
 
     def sent(self, now, process, seat, message):
         if now < 3.0 or self.killed or not process.alive or not process.seat.coordinates(process.clock()):
@@ -208,7 +238,7 @@
 
 # -- the ledger ------------------------------------------------------------------------------------------
 
-TEAM = Team("north", 60.0, period=60.0, burst=3.0)       # one work a second
+TEAM = Team("north", 60.0, period=60.0, burst=3.0)  # one work a second
 
 
 def account(now=0.0, floor=0):
@@ -223,11 +253,12 @@
 
     def let_out(now):
         return [one.reserve(now, 0.5) and one.within(now, 0.5) for _ in range(8)]
+
     assert let_out(10.0) == [True, True] + [False] * 6
     assert sum(let_out(10.5)) == 2 and one.adds_up()
-    Reservation(one, 0.5, True).settle(10.5, 0.0)        # of the two, one bounced: nothing of it ran
+    Reservation(one, 0.5, True).settle(10.5, 0.0)  # of the two, one bounced: nothing of it ran
     Reservation(one, 0.5, True).settle(10.5, 0.4)
-    Reservation(one, 0.5).settle(10.5, 0.0)              # beyond the share: it gives nothing back to it
+    Reservation(one, 0.5).settle(10.5, 0.0)  # beyond the share: it gives nothing back to it
     assert one.sure == pytest.approx(0.6) and sum(let_out(10.5)) == 1
     whole = Account(0.0, TEAM, 0, MILLION)
     whole.fill(10.0)
@@ -398,16 +429,18 @@
     """Nodes that ask one dealer, without a network."""
 
     def __init__(self, whole=10.0, grace=False):
-        self.dealer = Dealer(0.0, Terms(LENGTH), Offer(1, 7, ("north",), (int(whole * MILLION),)),
-                             lambda: list(range(60)))
+        self.dealer = Dealer(
+            0.0, Terms(LENGTH), Offer(1, 7, ("north",), (int(whole * MILLION),)), lambda: list(range(60))
+        )
         self.now, self.marks, self.has = 0.0 if grace else 10.0, {}, {}
 
     def ask(self, node, want, life=1, lost=False):
         key = node, life
         mark = self.marks[key] = self.marks.get(key, 0) + 1
         acts_on, part = self.has.get(key, (0, 0))
-        got = self.dealer.want_came(self.now, node, life, Want(mark, 7, 7, [
-            (0, int(want * MILLION), mark - acts_on, part)]))
+        got = self.dealer.want_came(
+            self.now, node, life, Want(mark, 7, 7, [(0, int(want * MILLION), mark - acts_on, part)])
+        )
         if got is not None and not lost:
             self.has[key] = mark, got.rows[0][1]
         return self.part(node, life)
@@ -485,9 +518,10 @@
 
     def tells(node, first, last, rows, mark):
         return nodes.dealer.want_came(0.1, node, 1, Want(mark, 7, 7, rows, first, last))
+
     tells(0, 2, 2, [(0, 100 * MILLION, 1, 4 * MILLION)], 2)
     tells(1, 1, 1, [], 1)
-    tells(2, 1, 2, [(0, 100 * MILLION, 1, 0)], 1)        # the second half of what it asks was lost
+    tells(2, 1, 2, [(0, 100 * MILLION, 1, 0)], 1)  # the second half of what it asks was lost
     assert nodes.dealer.renews_until > 0.1
     tells(2, 3, 4, [(0, 100 * MILLION, 3, 0)], 3)
     tells(2, 3, 4, [], 4)
