--- a/tests/cluster/test_fleet_virtual.py
+++ b/tests/cluster/test_fleet_virtual.py
@@ -1,4 +1,5 @@
 """Zones over whole fleets of the decision module in virtual time: what is lost with the part and without."""
+
 import pytest
 from msgspec.structs import replace
 from runs import fault, scenario
@@ -10,16 +11,27 @@
 from firwalk.lab.fleets import SETTLE, Shown, Spell, lines, misfits, scaled, shown
 from firwalk.lab.scenario import Cluster, Offering, load
 
-LOAD = [Offering("read", rate=90, cost=0.1, due=0.6, expiry=1.5),
-        Offering("send", "side-effecting", rate=36, cost=0.1, due=0.6, expiry=1.5, importance=4.0)]
+LOAD = [
+    Offering("read", rate=90, cost=0.1, due=0.6, expiry=1.5),
+    Offering("send", "side-effecting", rate=36, cost=0.1, due=0.6, expiry=1.5, importance=4.0),
+]
 CUT = ("executors:c", 6.0)
 
 
 def day(*faults, regions=(("a", "b", "c"),), head_room=0.9, load=1.0, **fleet):
     offerings = [replace(o, rate=o.rate * load) for o in LOAD]
     cluster = Cluster([0, 1, 2], regions=[list(names) for names in regions], head_room=head_room)
-    return scenario(*faults, nodes=12, zones=sum(map(len, regions)), executors=12, slots=2, seconds=18.0,
-                    cluster=cluster, offerings=offerings, **fleet)
+    return scenario(
+        *faults,
+        nodes=12,
+        zones=sum(map(len, regions)),
+        executors=12,
+        slots=2,
+        seconds=18.0,
+        cluster=cluster,
+        offerings=offerings,
+        **fleet,
+    )
 
 
 CASES = {
@@ -30,20 +42,29 @@
     "grey": day(fault(4.0, "executor-slow", "executors:c", 6.0, value=4.0)),
     "all are slow": day(fault(4.0, "executor-slow", "executors", 6.0, value=1.3)),
     "half of its answers are errors": day(fault(4.0, "executor-errors", "executors:c", 6.0, value=0.5)),
-    "two zones, one after the other": day(fault(3.0, "cut", "executors:c", 8.0, to="nodes"),
-                                          fault(6.0, "cut", "executors:b", 5.0, to="nodes"), load=0.4),
-    "back cold": day(fault(4.0, "cut", "executors:c", 5.0, to="nodes"),
-                     fault(8.5, "executor-restart", "executors:c", 0.6), cold_for=4.0),
+    "two zones, one after the other": day(
+        fault(3.0, "cut", "executors:c", 8.0, to="nodes"),
+        fault(6.0, "cut", "executors:b", 5.0, to="nodes"),
+        load=0.4,
+    ),
+    "back cold": day(
+        fault(4.0, "cut", "executors:c", 5.0, to="nodes"),
+        fault(8.5, "executor-restart", "executors:c", 0.6),
+        cold_for=4.0,
+    ),
     "regions cut off from each other": day(
-        fault(4.0, "cut", ["zone:a", "zone:b"], 6.0, to="zone:c"), regions=(("a", "b"), ("c",)), load=0.8),
-    "the coordinator dies with its zone": day(fault(4.0, "cut", "executors:a", 7.0, to="nodes"),
-                                              fault(4.0, "kill", "coordinator", 3.0)),
+        fault(4.0, "cut", ["zone:a", "zone:b"], 6.0, to="zone:c"), regions=(("a", "b"), ("c",)), load=0.8
+    ),
+    "the coordinator dies with its zone": day(
+        fault(4.0, "cut", "executors:a", 7.0, to="nodes"), fault(4.0, "kill", "coordinator", 3.0)
+    ),
     "loss while nodes restart in turn": day(
         fault(2.0, "loss", "nodes", 14.0, to="nodes", value=0.2),
         *(fault(2.5 + 1.2 * n, "kill", f"node:{n}", 0.4) for n in range(12)),
-        fault(6.0, "cut", "executors:c", 6.0, to="nodes")),
+        fault(6.0, "cut", "executors:c", 6.0, to="nodes"),
+    ),
 }
-WORSE = 0.004          # of all importance, that a run with the part may lose beyond one without
+WORSE = 0.004  # of all importance, that a run with the part may lose beyond one without
 
 
 @pytest.mark.parametrize("case", CASES)
@@ -83,12 +104,19 @@
         for process in fleet.world.processes:
             process.seat.follower.hurried = ((2**40, 0, 0), 0)
     fleet.run(SETTLE)
-    decided = next(at for at, _, _, what, about in fleet.world.history
-                   if what == "zone" and about["mode"] == "away")
-    stamp = next((about["term"], about["version"]) for at, _, _, what, about in fleet.world.history
-                 if what == "wrote" and at >= decided)
-    last = max(at for at, _, _, what, about in fleet.world.history
-               if what == "plan" and (about["term"], about["version"]) == stamp)
+    decided = next(
+        at for at, _, _, what, about in fleet.world.history if what == "zone" and about["mode"] == "away"
+    )
+    stamp = next(
+        (about["term"], about["version"])
+        for at, _, _, what, about in fleet.world.history
+        if what == "wrote" and at >= decided
+    )
+    last = max(
+        at
+        for at, _, _, what, about in fleet.world.history
+        if what == "plan" and (about["term"], about["version"]) == stamp
+    )
     return decided - SETTLE - told.faults[0].at, last - decided
 
 
@@ -133,8 +161,13 @@
     fleet = Fleet(told, seed)
     fleet.run(SETTLE)
     spell = [job for job in fleet.jobs if 6.5 <= job.intended - SETTLE < 9.5]
-    return [(sum(job.answers[0][1] == "bounced" for job in spell if job.offering.importance == importance),
-             sum(job.offering.importance == importance for job in spell)) for importance in (1.0, 4.0)]
+    return [
+        (
+            sum(job.answers[0][1] == "bounced" for job in spell if job.offering.importance == importance),
+            sum(job.offering.importance == importance for job in spell),
+        )
+        for importance in (1.0, 4.0)
+    ]
 
 
 def test_what_fits_nowhere_is_turned_away_the_least_important_first_and_the_check_sees_chance(monkeypatch):
@@ -168,6 +201,8 @@
 
 def test_the_lines_tell_what_is_kept():
     full, half = Spell(100, 100, 100.0, 90.0), Spell(100, 100, 100.0, 80.0)
-    runs = [Shown(1, side, spell, spell, spell, 0.1, 0.8, 2, 1.0, []) for side, spell in
-            (("with", full), ("without", half))]
+    runs = [
+        Shown(1, side, spell, spell, spell, 0.1, 0.8, 2, 1.0, [])
+        for side, spell in (("with", full), ("without", half))
+    ]
     assert "of what is lost without, 0.50 is kept" in lines(runs, 12)[1]
--- a/tests/cluster/test_judge.py
+++ b/tests/cluster/test_judge.py
@@ -1,4 +1,5 @@
 """The judge of I1 and I3: what it must see, and what it must not take for a break."""
+
 from firwalk.lab.invariants import Judge
 from firwalk.lab.report import kept
 
@@ -52,8 +53,15 @@
 
 
 def test_a_zone_given_more_than_its_room_or_parts_that_do_not_add_up_are_breaks():
-    sound = {"asks": [2.0, 2.0], "bears": [10.0, 0.0], "keeps": [1.0, 0.0], "head_room": 0.8, "panic": False,
-             "shares": [[1.0, 0.0], [1.0, 0.0]], "away": [0.0, 0.0]}
+    sound = {
+        "asks": [2.0, 2.0],
+        "bears": [10.0, 0.0],
+        "keeps": [1.0, 0.0],
+        "head_room": 0.8,
+        "panic": False,
+        "shares": [[1.0, 0.0], [1.0, 0.0]],
+        "away": [0.0, 0.0],
+    }
     for change in ({}, {"bears": [2.0, 0.0]}, {"away": [0.0, 0.5]}, {"keeps": [0.5, 0.0]}):
         judge = Judge()
         judge.seen(1.0, 0, 9, "divided", sound | change)
--- a/tests/cluster/test_lease.py
+++ b/tests/cluster/test_lease.py
@@ -1,4 +1,5 @@
 """The lease message by message, and as a state machine whose network and clocks hypothesis drives."""
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
--- a/tests/cluster/test_members.py
+++ b/tests/cluster/test_members.py
@@ -1,4 +1,5 @@
 """Who is up, in virtual time: found, missed, come back, slow; and a state machine on the words themselves."""
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -106,8 +107,13 @@
         self.members = Members(Box(), 0, 4, 77, Chance(1), period=0.5, answer=0.1)
         self.now, self.known = 0.0, [(-1, 0)] * 4
 
-    @rule(seat=st.integers(0, 3), incarnation=st.integers(0, 6), life=st.integers(1, 3),
-          state=st.integers(0, 3), sender=st.integers(1, 3))
+    @rule(
+        seat=st.integers(0, 3),
+        incarnation=st.integers(0, 6),
+        life=st.integers(1, 3),
+        state=st.integers(0, 3),
+        sender=st.integers(1, 3),
+    )
     def news(self, seat, incarnation, life, state, sender):
         self.members.news_came(self.now, [(seat, incarnation, life, state)], sender)
         self._check()
--- a/tests/cluster/test_messages.py
+++ b/tests/cluster/test_messages.py
@@ -1,4 +1,5 @@
 """Bytes between nodes: bounded, and whatever arrives is a message or counted as unreadable."""
+
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -10,14 +11,23 @@
 LARGE = (2**48, 65535, 2**32 - 1)
 
 
-@pytest.mark.parametrize("message", [
-    m.Ping(2**48, LARGE, [(65535, 2**48, 2**32 - 1, 3)] * m.MOST_NEWS), m.Promise(LARGE, LARGE),
-    m.Refuse(LARGE, LARGE), m.Propose(LARGE, 2**48, 2**32 - 1),
-    m.Report(2**48, LARGE, 2**48, LARGE, 2**48, 2**62 - 1),
-    m.Evidence(65535, 2**32 - 1, [(65535,) * 4 + (2**32 - 1,) * 2] * m.MOST_ZONES),
-    m.Wish(2**48, "restore", 65535), m.Said(2**48, True, "x" * m.MOST_TEXT),
-    m.Answer(2**48, LARGE, 2**48), m.Fetch(LARGE, 2**48),
-    m.Piece(LARGE, 2**48, 61, 62, 2**32 - 1, b"x" * m.PIECE)], ids=lambda message: type(message).__name__)
+@pytest.mark.parametrize(
+    "message",
+    [
+        m.Ping(2**48, LARGE, [(65535, 2**48, 2**32 - 1, 3)] * m.MOST_NEWS),
+        m.Promise(LARGE, LARGE),
+        m.Refuse(LARGE, LARGE),
+        m.Propose(LARGE, 2**48, 2**32 - 1),
+        m.Report(2**48, LARGE, 2**48, LARGE, 2**48, 2**62 - 1),
+        m.Evidence(65535, 2**32 - 1, [(65535,) * 4 + (2**32 - 1,) * 2] * m.MOST_ZONES),
+        m.Wish(2**48, "restore", 65535),
+        m.Said(2**48, True, "x" * m.MOST_TEXT),
+        m.Answer(2**48, LARGE, 2**48),
+        m.Fetch(LARGE, 2**48),
+        m.Piece(LARGE, 2**48, 61, 62, 2**32 - 1, b"x" * m.PIECE),
+    ],
+    ids=lambda message: type(message).__name__,
+)
 def test_the_largest_of_each_kind_fits(message):
     data = m.packed(FLEET, 65535, 2**32 - 1, 2**32 - 1, message)
     assert len(data) <= m.LONGEST
@@ -28,8 +38,12 @@
 
 def test_another_fleet_version_and_length_are_told_apart():
     data = m.packed(FLEET, 1, 2, 3, m.Nack(4))
-    for bad, word in ((b"\x02" + data[1:], "another version"), (data[:9], "cut short"),
-                      (data + b"x" * 256, "too long"), (data[:-1], "garbage")):
+    for bad, word in (
+        (b"\x02" + data[1:], "another version"),
+        (data[:9], "cut short"),
+        (data + b"x" * 256, "too long"),
+        (data[:-1], "garbage"),
+    ):
         with pytest.raises(m.Unreadable, match=word):
             m.unpacked(FLEET, bad)
     with pytest.raises(m.Unreadable, match="another fleet"):
@@ -55,7 +69,7 @@
 @given(st.binary(min_size=1, max_size=8), st.integers(0, 200))
 def test_a_spoilt_datagram_never_raises_anything_else(noise, at):
     data = bytearray(m.packed(FLEET, 1, 2, 3, m.Ping(9, LARGE, [(1, 2, 3, 0)] * 10)))
-    data[at:at + len(noise)] = noise
+    data[at : at + len(noise)] = noise
     try:
         m.unpacked(FLEET, bytes(data))
     except m.Unreadable:
--- a/tests/cluster/test_plan.py
+++ b/tests/cluster/test_plan.py
@@ -1,4 +1,5 @@
 """The plan over hard cases in virtual time: woken late, forgotten ballots, cuts, how long it holds."""
+
 import pytest
 from test_lease import Box
 
@@ -14,8 +15,9 @@
 
 def world(until, faults=(), seats=7, voters=(0, 1, 2), changes=1.0):
     judge = Judge()
-    made = World(Schedule(5, seats, list(voters), until, list(faults), settings=dict(SETTINGS),
-                          changes=changes))
+    made = World(
+        Schedule(5, seats, list(voters), until, list(faults), settings=dict(SETTINGS), changes=changes)
+    )
     made.watchers.append(Watch(judge))
     made.run(until)
     return made, judge
--- a/tests/cluster/test_schedules.py
+++ b/tests/cluster/test_schedules.py
@@ -1,4 +1,5 @@
 """I1 and I3 over drawn schedules with fixed seeds, and the mutants that they must catch."""
+
 import mutants
 import pytest
 
--- a/tests/cluster/test_stages.py
+++ b/tests/cluster/test_stages.py
@@ -1,4 +1,5 @@
 """Changes by stages over whole fleets in virtual time: order, stops, what survives, what never is (I5)."""
+
 import dataclasses
 import json
 from io import StringIO
@@ -94,10 +95,17 @@
     assert {about["figure"] for about in told} >= {LATE, ABANDONED, BAD, TIME}
 
 
-@pytest.mark.parametrize("new", [Version(abandoned=0.3), Version(times=1.5),
-                                 Version(abandoned=0.9, only="send"), Version(leak=3e6),
-                                 Version(breaks=1.0)],
-                         ids=["errors", "slower", "wrong to one offering", "leak", "does not come up"])
+@pytest.mark.parametrize(
+    "new",
+    [
+        Version(abandoned=0.3),
+        Version(times=1.5),
+        Version(abandoned=0.9, only="send"),
+        Version(leak=3e6),
+        Version(breaks=1.0),
+    ],
+    ids=["errors", "slower", "wrong to one offering", "leak", "does not come up"],
+)
 def test_a_bad_change_is_stopped_and_all_are_back(new):
     fleet = Fleet(new=new).started()
     assert fleet.until("done", "stopped") == "stopped"
@@ -251,8 +259,11 @@
     fleet.world.run(fleet.world.now + 12.0)
     assert fleet.world.coordinator() not in (None, first) and fleet.section()["report"] == told
     shown = Console(file=StringIO(), width=120)
-    shown.print(picture.drawn(picture.read(lambda line: {"ROLL STATUS": json.dumps(fleet.section())}.get(
-        line, "end"))))
+    shown.print(
+        picture.drawn(
+            picture.read(lambda line: {"ROLL STATUS": json.dumps(fleet.section())}.get(line, "end"))
+        )
+    )
     assert "the worst of each stage" in shown.file.getvalue() and "abandoned" in shown.file.getvalue()
 
 
@@ -326,9 +337,12 @@
 def test_nodes_tell_seldom_while_nothing_is_changed():
     fleet = Fleet()
     told = []
-    fleet.world.watchers.append(SimpleNamespace(
-        happened=lambda *about: None,
-        sent=lambda now, process, seat, got: told.append(now) if isinstance(got, m.Figures) else None))
+    fleet.world.watchers.append(
+        SimpleNamespace(
+            happened=lambda *about: None,
+            sent=lambda now, process, seat, got: told.append(now) if isinstance(got, m.Figures) else None,
+        )
+    )
     fleet.world.run(30.0)
     seldom = len([at for at in told if 15.0 <= at < 25.0])
     assert fleet.say("start") == (True, "")
@@ -354,6 +368,7 @@
         found = real(self, left, up, part)
         more = [seat for seat in up if seat not in found and seat not in read(self.section["new"])]
         return found + more[:1]
+
     patch.setattr(Roll, "_batch", batch)
 
 
@@ -363,7 +378,7 @@
     fleet = Fleet().started()
     fleet.until("done", "stopped", most=200.0)
     doubted = allowed_and_ordered(fleet)
-    if mutant is orders_without_waiting:     # nobody waits: the next zone is ordered while one is in doubt
+    if mutant is orders_without_waiting:  # nobody waits: the next zone is ordered while one is in doubt
         at = [when for when, about in stage_events(fleet) if about["new"]]
         doubted = [b - a for a, b in zip(at, at[1:], strict=False) if b - a < REPLACE]
     assert doubted
@@ -380,16 +395,27 @@
         for zone in range(zones):
             for node in range(nodes):
                 done = tasks - abandoned
-                made.add(zone, 10 * zone + node + 5 * side, side, Row(
-                    1, tasks, 0, abandoned, 0, 0, tasks, done, done * mean, done * (mean * mean + 0.25)))
+                made.add(
+                    zone,
+                    10 * zone + node + 5 * side,
+                    side,
+                    Row(1, tasks, 0, abandoned, 0, 0, tasks, done, done * mean, done * (mean * mean + 0.25)),
+                )
     return made
 
 
-@pytest.mark.parametrize("new, old, verdict", [
-    ((400, 2, 4.0), (400, 2, 4.0), Verdict.FINE), ((400, 40, 4.0), (400, 2, 4.0), Verdict.WORSE),
-    ((400, 40, 4.0), (400, 40, 4.0), Verdict.FINE), ((400, 2, 4.3), (400, 2, 4.0), Verdict.WORSE),
-    ((2, 0, 4.0), (400, 2, 4.0), Verdict.UNSURE), ((400, 2, 3.0), (400, 30, 4.0), Verdict.FINE),
-    ((2000, 160, 4.0), (20, 0, 4.0), Verdict.UNSURE)])
+@pytest.mark.parametrize(
+    "new, old, verdict",
+    [
+        ((400, 2, 4.0), (400, 2, 4.0), Verdict.FINE),
+        ((400, 40, 4.0), (400, 2, 4.0), Verdict.WORSE),
+        ((400, 40, 4.0), (400, 40, 4.0), Verdict.FINE),
+        ((400, 2, 4.3), (400, 2, 4.0), Verdict.WORSE),
+        ((2, 0, 4.0), (400, 2, 4.0), Verdict.UNSURE),
+        ((400, 2, 3.0), (400, 30, 4.0), Verdict.FINE),
+        ((2000, 160, 4.0), (20, 0, 4.0), Verdict.UNSURE),
+    ],
+)
 def test_new_nodes_are_worse_the_same_or_cannot_be_told(new, old, verdict):
     assert compared(new, old).judged()[0] is verdict
 
@@ -419,6 +445,7 @@
 @pytest.mark.parametrize("rate", [0.3, 0.05])
 def test_false_stops_and_misses_stay_within_their_chances(rate):
     """300 stages drawn each: the same version on both sides, and one that abandons so many more."""
+
     def verdict(seed, extra):
         chance, made = Random(seed), Comparison(Worse(), 5)
         for _ in range(400):
@@ -431,6 +458,7 @@
             if found is not Verdict.UNSURE:
                 return found
         return Verdict.UNSURE
+
     count = 60
     same = [verdict(seed, 0.0) for seed in range(count)]
     bad = [verdict(seed, rate + 0.03) for seed in range(count)]
@@ -447,8 +475,19 @@
 
     def row(node, tasks, more):
         took = [chance.gauss(usual[node] + more, 0.5) for _ in range(tasks)]
-        return Row(1, tasks, sum(chance.random() < late[node] for _ in took), 0, 0, 0, tasks, tasks,
-                   sum(took), sum(one * one for one in took))
+        return Row(
+            1,
+            tasks,
+            sum(chance.random() < late[node] for _ in took),
+            0,
+            0,
+            0,
+            tasks,
+            tasks,
+            sum(took),
+            sum(one * one for one in took),
+        )
+
     for node in range(4) if with_past else ():
         past.add(0, node, row(node, 2000, 0.0))
     made = Comparison(Worse(), 5, past)
@@ -468,7 +507,7 @@
     assert slow.count(Verdict.FINE) <= 1 and slow.count(Verdict.WORSE) >= 28
     blind = [stage_of_unlike_nodes(seed, 1.0, False) for seed in range(30)]
     missed = [stage_of_unlike_nodes(seed, 1.3, False) for seed in range(30)]
-    assert blind.count(Verdict.FINE) + missed.count(Verdict.WORSE) < 45      # so it is the past that tells
+    assert blind.count(Verdict.FINE) + missed.count(Verdict.WORSE) < 45  # so it is the past that tells
 
 
 def test_a_past_that_is_short_or_like_the_others_takes_nothing_off():
@@ -526,14 +565,24 @@
 GOOD = 'release = "v2"\nbefore = "v1"\n'
 
 
-@pytest.mark.parametrize("text, words", [
-    ("before = 'v1'", ["one of the three is wanted"]), (GOOD.replace("v1", "v2"), ["before: v2 is what"]),
-    (GOOD + "stages = []", ["the last one must be"]), (GOOD + "stages = [0, 'twice', 1.5, 'all']", [
-        "stages[0]: a number of nodes", "stages[1]:", "stages[2]: a part of the fleet"]),
-    (GOOD + "[compare]\nlate = 2.0\ntimes = 1", ["compare.late", "compare.times: no such key"]),
-    (GOOD + "[compare]\nseconds = 9\nmost = 3", ["most: must not be less"]), ("release = [", ["not TOML"]),
-    ("contracts = 'x'\nbefore = '1'", ["contracts: "]), ("contracts = '2'\nbefore = 'v1'", ["before: the"]),
-    ("contracts = '2'\nbefore = '1'", ["contracts-2.toml: No such file"])])
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ("before = 'v1'", ["one of the three is wanted"]),
+        (GOOD.replace("v1", "v2"), ["before: v2 is what"]),
+        (GOOD + "stages = []", ["the last one must be"]),
+        (
+            GOOD + "stages = [0, 'twice', 1.5, 'all']",
+            ["stages[0]: a number of nodes", "stages[1]:", "stages[2]: a part of the fleet"],
+        ),
+        (GOOD + "[compare]\nlate = 2.0\ntimes = 1", ["compare.late", "compare.times: no such key"]),
+        (GOOD + "[compare]\nseconds = 9\nmost = 3", ["most: must not be less"]),
+        ("release = [", ["not TOML"]),
+        ("contracts = 'x'\nbefore = '1'", ["contracts: "]),
+        ("contracts = '2'\nbefore = 'v1'", ["before: the"]),
+        ("contracts = '2'\nbefore = '1'", ["contracts-2.toml: No such file"]),
+    ],
+)
 def test_all_that_is_wrong_with_a_change_is_told(tmp_path, text, words):
     (tmp_path / "c.toml").write_text(text)
     change, _, faults = changes.named(str(tmp_path), "c")
@@ -570,60 +619,56 @@
 # Bytes of each kind of message as they were when it came to be: a newer version must go on reading them
 # (`docs/stages.md`, the rule for changing formats). Never change one of these lines; add.
 RECORDED = [
-    (m.Ping(number=5, office=(3, 1, 77), news=[(2, 1, 9, 0)]),
-     "9401059303014d919402010900"),
-    (m.Ack(number=5, office=(3, 1, 77), news=[]),
-     "9402059303014d90"),
-    (m.Ask(number=5, seat=2, news=[]),
-     "9403050290"),
-    (m.Nack(number=5),
-     "920405"),
-    (m.Prepare(ballot=(3, 1, 77)),
-     "92059303014d"),
-    (m.Promise(ballot=(3, 1, 77), accepted=(2, 0, 6)),
-     "93069303014d93020006"),
-    (m.Refuse(ballot=(3, 1, 77), highest=(4, 2, 8)),
-     "93079303014d93040208"),
-    (m.Propose(ballot=(3, 1, 77), length=2000, life=77),
-     "94089303014dcd07d04d"),
-    (m.Accept(ballot=(3, 1, 77)),
-     "92099303014d"),
-    (m.Release(ballot=(3, 1, 77)),
-     "920a9303014d"),
-    (m.Report(mark=9, term=(3, 1, 77), version=4, next_term=(3, 1, 77), next_version=5, pieces=3),
-     "970b099303014d049303014d0503"),
-    (m.Answer(mark=9, term=(3, 1, 77), version=4),
-     "940c099303014d04"),
-    (m.Piece(term=(3, 1, 77), version=4, number=0, count=2, check=123456, data=b'abc'),
-     "970d9303014d040002ce0001e240c403616263"),
-    (m.Fetch(term=(3, 1, 77), version=4),
-     "930e9303014d04"),
-    (m.Evidence(zone=2, asks=1000, views=[(0, 3, 1, 0, 5, 1000)]),
-     "940f02cd03e891960003010005cd03e8"),
-    (m.Wish(number=1, word='drain', zone=2),
-     "941001a5647261696e02"),
-    (m.Said(number=1, done=True, text='done'),
-     "941101c3a4646f6e65"),
-    (m.Want(mark=7, check=11, ready=12, rows=[(3, 500, 1, 400)], first=7, last=7),
-     "9712070b0c919403cd01f401cd01900707"),
-    (m.Grant(mark=7, check=11, length=6000, rows=[(3, 500)]),
-     "9513070bcd1770919203cd01f4"),
-    (m.Figures(change=4, release=5, tag=6, zone=1, memory=300, rows=[(9, 1, 2, 3, 4, 5, 6, 7, 8, 9)]),
-     "971404050601cd012c919a09010203040506070809"),
-    (m.Word(number=2, word='start', name='v2', check=99, text=''),
-     "961502a57374617274a2763263a0"),
+    (m.Ping(number=5, office=(3, 1, 77), news=[(2, 1, 9, 0)]), "9401059303014d919402010900"),
+    (m.Ack(number=5, office=(3, 1, 77), news=[]), "9402059303014d90"),
+    (m.Ask(number=5, seat=2, news=[]), "9403050290"),
+    (m.Nack(number=5), "920405"),
+    (m.Prepare(ballot=(3, 1, 77)), "92059303014d"),
+    (m.Promise(ballot=(3, 1, 77), accepted=(2, 0, 6)), "93069303014d93020006"),
+    (m.Refuse(ballot=(3, 1, 77), highest=(4, 2, 8)), "93079303014d93040208"),
+    (m.Propose(ballot=(3, 1, 77), length=2000, life=77), "94089303014dcd07d04d"),
+    (m.Accept(ballot=(3, 1, 77)), "92099303014d"),
+    (m.Release(ballot=(3, 1, 77)), "920a9303014d"),
+    (
+        m.Report(mark=9, term=(3, 1, 77), version=4, next_term=(3, 1, 77), next_version=5, pieces=3),
+        "970b099303014d049303014d0503",
+    ),
+    (m.Answer(mark=9, term=(3, 1, 77), version=4), "940c099303014d04"),
+    (
+        m.Piece(term=(3, 1, 77), version=4, number=0, count=2, check=123456, data=b"abc"),
+        "970d9303014d040002ce0001e240c403616263",
+    ),
+    (m.Fetch(term=(3, 1, 77), version=4), "930e9303014d04"),
+    (m.Evidence(zone=2, asks=1000, views=[(0, 3, 1, 0, 5, 1000)]), "940f02cd03e891960003010005cd03e8"),
+    (m.Wish(number=1, word="drain", zone=2), "941001a5647261696e02"),
+    (m.Said(number=1, done=True, text="done"), "941101c3a4646f6e65"),
+    (
+        m.Want(mark=7, check=11, ready=12, rows=[(3, 500, 1, 400)], first=7, last=7),
+        "9712070b0c919403cd01f401cd01900707",
+    ),
+    (m.Grant(mark=7, check=11, length=6000, rows=[(3, 500)]), "9513070bcd1770919203cd01f4"),
+    (
+        m.Figures(change=4, release=5, tag=6, zone=1, memory=300, rows=[(9, 1, 2, 3, 4, 5, 6, 7, 8, 9)]),
+        "971404050601cd012c919a09010203040506070809",
+    ),
+    (m.Word(number=2, word="start", name="v2", check=99, text=""), "961502a57374617274a2763263a0"),
 ]
 
 
 # The same of kinds that have grown since.
 GROWN = [
-    (m.Figures(change=4, release=5, tag=6, zone=1, memory=300, rows=[(9, 1, 2, 3, 4, 5, 6, 7, 8, 9)],
-               contracts=2), "981404050601cd012c919a0901020304050607080902"),
+    (
+        m.Figures(
+            change=4, release=5, tag=6, zone=1, memory=300, rows=[(9, 1, 2, 3, 4, 5, 6, 7, 8, 9)], contracts=2
+        ),
+        "981404050601cd012c919a0901020304050607080902",
+    ),
 ]
 
 
-@pytest.mark.parametrize("message, data", RECORDED + GROWN,
-                         ids=[type(one).__name__ for one, _ in RECORDED + GROWN])
+@pytest.mark.parametrize(
+    "message, data", RECORDED + GROWN, ids=[type(one).__name__ for one, _ in RECORDED + GROWN]
+)
 def test_what_was_sent_once_is_read_for_good_and_more_behind_it_passed_over(message, data):
     assert m._decoder.decode(bytes.fromhex(data)) == message
     tag, *fields = msgpack.decode(bytes.fromhex(data))
--- a/tests/cluster/test_steering.py
+++ b/tests/cluster/test_steering.py
@@ -1,4 +1,5 @@
 """What a node does by the plan: homes, zones that get nothing, what is turned away at once."""
+
 import pytest
 from helpers import LIMITS, OFFERINGS
 
@@ -7,8 +8,15 @@
 from firwalk.facade import Desk
 from firwalk.host import Condition, Outcome
 
-SETTINGS = {"offerings": OFFERINGS, "limits": LIMITS, "discovery": "ask", "resolution-us": 5000,
-            "specifics": {"tells-start": True}, "load-report": {"how": "on_probe"}, "azs": ["a", "b", "c"]}
+SETTINGS = {
+    "offerings": OFFERINGS,
+    "limits": LIMITS,
+    "discovery": "ask",
+    "resolution-us": 5000,
+    "specifics": {"tells-start": True},
+    "load-report": {"how": "on_probe"},
+    "azs": ["a", "b", "c"],
+}
 
 
 class Follower:
@@ -35,16 +43,23 @@
     def __init__(self, zone=0):
         self.now, self.seat = 100.0, Seat()
         self.desk = Desk(SETTINGS | {"az": zone}, 7, lambda: self.now, lambda: None)
-        self.desk.report_list(1, True, [
-            (f"e{n}", ("127.0.0.1", n + 1), "abc"[n % 3], "m", n, Condition.READY, 0.0, 1.0)
-            for n in range(9)])
+        self.desk.report_list(
+            1,
+            True,
+            [
+                (f"e{n}", ("127.0.0.1", n + 1), "abc"[n % 3], "m", n, Condition.READY, 0.0, 1.0)
+                for n in range(9)
+            ],
+        )
         self.steering = Steering(self.seat, self.desk, zone, 3, self.now)
 
     def plan(self, modes, shares, away=None, panic=False, drained=()):
         self.seat.follower.zones = {
             "modes": [[int(mode), 0, int(n in drained), 0] for n, mode in enumerate(modes)],
             "shares": {str(a): {str(b): part for b, part in parts.items()} for a, parts in shares.items()},
-            "away": {str(a): part for a, part in (away or {}).items()}, "panic": panic}
+            "away": {str(a): part for a, part in (away or {}).items()},
+            "panic": panic,
+        }
         self.seat.follower.changed(self.now)
 
     def met(self, zone, missed, tried=10):
@@ -132,8 +147,10 @@
         assert 0.5 <= step[1] <= LIMITS["max-retry-after-us"] * 1e-6
 
 
-@pytest.mark.parametrize("part, expected", [(0.0, (0.0, 0.0)), (0.25, (0.5, 0.0)), (0.5, (1.0, 0.0)),
-                                            (0.75, (1.0, 0.5)), (1.0, (1.0, 1.0))])
+@pytest.mark.parametrize(
+    "part, expected",
+    [(0.0, (0.0, 0.0)), (0.25, (0.5, 0.0)), (0.5, (1.0, 0.0)), (0.75, (1.0, 0.5)), (1.0, (1.0, 1.0))],
+)
 def test_the_least_important_goes_first_by_its_part_of_the_work(part, expected):
     mix = Mix()
     for _ in range(400):
--- a/tests/cluster/test_zones.py
+++ b/tests/cluster/test_zones.py
@@ -1,4 +1,5 @@
 """Zones: I4 over drawn fleets, who can close a zone, steps back, flapping; each check shown a mutant."""
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -26,8 +27,13 @@
         for _ in range(times):
             self.now += 0.5
             for seat in self.up:
-                self.zones.told_by(self.now, seat, self.zone_of[seat], self.asks,
-                                   {z: self.view(sees(seat, z)) for z in range(self.count)})
+                self.zones.told_by(
+                    self.now,
+                    seat,
+                    self.zone_of[seat],
+                    self.asks,
+                    {z: self.view(sees(seat, z)) for z in range(self.count)},
+                )
             self.zones.look(self.now, self.up, self.zone_of)
         return self.zones.division
 
@@ -61,8 +67,10 @@
     few.look(lost(1))
     assert few.modes() == [Mode.OPEN] * 3
     one_zone = Fleet(nodes=30)
-    one_zone.look(lambda seat, zone: LOST if zone == 1 and seat % 3 == 0 else GOOD if zone == seat % 3
-                  else View(), times=3)
+    one_zone.look(
+        lambda seat, zone: LOST if zone == 1 and seat % 3 == 0 else GOOD if zone == seat % 3 else View(),
+        times=3,
+    )
     assert one_zone.modes() == [Mode.OPEN] * 3
 
 
@@ -75,13 +83,19 @@
     def told(sees, span=0.5):
         fleet.now += 0.2
         for seat in fleet.up:
-            fleet.zones.told_by(fleet.now, seat, fleet.zone_of[seat], fleet.asks,
-                                {z: fleet.view(sees(seat, z)) for z in range(3)})
+            fleet.zones.told_by(
+                fleet.now,
+                seat,
+                fleet.zone_of[seat],
+                fleet.asks,
+                {z: fleet.view(sees(seat, z)) for z in range(3)},
+            )
         return fleet.zones.glance(fleet.now, span, fleet.up, fleet.zone_of)
+
     assert not told(unsure) and fleet.zones.alarmed(0) and not fleet.zones.alarmed(2)
     assert [zone.sound for zone in fleet.zones.all] == sound and not fleet.zones.all[1].bad
     fleet.now += 0.4
-    assert not fleet.zones.glance(fleet.now, 0.3, fleet.up, fleet.zone_of)     # too old by then
+    assert not fleet.zones.glance(fleet.now, 0.3, fleet.up, fleet.zone_of)  # too old by then
     assert told(lost(1)) and fleet.modes() == [Mode.OPEN, Mode.AWAY, Mode.OPEN]
     assert fleet.zones.division.shares[1][1] == 0.0 and not fleet.zones.alarmed(0)
     assert not told(lost(1)) and fleet.zones.all[1].moves == 1
@@ -109,11 +123,15 @@
     that asks and bears."""
     fleet = Fleet()
     for seat in fleet.up:
-        fleet.zones.told_by(0.3, seat, fleet.zone_of[seat], fleet.asks, {z: fleet.view(lost(1)(seat, z))
-                                                                         for z in range(3)})
+        fleet.zones.told_by(
+            0.3, seat, fleet.zone_of[seat], fleet.asks, {z: fleet.view(lost(1)(seat, z)) for z in range(3)}
+        )
     assert not fleet.zones.glance(0.4, 0.5, fleet.up, fleet.zone_of) and fleet.modes() == [Mode.OPEN] * 3
     assert fleet.zones.look(0.5, fleet.up, fleet.zone_of).shares[1] == {
-        1: 0.0, 0: pytest.approx(0.5), 2: pytest.approx(0.5)}
+        1: 0.0,
+        0: pytest.approx(0.5),
+        2: pytest.approx(0.5),
+    }
 
 
 def test_a_node_gives_the_alarm_for_what_turned_bad_and_not_for_what_it_told():
@@ -123,7 +141,7 @@
     watch.ended(1, False, False)
     watch.told(0.5, [8.0, 4.0])
     watch.ended(1, True, False)
-    assert not alarms                      # one of two is no more than half
+    assert not alarms  # one of two is no more than half
     watch.ended(1, True, False)
     assert alarms == [(3, 2)]
     assert watch.told(1.0, [8.0, 4.0]).views[1][1:3] == (3, 2)
@@ -147,8 +165,10 @@
 def test_a_few_starts_that_waited_lean_no_zone_and_the_check_sees_that_they_did(monkeypatch):
     """Three tries of two nodes, as in a fleet with a task a second for each: one queue looked like a slow
     zone. What leans it has to hold over some looks, by enough tries."""
+
     def waited(seat, zone):
         return View(3, 0, 0, 0.3, 10.0) if zone == 2 and seat in (0, 1) else View()
+
     fleet = Fleet()
     fleet.look(lambda seat, zone: GOOD if zone < 2 else View(), times=3)
     fleet.look(lambda seat, zone: GOOD if zone < 2 else waited(seat, zone))
@@ -198,13 +218,13 @@
 def test_a_miss_speaks_against_a_zone_only_where_nobody_else_there_answered_since():
     watch = Watch(0, 2, 0.0)
     watch.ended(1, True, False, 0.4, 0.2)
-    assert watch.so_far([8.0, 4.0]).views[1][:4] == (1, 1, 1, 0)     # nobody was heard at all
+    assert watch.so_far([8.0, 4.0]).views[1][:4] == (1, 1, 1, 0)  # nobody was heard at all
     watch.started(1, 0.01, 0.5)
-    assert watch.so_far([8.0, 4.0]).views[1][:4] == (1, 1, 0, 1)     # another one answers after it
-    watch.ended(1, True, False, 0.6, 0.45)      # sent before that answer
-    watch.ended(1, False, True, 0.7, 0.6)       # an error is an answer
+    assert watch.so_far([8.0, 4.0]).views[1][:4] == (1, 1, 0, 1)  # another one answers after it
+    watch.ended(1, True, False, 0.6, 0.45)  # sent before that answer
+    watch.ended(1, False, True, 0.7, 0.6)  # an error is an answer
     watch.ended(1, True, False, 0.8, 0.65)
-    watch.ended(1, True, False, 1.0, 0.75)      # silence since it was sent
+    watch.ended(1, True, False, 1.0, 0.75)  # silence since it was sent
     assert watch.told(1.0, [8.0, 4.0]).views[1][:4] == (1, 5, 1, 4)
 
 
@@ -242,8 +262,13 @@
 
 def test_figures_that_cannot_be_are_passed_over():
     zones = Zones(Terms((0, 0)))
-    for zone, asks, view in ((0, -1.0, GOOD), (5, 1.0, GOOD), (0, float("nan"), GOOD), (0, 1.0, View(1, 5)),
-                             (0, 1.0, View(5, 1, 0, -1.0))):
+    for zone, asks, view in (
+        (0, -1.0, GOOD),
+        (5, 1.0, GOOD),
+        (0, float("nan"), GOOD),
+        (0, 1.0, View(1, 5)),
+        (0, 1.0, View(5, 1, 0, -1.0)),
+    ):
         zones.told_by(1.0, 0, zone, asks, {0: view})
     assert not zones.told
 
@@ -283,7 +308,7 @@
 @pytest.mark.parametrize("period", [1.0, 3.0, 10.0])
 def test_a_zone_that_goes_and_comes_makes_a_bounded_number_of_moves(period):
     fleet = Fleet()
-    for _ in range(240):     # two minutes
+    for _ in range(240):  # two minutes
         away = int(fleet.now / period) % 2
         fleet.look(lost(1) if away else lost())
     assert 0 < fleet.zones.all[1].moves <= 24
@@ -296,7 +321,7 @@
 
 
 def test_what_fits_nowhere_is_turned_away_and_not_put_on_others():
-    fleet = Fleet(asks=2.0, bears=8.0)               # each zone asks 6, may be used up to 6.4
+    fleet = Fleet(asks=2.0, bears=8.0)  # each zone asks 6, may be used up to 6.4
     division = fleet.look(lost(1), times=2)
     assert division.turned_away[1] == pytest.approx(1 - 0.8 / 6.0)
     assert division.given({0: 6.0, 1: 6.0, 2: 6.0}) == pytest.approx({0: 0.4, 1: 0.0, 2: 0.4})
@@ -346,8 +371,13 @@
     section = fleet.zones.section() | {"shares": {"1": {"0": 0.3, "1": 0.2, "2": 0.3}}, "away": {"1": 0.2}}
     parts, away = followed(section, 1, 3)
     assert [b for _, b in parts] == [1, 0, 2] and parts[-1][0] == 1.0 and away == 0.2
-    for bad in (None, {}, {"shares": {"1": {"7": 1.0}}, "away": {}}, {"shares": {"1": {"0": -1}}, "away": {}},
-                {"shares": [], "away": {}}):
+    for bad in (
+        None,
+        {},
+        {"shares": {"1": {"7": 1.0}}, "away": {}},
+        {"shares": {"1": {"0": -1}}, "away": {}},
+        {"shares": [], "away": {}},
+    ):
         assert followed(bad, 1, 3) == ([(1.0, 1)], 0.0)
     assert followed({"shares": {}, "away": {"1": 1.0}}, 1, 3) == ([(1.0, 1)], 1.0)
 
@@ -355,9 +385,13 @@
 def drawn_fleet(data, zones_of=Zones):
     count = data.draw(st.integers(2, 6))
     part = st.floats(0.0, 50.0)
-    zones = zones_of(Terms(tuple(data.draw(st.lists(st.integers(0, 2), min_size=count, max_size=count))),
-                           data.draw(st.floats(0.3, 1.0)),
-                           tuple(data.draw(st.lists(st.integers(0, count - 1), max_size=2, unique=True)))))
+    zones = zones_of(
+        Terms(
+            tuple(data.draw(st.lists(st.integers(0, 2), min_size=count, max_size=count))),
+            data.draw(st.floats(0.3, 1.0)),
+            tuple(data.draw(st.lists(st.integers(0, count - 1), max_size=2, unique=True))),
+        )
+    )
     for zone in zones.all:
         zone.asks, zone.bears = data.draw(part), data.draw(part)
         zone.mode = data.draw(st.sampled_from(Mode))
@@ -380,7 +414,8 @@
         if got[zone.number] > 1e-6 and zones.keeps(zone) < 1.0:
             wrong.append("given to one that is not whole")
         if zone.number in zones.terms.stays and any(
-                part > 1e-6 and zones.all[b].region != zone.region for b, part in parts.items()):
+            part > 1e-6 and zones.all[b].region != zone.region for b, part in parts.items()
+        ):
             wrong.append("left its region")
         if not division.panic and zones.keeps(zone) == 0.0 and parts.get(zone.number, 0.0) > 1e-6:
             wrong.append("kept at one that is away")
@@ -436,6 +471,7 @@
     @given(st.data())
     def look(data):
         found.extend(broken(drawn_fleet(data, mutant)))
+
     look()
     assert found
 
@@ -458,7 +494,7 @@
     for _ in range(8):
         watch.told(10.0, [8.0, 4.0])
     watch.ended(1, True, False)
-    assert watch.told(11.0, [8.0, 4.0]).views[1][1] == 1    # the two before are forgotten
+    assert watch.told(11.0, [8.0, 4.0]).views[1][1] == 1  # the two before are forgotten
     asks, seen = views(watch.told(12.0, [8.0, 4.0]))
     assert seen[0].bears == 8.0 and asks > 0.0
 
--- a/tests/cluster/test_zones_virtual.py
+++ b/tests/cluster/test_zones_virtual.py
@@ -1,4 +1,5 @@
 """Zones over whole fleets in virtual time: how soon all follow, who falls back, one plan after a cut."""
+
 import pytest
 
 from firwalk.cluster.messages import Evidence
@@ -19,8 +20,11 @@
 
     def make(self, host, seat, seats, life, now, **named):
         made = Seat(host, seat, seats, life, now, zones=Terms((0,) * ZONES), **named)
-        made.evidence = lambda now: Evidence(seat % ZONES, 1000, [
-            (zone, 10, 10 if zone in self.lost else 0, 0, 10, seats * 1000) for zone in range(ZONES)])
+        made.evidence = lambda now: Evidence(
+            seat % ZONES,
+            1000,
+            [(zone, 10, 10 if zone in self.lost else 0, 0, 10, seats * 1000) for zone in range(ZONES)],
+        )
         return made
 
 
@@ -39,8 +43,11 @@
     process = world.processes[seat]
     sections = process.seat.follower.now_in_force(process.clock()) or {}
     parts, _ = followed(sections.get("zones"), zone, ZONES)
-    return sum(upto - below for (upto, other), below in
-               zip(parts, [0.0, *(upto for upto, _ in parts)], strict=False) if other == zone)
+    return sum(
+        upto - below
+        for (upto, other), below in zip(parts, [0.0, *(upto for upto, _ in parts)], strict=False)
+        if other == zone
+    )
 
 
 def followers(world, zone, part):
--- a/tests/fleet/doubles.py
+++ b/tests/fleet/doubles.py
@@ -2,6 +2,7 @@
 
 Some of them serve the soak too (`tests/soak/faulty.py`).
 """
+
 import asyncio
 import sys
 
@@ -18,6 +19,7 @@
     def due():
         calls[0] += 1
         return calls[0] % number == 0
+
     return due
 
 
@@ -28,6 +30,7 @@
     def answer(self, *rest, **more):
         if not due():
             real(self, *rest, **more)
+
     clients.Clients._answer = answer
 
 
@@ -39,6 +42,7 @@
         if due():
             await asyncio.sleep(seconds)
         await real(self, *rest, **more)
+
     clients.Client.answer = answer
 
 
@@ -47,6 +51,7 @@
 
     def answer(self, client, status, body, *rest, **more):
         real(self, client, status, b"made of another" if status == 200 and due() else body, *rest, **more)
+
     clients.Clients._answer = answer
 
 
@@ -58,6 +63,7 @@
         if how is Outcome.FINISHED and len(assignment.task.assignments) == 1:
             how, complete = Outcome.ERROR, False
         real(self, now, assignment, how, took, complete, report)
+
     logic.Node.ended = ended
     logic.Node._safe_after = lambda self, now, task, executor, before: len(before) < 3
     facade.LAST = (Outcome.UNFIT,)
@@ -68,6 +74,7 @@
 
     def heard(self, now, executor, condition, came_up):
         real(self, now, executor, Condition.READY if condition is Condition.DRAINING else condition, came_up)
+
     logic.Node.heard = heard
 
 
@@ -79,6 +86,7 @@
     def choose(self, now, task, among, anew=False):
         ready = [e for e in self.near + self.far if not task.assignments and e.came_up]
         return max(ready, key=lambda e: e.came_up, default=None) or real(self, now, task, among, anew)
+
     logic.Node._choose = choose
 
 
@@ -88,6 +96,7 @@
     def begin(self, *args, **named):
         real(self, *args, **named)
         self.quiet_until = 0.0
+
     lease.Voter.__init__ = begin
     lease.Candidate.start = lambda self, now: self.host.set_timer(now + 0.05, self._look, None)
 
@@ -104,6 +113,7 @@
 
 def plan_applied_by_halves():
     import msgspec
+
     real = plan.Follower.take
 
     def take(self, now, stamp, text, since):
@@ -112,6 +122,7 @@
             for name in list(sections)[1:]:
                 sections[name] = self.sections.get(name)
         return real(self, now, stamp, msgspec.json.encode(sections, order="deterministic"), since)
+
     plan.Follower.take = take
 
 
@@ -128,6 +139,7 @@
                 self.stamp = plan.NONE
                 real(self, now, *before[-2], now)
         return done
+
     plan.Follower.take = take
 
 
@@ -135,32 +147,47 @@
     """Whatever is open takes all that is lost, also where its own clients ask for all its head room just
     then: a double that left these alone gave nothing in one run of some, and was not found out."""
     from firwalk.cluster.zones import Zones
+
     real = Zones._place
 
     def place(self, tier, leaving, room, shares):
         for zone in self.all:
             room[zone.number] = 1e6 if self.keeps(zone) == 1.0 else 0.0
         real(self, tier, leaving, room, shares)
+
     Zones._place = place
 
 
 def part_outlives_its_lease():
     """Four times as long as it may; found out by days with budgets (`test_budgets_processes.py`)."""
     from firwalk.cluster.budgets import Holder
+
     real = Holder.__init__
 
     def longer(self, *args):
         real(self, *args)
         self.good *= 4.0
+
     Holder.__init__ = longer
 
 
-ALL = [forgets_an_answer, answers_late, answers_with_anothers_result, repeats_what_must_not_repeat,
-       does_not_hear_of_drains, pushes_cold_ones_over, voter_grants_at_once_after_its_start,
-       holder_acts_after_its_end, minority_is_enough, plan_applied_by_halves, follower_goes_back,
-       gives_a_zone_more_than_it_bears]
+ALL = [
+    forgets_an_answer,
+    answers_late,
+    answers_with_anothers_result,
+    repeats_what_must_not_repeat,
+    does_not_hear_of_drains,
+    pushes_cold_ones_over,
+    voter_grants_at_once_after_its_start,
+    holder_acts_after_its_end,
+    minority_is_enough,
+    plan_applied_by_halves,
+    follower_goes_back,
+    gives_a_zone_more_than_it_bears,
+]
 
 if __name__ == "__main__":
     {double.__name__: double for double in [*ALL, part_outlives_its_lease]}[sys.argv.pop(1)]()
     from firwalk.__main__ import main
+
     sys.exit(main())
--- a/tests/fleet/test_hard_cases.py
+++ b/tests/fleet/test_hard_cases.py
@@ -1,4 +1,5 @@
 """The hard cases of the ground, each by several processes with faults between them; judged by the referee."""
+
 import asyncio
 
 import pytest
@@ -6,37 +7,49 @@
 
 CASES = {
     "coordinator stopped past its lease and woken": scenario(
-        fault(3.0, "stop", "coordinator", 2.5), seconds=8.0),
+        fault(3.0, "stop", "coordinator", 2.5), seconds=8.0
+    ),
     "voters restarted from nothing faster than the lease": scenario(
-        *[fault(2.5 + 0.5 * n, "kill", [f"node:{n % 3}"]) for n in range(6)], seconds=9.0),
+        *[fault(2.5 + 0.5 * n, "kill", [f"node:{n % 3}"]) for n in range(6)], seconds=9.0
+    ),
     "a cut that leaves no majority": scenario(
-        *[fault(3.0, "cut", [f"node:{n}"], 3.0, to="nodes") for n in range(3)], seconds=9.0),
+        *[fault(3.0, "cut", [f"node:{n}"], 3.0, to="nodes") for n in range(3)], seconds=9.0
+    ),
     "a coordinator that hears all and is heard by none": scenario(
-        fault(3.0, "cut", "coordinator", 3.0, to="other-nodes", one_way=True), seconds=9.0),
+        fault(3.0, "cut", "coordinator", 3.0, to="other-nodes", one_way=True), seconds=9.0
+    ),
     "a one-way cut between two halves": scenario(
         fault(3.0, "cut", ["node:0", "node:3"], 3.0, to=["node:1", "node:2", "node:4"], one_way=True),
-        seconds=9.0),
+        seconds=9.0,
+    ),
     "two processes of one node during an upgrade": scenario(
-        *[fault(3.0 + 1.2 * n, "upgrade", [f"node:{n}"], 0.4) for n in range(3)], seconds=9.0),
+        *[fault(3.0 + 1.2 * n, "upgrade", [f"node:{n}"], 0.4) for n in range(3)], seconds=9.0
+    ),
     "all nodes killed at once": scenario(fault(3.0, "kill", "nodes", 0.2), seconds=9.0),
     "seven of twelve killed and back": scenario(
-        fault(4.0, "kill", [f"node:{n}" for n in (0, 1, 5, 6, 7, 8, 9)], 1.0), nodes=12, zones=3,
-        seconds=11.0),
+        fault(4.0, "kill", [f"node:{n}" for n in (0, 1, 5, 6, 7, 8, 9)], 1.0), nodes=12, zones=3, seconds=11.0
+    ),
     "garbage, other fleets and versions, 10,000 a second": scenario(
-        fault(3.0, "flood", "coordinator", 3.0, value=10000), seconds=8.0),
+        fault(3.0, "flood", "coordinator", 3.0, value=10000), seconds=8.0
+    ),
     "a wall clock that jumps back and forth": scenario(
-        fault(3.0, "clock", "coordinator", value=3600.0), fault(5.0, "clock", "coordinator", value=-3600.0),
-        seconds=9.0),
+        fault(3.0, "clock", "coordinator", value=3600.0),
+        fault(5.0, "clock", "coordinator", value=-3600.0),
+        seconds=9.0,
+    ),
     "clocks that run as far off as is assumed": scenario(
-        fault(2.0, "drift", ["node:0"], value=0.01), fault(2.0, "drift", ["node:1"], value=-0.01),
-        seconds=9.0),
+        fault(2.0, "drift", ["node:0"], value=0.01), fault(2.0, "drift", ["node:1"], value=-0.01), seconds=9.0
+    ),
     "loss, doubling, disorder and a flickering link": scenario(
         fault(1.0, "loss", "nodes", 9.0, to="nodes", value=0.1),
         fault(1.0, "double", "nodes", 9.0, to="nodes", value=0.3),
         fault(1.0, "reorder", "nodes", 9.0, to="nodes", value=0.5),
-        fault(3.0, "flicker", ["node:0"], 4.0, to="other-nodes"), seconds=10.0),
+        fault(3.0, "flicker", ["node:0"], 4.0, to="other-nodes"),
+        seconds=10.0,
+    ),
     "a node that is slowed by others on its core": scenario(
-        fault(3.0, "burn", "coordinator", 3.0, value=3), seconds=8.0),
+        fault(3.0, "burn", "coordinator", 3.0, value=3), seconds=8.0
+    ),
 }
 
 
@@ -95,8 +108,9 @@
 def test_all_that_were_killed_are_known_as_new(played):
     _, rig = played["seven of twelve killed and back"]
     survivor = rig.nodes[2]
-    back = {e["seat"] for e in survivor.events
-            if e["event"] == "up" and e["new"] and e["at"] > rig.began + 4.0}
+    back = {
+        e["seat"] for e in survivor.events if e["event"] == "up" and e["new"] and e["at"] > rig.began + 4.0
+    }
     assert back >= {0, 1, 5, 6, 7, 8, 9}
 
 
@@ -113,8 +127,10 @@
         writer.write(b"CLUSTER\n")
         told.append((await reader.read()).decode())
         writer.close()
-    [(report, rig)] = play((scenario(fault(1.5, "flood", "coordinator", 3.0, value=10000), nodes=3,
-                                     seconds=5.5), None), act=ask)
+
+    [(report, rig)] = play(
+        (scenario(fault(1.5, "flood", "coordinator", 3.0, value=10000), nodes=3, seconds=5.5), None), act=ask
+    )
     assert sound(report) == []
     words = told[0].split()
     assert words[0] == "+OK" and int(words[words.index("dropped") + 1]) > 10000
--- a/tests/fleet/test_operations.py
+++ b/tests/fleet/test_operations.py
@@ -1,4 +1,5 @@
 """The operators' file, what is there without one (I7), the new word, and the command line."""
+
 import asyncio
 import os
 import signal
@@ -31,8 +32,13 @@
 
 
 def command(*words, cwd=ROOT):
-    done = subprocess.run([sys.executable, "-m", "firwalk.cli.main", *map(str, words)], capture_output=True,
-                          text=True, timeout=60, cwd=cwd)
+    done = subprocess.run(
+        [sys.executable, "-m", "firwalk.cli.main", *map(str, words)],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        cwd=cwd,
+    )
     return done.returncode, done.stdout, done.stderr
 
 
@@ -57,12 +63,22 @@
     assert command("contracts", "diff", newer, shipped)[0] == 2
 
 
-@pytest.mark.parametrize("text, words", [
-    ("teams = []", ["version: is missing"]),
-    ('version = 1\n[[teams]]\nname = "a"\nbudget = -1', ["teams[0].budget: Expected `float` > 0"]),
-    ('version = 1\nteams = [{name = "a", budget = 1}, {name = "a", budget = 2}]', ["a stands there 2 times"]),
-    ('version = 1\nteams = []\nbegins = 2027-01-01T00:00:00', ["begins: the offset from UTC is missing"]),
-    ('version = 1\nteams = [{name = "a", budget = 1, perod = 2}]', ["teams[0].perod: no such key; period"])])
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ("teams = []", ["version: is missing"]),
+        ('version = 1\n[[teams]]\nname = "a"\nbudget = -1', ["teams[0].budget: Expected `float` > 0"]),
+        (
+            'version = 1\nteams = [{name = "a", budget = 1}, {name = "a", budget = 2}]',
+            ["a stands there 2 times"],
+        ),
+        ("version = 1\nteams = []\nbegins = 2027-01-01T00:00:00", ["begins: the offset from UTC is missing"]),
+        (
+            'version = 1\nteams = [{name = "a", budget = 1, perod = 2}]',
+            ["teams[0].perod: no such key; period"],
+        ),
+    ],
+)
 def test_faults_of_contracts_are_told(tmp_path, text, words):
     path = tmp_path / "contracts.toml"
     path.write_text(text)
@@ -115,21 +131,31 @@
 def test_an_agent_that_cannot_start_says_why_in_plain_lines(tmp_path):
     (tmp_path / "bad.toml").write_text("every = 0")
     for words, said in (([], "usage:"), (["none.toml"], "No such file"), (["bad.toml"], "config: is")):
-        done = subprocess.run([sys.executable, "-m", "firwalk.agent", *words], capture_output=True, text=True,
-                              timeout=30, cwd=tmp_path, env=os.environ | {"PYTHONPATH": str(ROOT)})
+        done = subprocess.run(
+            [sys.executable, "-m", "firwalk.agent", *words],
+            capture_output=True,
+            text=True,
+            timeout=30,
+            cwd=tmp_path,
+            env=os.environ | {"PYTHONPATH": str(ROOT)},
+        )
         assert done.returncode == 2 and said in done.stderr and "Traceback" not in done.stderr
 
 
-@pytest.mark.parametrize("text, words", [
-    ("", ["fleet: is missing", "lease: is missing"]),
-    ("[fleet", ["not TOML"]),
-    (FILE + "[lod]\n", ["lod: no such key; log is meant?"]),
-    (FILE.replace("length", "lenght"), ["lease.lenght: no such key; length is meant?"]),
-    (FILE.replace("0.5", '"long"'), ["lease.length: Expected `float`, got `str`, not 'long'"]),
-    (FILE.replace("0.5", "0.01"), ["lease.length: Expected `float` >= 0.2"]),
-    (FILE.replace("[0]", "[0, 0, 1, 2]"), ["voters: 3, 5 or 7", "each seat may"]),
-    (FILE.replace("hold = 0.9", "hold = 0.3"), ["hold: must be three times report"]),
-    (FILE.replace("0.05", "0.15").replace('"t"', "7"), ["fleet.name: Expected `str`", "answer: must"])])
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ("", ["fleet: is missing", "lease: is missing"]),
+        ("[fleet", ["not TOML"]),
+        (FILE + "[lod]\n", ["lod: no such key; log is meant?"]),
+        (FILE.replace("length", "lenght"), ["lease.lenght: no such key; length is meant?"]),
+        (FILE.replace("0.5", '"long"'), ["lease.length: Expected `float`, got `str`, not 'long'"]),
+        (FILE.replace("0.5", "0.01"), ["lease.length: Expected `float` >= 0.2"]),
+        (FILE.replace("[0]", "[0, 0, 1, 2]"), ["voters: 3, 5 or 7", "each seat may"]),
+        (FILE.replace("hold = 0.9", "hold = 0.3"), ["hold: must be three times report"]),
+        (FILE.replace("0.05", "0.15").replace('"t"', "7"), ["fleet.name: Expected `str`", "answer: must"]),
+    ],
+)
 def test_all_that_is_wrong_is_told_at_once(tmp_path, text, words):
     path = tmp_path / "cluster.toml"
     path.write_text(text)
@@ -182,6 +208,7 @@
     async def run():
         async with world:
             return await script(world)
+
     return asyncio.run(run())
 
 
@@ -195,6 +222,7 @@
         assert await world.call(b"PING\n") == "+OK\n"
         assert "calls are PING, DETACH ID, ATTACH ID" in await world.call(b"CLUSTERS\n")
         assert (await world.ask(post()))[0] == 200
+
     play(Told(FILE), script)
 
 
@@ -209,15 +237,19 @@
         world.reload()
         await world.logs("operators' file read again; needs a restart: lease")
         assert (await world.call(b"CLUSTER\n")).startswith("+OK")
+
     play(Told(FILE), script)
 
 
-@pytest.mark.parametrize("change, words", [
-    ({"peers": []}, "peers: is missing"), ({"peer_listen": None}, "peer_listen: is missing")])
+@pytest.mark.parametrize(
+    "change, words",
+    [({"peers": []}, "peers: is missing"), ({"peer_listen": None}, "peer_listen: is missing")],
+)
 def test_a_file_that_the_configuration_does_not_fit_starts_nothing(tmp_path, change, words):
     async def script(world):
         path = tmp_path / "other.json"
         import orjson
+
         config = {name: value for name, value in (world.config | change).items() if value is not None}
         path.write_bytes(orjson.dumps(config | {"listen": f"127.0.0.1:{free_port()}"}))
         os.environ["BALANCER_OPERATIONS"] = str(world.file)
@@ -226,14 +258,30 @@
         finally:
             del os.environ["BALANCER_OPERATIONS"]
         assert code == 2 and words in said and "Traceback" not in said and len(said.splitlines()) == 1
+
     play(Told(FILE), script)
 
 
 # -- I7: without the file ------------------------------------------------------------------------------------
 
-NEW = ("firwalk.broker", "firwalk.agent", "firwalk.changes", "firwalk.cluster", "firwalk.net.cluster",
-       "firwalk.operations", "firwalk.checking", "firwalk.lab", "firwalk.cli", "msgspec", "typer", "rich",
-       "pydantic", "psutil", "hdrh", "tomllib")
+NEW = (
+    "firwalk.broker",
+    "firwalk.agent",
+    "firwalk.changes",
+    "firwalk.cluster",
+    "firwalk.net.cluster",
+    "firwalk.operations",
+    "firwalk.checking",
+    "firwalk.lab",
+    "firwalk.cli",
+    "msgspec",
+    "typer",
+    "rich",
+    "pydantic",
+    "psutil",
+    "hdrh",
+    "tomllib",
+)
 LOOK = """import sys, firwalk.net.service as s
 real = s.Service.run
 async def run(self):
@@ -245,8 +293,13 @@
 
 
 def modules(world, env):
-    program = subprocess.Popen([sys.executable, "-c", LOOK, "--config", world.path], env=os.environ | env,
-                               stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    program = subprocess.Popen(
+        [sys.executable, "-c", LOOK, "--config", world.path],
+        env=os.environ | env,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
     try:
         return program.stdout.readline().split()
     finally:
@@ -258,8 +311,12 @@
 def test_without_the_file_nothing_of_it_is_imported_and_with_it_the_same_look_finds_it():
     async def script(world):
         await asyncio.sleep(0)
-        world.path.write_text(world.path.read_text().replace(str(world.port), str(free_port())).replace(
-            str(world.management_port), str(free_port())).replace(str(world.peer_port), str(free_port())))
+        world.path.write_text(
+            world.path.read_text()
+            .replace(str(world.port), str(free_port()))
+            .replace(str(world.management_port), str(free_port()))
+            .replace(str(world.peer_port), str(free_port()))
+        )
         without = modules(world, {})
         file = Path(os.environ["FIRWALK_TEST_FOLDER"]) / "c.toml"
         file.write_text(FILE)
@@ -268,11 +325,13 @@
         assert len(without) > 100 and not found
         assert {"firwalk.net.cluster", "msgspec"} <= set(with_it)
         assert not [name for name in with_it if name.startswith(NEW[:3] + NEW[7:9] + NEW[10:-1])]
+
     play(World(managed=True), script)
 
 
 def test_without_the_file_no_datagram_is_sent_and_the_word_is_not_known():
     import socket
+
     heard = socket.socket(type=socket.SOCK_DGRAM)
     heard.bind(("127.0.0.1", 0))
     heard.setblocking(False)
@@ -288,6 +347,7 @@
         await asyncio.sleep(1.0)
         with pytest.raises(BlockingIOError):
             heard.recv(256)
+
     play(World(managed=True), script)
     heard.close()
 
@@ -315,14 +375,23 @@
 """
 
 
-@pytest.mark.parametrize("change, words", [
-    (("nodes = 2", "nodes = 25"), "fleet.nodes: Expected `int` <= 24"),
-    (("nodes", "nods"), "fleet.nods: no such key; nodes is meant?"),
-    (("rate = 10", 'rate = "x"'), "offerings[0].rate: Expected `float`, got `str`"),
-    (("[run]", "[run"), "not TOML"),
-    (("[[offerings]]", '[[faults]]\nat = 0.5\nkind = "kill"\non = ["node:7"]\n[[offerings]]'),
-     "there is no node:7"),
-    (("[[offerings]]", '[[faults]]\nat = 9\nkind = "cut"\non = ["nodes"]\n[[offerings]]'), "to: is missing")])
+@pytest.mark.parametrize(
+    "change, words",
+    [
+        (("nodes = 2", "nodes = 25"), "fleet.nodes: Expected `int` <= 24"),
+        (("nodes", "nods"), "fleet.nods: no such key; nodes is meant?"),
+        (("rate = 10", 'rate = "x"'), "offerings[0].rate: Expected `float`, got `str`"),
+        (("[run]", "[run"), "not TOML"),
+        (
+            ("[[offerings]]", '[[faults]]\nat = 0.5\nkind = "kill"\non = ["node:7"]\n[[offerings]]'),
+            "there is no node:7",
+        ),
+        (
+            ("[[offerings]]", '[[faults]]\nat = 9\nkind = "cut"\non = ["nodes"]\n[[offerings]]'),
+            "to: is missing",
+        ),
+    ],
+)
 def test_a_bad_scenario_is_told_in_plain_lines_and_starts_nothing(tmp_path, change, words):
     path = tmp_path / "day.toml"
     path.write_text(DAY.replace(*change))
@@ -330,8 +399,10 @@
     assert code == 2 and words in err and "Traceback" not in err and not out
 
 
-@pytest.mark.parametrize("words, told", [
-    (("zone",), "zones or rolls is wanted"), (("zones", "--case", "lost hole"), "there is no lost hole")])
+@pytest.mark.parametrize(
+    "words, told",
+    [(("zone",), "zones or rolls is wanted"), (("zones", "--case", "lost hole"), "there is no lost hole")],
+)
 def test_hard_cases_are_named_in_plain_lines(words, told):
     code, out, err = command("lab", "hard", *words)
     assert code == 2 and told in err and len(err.splitlines()) == 1 and not out
@@ -343,14 +414,28 @@
 
     def report(in_time, crossed, broken=0):
         spells = [{"at": float(at), "tasks": 10, "in_time": 10 if at < 4 else in_time} for at in range(14)]
-        return {"service": {"read": {"windows": spells}}, "counts": {"crossed": crossed, "assignments": 100},
-                "moves": 3, "rules": {"one": broken}, "invariants": {}, "crashes": []}
+        return {
+            "service": {"read": {"windows": spells}},
+            "counts": {"crossed": crossed, "assignments": 100},
+            "moves": 3,
+            "rules": {"one": broken},
+            "invariants": {},
+            "crashes": [],
+        }
+
     told = hard.zones()["lost whole"]
     line = hard.zone_line("lost whole", told, [report(9, 10)], [report(8, 20, 1)])
-    assert ("not in time 0.1000 with the part, 0.2000 without (0.50 kept)" in line
-            and "crossed 0.1000 and 0.2000" in line and "all kept in 1 and 0 of 1" in line)
-    change = {"state": "stopped", "most on it": 1, "tasks met it": 0.01,
-              "states": [[3.0, "going"], [5.5, "back"], [6.5, "stopped"]]}
+    assert (
+        "not in time 0.1000 with the part, 0.2000 without (0.50 kept)" in line
+        and "crossed 0.1000 and 0.2000" in line
+        and "all kept in 1 and 0 of 1" in line
+    )
+    change = {
+        "state": "stopped",
+        "most on it": 1,
+        "tasks met it": 0.01,
+        "states": [[3.0, "going"], [5.5, "back"], [6.5, "stopped"]],
+    }
     line = hard.roll_line("errors", hard.rolls()["errors"], [report(10, 0) | {"change": change}] * 2, [])
     assert "2 stopped of 2; all kept in 2; at most 1 nodes on it, 0.0100" in line
     assert "ordered back after 2.5 s (2.5 at most), all back 1.0 s later" in line
@@ -373,9 +458,14 @@
     path.write_text(DAY.replace("seconds = 1", f'seconds = {seconds}\nnetwork = "{network}"'))
     out = tmp_path / f"firwalk-lab-{network}"
     # Started in a shell's background this one ignores SIGINT, and so would all that it starts.
-    rig = subprocess.Popen([sys.executable, "-m", "firwalk.cli.main", "lab", "run", path, "--out", out],
-                           cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
-                           preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL))
+    rig = subprocess.Popen(
+        [sys.executable, "-m", "firwalk.cli.main", "lab", "run", path, "--out", out],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
+    )
     end = time.monotonic() + 20
     while len([p for p in mine(network) if p != rig.pid]) < 2 and time.monotonic() < end:
         time.sleep(0.05)
@@ -409,6 +499,7 @@
 
 def test_the_report_has_what_the_page_promises(tmp_path):
     import json
+
     path = tmp_path / "day.toml"
     path.write_text(DAY)
     code, out, _ = command("lab", "run", path, "--seed", 5, "--json", tmp_path / "r.json")
--- a/tests/fleet/test_zones_processes.py
+++ b/tests/fleet/test_zones_processes.py
@@ -1,4 +1,5 @@
 """Zones lost, slow and back, between real processes: what the fleet decides; no rule breaks meanwhile."""
+
 import asyncio
 import subprocess
 import sys
@@ -20,8 +21,12 @@
     def call(rig, node, *words):
         host = rig.nodes[node].config["management"]
         host = host.replace(":3100", ":3101") if len(rig.nodes[node].programs) > 1 and node == 5 else host
-        done = subprocess.run([sys.executable, "-m", "firwalk.cli.main", "zone", *words, "--at", host],
-                              capture_output=True, text=True, timeout=20)
+        done = subprocess.run(
+            [sys.executable, "-m", "firwalk.cli.main", "zone", *words, "--at", host],
+            capture_output=True,
+            text=True,
+            timeout=20,
+        )
         said.append((done.returncode, done.stdout.strip(), done.stderr.strip()))
 
     async def act(rig):
@@ -30,8 +35,12 @@
         # What a machine that stood still lets through at once is demand too, and then not all of it fits.
         while time.monotonic() < min(max(rig.began, rig.steady_since) + 3.0, rig.began + 6.0):
             await asyncio.sleep(0.05)
-        for node, *words in ((4, "drain", "c", "--dry-run"), (4, "drain", "c"), (5, "show"),
-                             (3, "drain", "b")):
+        for node, *words in (
+            (4, "drain", "c", "--dry-run"),
+            (4, "drain", "c"),
+            (5, "show"),
+            (3, "drain", "b"),
+        ):
             await asyncio.to_thread(call, rig, node, *words)
             await asyncio.sleep(0.8)
         await rig.faults.kill(rig.coordinator(), fault(0, "kill", "node:0", 0.3))
@@ -42,6 +51,7 @@
         await asyncio.to_thread(call, rig, 4, "restore", "c")
         await asyncio.sleep(1.0)
         await asyncio.to_thread(call, rig, 3, "show")
+
     told = scenario(nodes=6, zones=3, executors=9, seconds=20.0, cluster=hard.ZONED, offerings=FULL)
     [(report, rig)] = play((told, None), act=act)
     assert sound(report) == []
@@ -70,8 +80,16 @@
     assert sound(played[case][0]) == []
 
 
-@pytest.mark.parametrize("case, zone", [("lost whole", 2), ("answers lost", 2), ("the coordinator's own", 0),
-                                        ("back cold", 2), ("loss while nodes restart in turn", 2)])
+@pytest.mark.parametrize(
+    "case, zone",
+    [
+        ("lost whole", 2),
+        ("answers lost", 2),
+        ("the coordinator's own", 0),
+        ("back cold", 2),
+        ("loss while nodes restart in turn", 2),
+    ],
+)
 def test_a_lost_zone_is_put_away_by_the_fleet_and_no_other(played, case, zone):
     _, rig = played[case]
     assert "away" in modes(rig, zone)
@@ -80,8 +98,11 @@
 
 def test_a_zone_that_is_back_returns_by_steps(played):
     _, rig = played["lost whole"]
-    back = [event["keeps"] for event in events(rig, "zone", 4.0)
-            if event["number"] == 2 and event["mode"] == "returning"]
+    back = [
+        event["keeps"]
+        for event in events(rig, "zone", 4.0)
+        if event["number"] == 2 and event["mode"] == "returning"
+    ]
     assert back[:2] == [0.1, 0.25] and back == sorted(back)
 
 
@@ -89,8 +110,16 @@
     assert all("away" in modes(played["two zones, one after the other"][1], zone) for zone in (1, 2))
 
 
-@pytest.mark.parametrize("case", ["all are slow", "seen from one node alone", "seen from one zone alone",
-                                  "nothing happens", "lost in part"])
+@pytest.mark.parametrize(
+    "case",
+    [
+        "all are slow",
+        "seen from one node alone",
+        "seen from one zone alone",
+        "nothing happens",
+        "lost in part",
+    ],
+)
 def test_nothing_is_put_away_for_less(played, case):
     _, rig = played[case]
     assert not any("away" in modes(rig, zone) for zone in range(3))
@@ -107,6 +136,9 @@
     """It does not begin with the zone open while that is still lost."""
     _, rig = played["the coordinator's own"]
     offices = [event["at"] for event in events(rig, "coordinator", 6.0)]
-    after = [event["mode"] for event in events(rig, "zone") if event["number"] == 0
-             and offices[0] < event["at"] < rig.began + 9.0]
+    after = [
+        event["mode"]
+        for event in events(rig, "zone")
+        if event["number"] == 0 and offices[0] < event["at"] < rig.began + 9.0
+    ]
     assert offices and "open" not in after
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """A fake host whose lines are compared with a kept trace; the program with stand-ins round it."""
+
 import asyncio
 import heapq
 import os
@@ -24,12 +25,34 @@
     def __init__(self, at=0.0, **settings):
         self.now, self.lines, self.timers, self.counter, self.called = at, [], [], 0, []
         self.quiet = True  # leave probes out of the trace
-        known = dict(own_number=0, nodes=1, zone=0, offerings=[offering()], tenants=[Tenant(10.0)],
-                     tick=0.005, most=5, copies=True, may_cancel=True, may_probe=True, longest_advice=2.0,
-                     reports="on_probe", tells_start=True, must_ask=False, sized=False, marked=True,
-                     crossing=0.0, handshake=0.0, beyond_share=1.0, by_work=True, cold_from=0.2,
-                     cold_for=10.0, fall_multiple=3.0, fall_window=2.0, ask_within=10.0,
-                     peers=False)
+        known = dict(
+            own_number=0,
+            nodes=1,
+            zone=0,
+            offerings=[offering()],
+            tenants=[Tenant(10.0)],
+            tick=0.005,
+            most=5,
+            copies=True,
+            may_cancel=True,
+            may_probe=True,
+            longest_advice=2.0,
+            reports="on_probe",
+            tells_start=True,
+            must_ask=False,
+            sized=False,
+            marked=True,
+            crossing=0.0,
+            handshake=0.0,
+            beyond_share=1.0,
+            by_work=True,
+            cold_from=0.2,
+            cold_for=10.0,
+            fall_multiple=3.0,
+            fall_window=2.0,
+            ask_within=10.0,
+            peers=False,
+        )
         known.update(settings)
         self.node = Node(self, 7, at, **known)
         self.executors = {}
@@ -119,18 +142,36 @@
 
 
 def offering(effect=Effect.IDEMPOTENT, group=Group.ALL, due=0.5, expiry=5.0, remembered=3.0):
-    return Offering(due, expiry, importance=5.0, effect=effect, group=group, remembered=remembered,
-                    stretch=2.0)
+    return Offering(
+        due, expiry, importance=5.0, effect=effect, group=group, remembered=remembered, stretch=2.0
+    )
 
 
 # -- the program on sockets, with stand-ins for the list's service, executors and clients ----------------
 
-OFFERINGS = [{"name": name, "due-time-us": 1000000, "expiry-us": 2000000, "repeat": repeat, "group": "all",
-              "key-ttl-us": 5000000, "importance": 5.0}
-             for name, repeat in (("read", "safe"), ("put", "keyed"), ("act", "unsafe"))]
-LIMITS = {"most-assignments": 5, "second-copies": True, "cancel": True, "probing": True, "peers": True,
-          "connect-timeout-us": 250000, "idle-close-us": 60000000, "max-retry-after-us": 2000000,
-          "retry-after": True}
+OFFERINGS = [
+    {
+        "name": name,
+        "due-time-us": 1000000,
+        "expiry-us": 2000000,
+        "repeat": repeat,
+        "group": "all",
+        "key-ttl-us": 5000000,
+        "importance": 5.0,
+    }
+    for name, repeat in (("read", "safe"), ("put", "keyed"), ("act", "unsafe"))
+]
+LIMITS = {
+    "most-assignments": 5,
+    "second-copies": True,
+    "cancel": True,
+    "probing": True,
+    "peers": True,
+    "connect-timeout-us": 250000,
+    "idle-close-us": 60000000,
+    "max-retry-after-us": 2000000,
+    "retry-after": True,
+}
 
 
 async def read_message(reader):
@@ -146,8 +187,7 @@
 
 def post(path="/read/k", name="t1", body=b"body", **headers):
     usual = {"X-Request-Id": name, "X-Deadline": "2000m", "X-Cost-Hint": 9000, "Content-Length": len(body)}
-    headers = usual | {
-        word.replace("_", "-"): value for word, value in headers.items()}
+    headers = usual | {word.replace("_", "-"): value for word, value in headers.items()}
     lines = "".join(f"{word}: {value}\r\n" for word, value in headers.items() if value is not None)
     return f"POST {path} HTTP/1.1\r\nHost: h\r\n{lines}\r\n".encode() + body
 
@@ -174,7 +214,7 @@
 
     def __init__(self, behave=None):
         self.behave, self.got, self.connections, self.ended = behave, [], 0, 0
-        self.writers, self.brittle = [], False   # brittle: resets kept connections at the next byte
+        self.writers, self.brittle = [], False  # brittle: resets kept connections at the next byte
 
     async def open(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -186,7 +226,7 @@
         self.writers.append(writer)
         while message := await read_message(reader):
             if message[0].startswith("GET"):
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":2}")
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{"x0":2}')
                 if self.brittle:
                     break
                 continue
@@ -216,26 +256,53 @@
 class World:
     """The program under test, started with stand-ins round it."""
 
-    def __init__(self, *behaviours, known=None, settings=None, limits=None, refuse_list=0,
-                 silent=False, peer_port=0, managed=False, list_late=0.0, gone=(), unready=False,
-                 events=None):
-        self.events_file = events                        # in place of one of its own
-        self.unready = unready                           # not waited for until it listens
-        self.list_late, self.gone = list_late, gone      # seconds until the list comes; who is not on it
-        self.killed = False                              # by a test
-        self.managed = managed                           # whether it has the second address
+    def __init__(
+        self,
+        *behaviours,
+        known=None,
+        settings=None,
+        limits=None,
+        refuse_list=0,
+        silent=False,
+        peer_port=0,
+        managed=False,
+        list_late=0.0,
+        gone=(),
+        unready=False,
+        events=None,
+    ):
+        self.events_file = events  # in place of one of its own
+        self.unready = unready  # not waited for until it listens
+        self.list_late, self.gone = list_late, gone  # seconds until the list comes; who is not on it
+        self.killed = False  # by a test
+        self.managed = managed  # whether it has the second address
         self.silent, self.peer_port = silent, peer_port  # a list service that says nothing; a port in use
         self.behaviours, self.known, self.refuse_list = behaviours or (None,), known, refuse_list
-        self.settings = {"offerings": OFFERINGS, "limits": LIMITS, "discovery": "ask", "azs": ["a"],
-                         "kinds": ["m"], "resolution-us": 5000, "load-report": {"how": "on_probe"},
-                         "specifics": {"tells-start": True}} | (settings or {})
+        self.settings = {
+            "offerings": OFFERINGS,
+            "limits": LIMITS,
+            "discovery": "ask",
+            "azs": ["a"],
+            "kinds": ["m"],
+            "resolution-us": 5000,
+            "load-report": {"how": "on_probe"},
+            "specifics": {"tells-start": True},
+        } | (settings or {})
         self.limits = {"memory_mb": 128, "sockets": 256} | (limits or {})
         self.version, self.watches, self.asked, self.asked_at = 1, [], [], []
 
     def entry(self, number, address=None, lifecycle="active"):
         address = address or self.executors[number].address
-        return {"instanceId": f"e{number}", "hostPort": address, "zone": "a", "machineType": "m", "cell": 0,
-                "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
+        return {
+            "instanceId": f"e{number}",
+            "hostPort": address,
+            "zone": "a",
+            "machineType": "m",
+            "cell": 0,
+            "lifecycle": lifecycle,
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
 
     def news(self, *entries, whole=False):
         return {"generation": self.version, "reset": whole, "instances": list(entries)}
@@ -247,20 +314,36 @@
         self.peer_port = self.peer_port or free_port(socket.SOCK_DGRAM)
         all_of_them = [self.entry(n) for n in range(len(self.executors))]
         known = self.news(*all_of_them, whole=True) if self.known is None else self.known
-        self.config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "0a", "limits": self.limits,
-                       "discovery": address_of(self.lists), "known": known,
-                       "peer_listen": f"127.0.0.1:{self.peer_port}", "peers": [f"127.0.0.1:{self.peer_port}"],
-                       "settings": self.settings}
+        self.config = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": "0a",
+            "limits": self.limits,
+            "discovery": address_of(self.lists),
+            "known": known,
+            "peer_listen": f"127.0.0.1:{self.peer_port}",
+            "peers": [f"127.0.0.1:{self.peer_port}"],
+            "settings": self.settings,
+        }
         if self.managed:
             self.config["management"] = f"127.0.0.1:{self.management_port}"
         self.folder, self.records = tempfile.TemporaryDirectory(), tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name) / "config.json"
         self.path.write_bytes(orjson.dumps(self.config))
         self.program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "firwalk", "--config", self.path, stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"TMPDIR": self.folder.name,
-                              "FIRWALK_EVENTS": self.events_file or f"{self.records.name}/events"})
-        self.early = b""                                 # what it said before it listened
+            sys.executable,
+            "-m",
+            "firwalk",
+            "--config",
+            self.path,
+            stderr=asyncio.subprocess.PIPE,
+            env=os.environ
+            | {
+                "TMPDIR": self.folder.name,
+                "FIRWALK_EVENTS": self.events_file or f"{self.records.name}/events",
+            },
+        )
+        self.early = b""  # what it said before it listened
         while not self.unready and b"listens" not in (line := await self.program.stderr.readline()):
             assert line, self.early
             self.early += line
@@ -282,8 +365,14 @@
     async def start(self, path):
         """Another program, to its end: what it said and how it ended."""
         other = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "firwalk", "--config", path, stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"TMPDIR": self.folder.name})
+            sys.executable,
+            "-m",
+            "firwalk",
+            "--config",
+            path,
+            stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"TMPDIR": self.folder.name},
+        )
         said = (await asyncio.wait_for(other.stderr.read(), 10)).decode()
         return said, await other.wait()
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,4 +1,5 @@
 """The decisions, one short trace each; the kept traces in `traces/` are for reading."""
+
 from random import Random
 from zlib import crc32
 
@@ -47,15 +48,26 @@
     f.compare("crossing")
 
 
-OUTCOMES = [Outcome.FULL, Outcome.NO_CONNECTION, Outcome.ERROR, Outcome.BROKEN, Outcome.TIMED_OUT,
-            Outcome.CANCELLED]
-
-
-@pytest.mark.parametrize("name, kind", [
-    ("idempotent", offering(IDEMPOTENT)), ("side_effecting", offering(SIDE_EFFECTING)),
-    ("fingerprinted_all", offering(FINGERPRINTED)),
-    ("fingerprinted_zone", offering(FINGERPRINTED, Group.ZONE)),
-    ("fingerprinted_cell", offering(FINGERPRINTED, Group.CELL))])
+OUTCOMES = [
+    Outcome.FULL,
+    Outcome.NO_CONNECTION,
+    Outcome.ERROR,
+    Outcome.BROKEN,
+    Outcome.TIMED_OUT,
+    Outcome.CANCELLED,
+]
+
+
+@pytest.mark.parametrize(
+    "name, kind",
+    [
+        ("idempotent", offering(IDEMPOTENT)),
+        ("side_effecting", offering(SIDE_EFFECTING)),
+        ("fingerprinted_all", offering(FINGERPRINTED)),
+        ("fingerprinted_zone", offering(FINGERPRINTED, Group.ZONE)),
+        ("fingerprinted_cell", offering(FINGERPRINTED, Group.CELL)),
+    ],
+)
 def test_rule_2_each_effect_after_each_outcome(name, kind):
     lines = []
     for how in OUTCOMES:
@@ -232,7 +244,7 @@
     f.end(two, Outcome.FINISHED)
     assert a.speed == pytest.approx(1.0)
     a.came_up, a.cold_until = f.now, f.now + 10.0
-    f.node.capacity, f.node.offered = 0.0001, 0.0    # its draw lets it go there
+    f.node.capacity, f.node.offered = 0.0001, 0.0  # its draw lets it go there
     three = f.task("three", 0.05)
     f.until(0.4 + 0.05 / 0.2)
     f.end(three, Outcome.FINISHED)
@@ -270,6 +282,7 @@
 def test_many_nodes_spread_their_calls_for_lists():
     """Dozens of nodes start, and most are killed and start again at once. At the pace of few nodes the
     service never came to an end of their calls, and most went without a list for ever."""
+
     def started(number, at):
         f = Fake(at=at, must_ask=True, own_number=number, nodes=40)
         f.node.seed = number + int(at)
@@ -319,16 +332,22 @@
 
 
 @pytest.mark.parametrize("nodes", [1, 5, 30, 200])
-@pytest.mark.parametrize("first, failed_after", [
-    ("a watch falls silent", SILENCE), ("a connect hangs", CONNECT_TIME),
-    ("a call hangs", CONNECT_TIME + CALL_TIME), ("a call is refused", 0.0)])
+@pytest.mark.parametrize(
+    "first, failed_after",
+    [
+        ("a watch falls silent", SILENCE),
+        ("a connect hangs", CONNECT_TIME),
+        ("a call hangs", CONNECT_TIME + CALL_TIME),
+        ("a call is refused", 0.0),
+    ],
+)
 def test_after_any_failure_the_next_call_is_over_before_a_change_counts_as_told(first, failed_after, nodes):
     """That is six seconds after discovery has it. The change may come just as what fails later begins; what
     was refused had heard nothing yet, and the change comes after it."""
     longest, shortest = _pauses(nodes, first != "a call is refused")
     assert failed_after + longest[0] + CONNECT_TIME + CALL_TIME < 6.0
-    assert longest[0] - shortest[0] > 0.3       # nodes that all fail at once do not call at once
-    assert SILENCE > 2.2 and CALL_TIME > 2.1    # an empty line comes every two seconds, a 503 after two
+    assert longest[0] - shortest[0] > 0.3  # nodes that all fail at once do not call at once
+    assert SILENCE > 2.2 and CALL_TIME > 2.1  # an empty line comes every two seconds, a 503 after two
 
 
 @pytest.mark.parametrize("nodes", [1, 5, 30, 200])
@@ -337,7 +356,6 @@
     assert longest[1] + CONNECT_TIME + CALL_TIME < 6.0
 
 
-
 def test_trials_of_an_executor_that_all_nodes_set_aside_at_once_come_spread():
     """A zone that is lost is missed by all nodes within a second; tried again by all in one moment, what
     comes back cold would be pushed over."""
@@ -516,8 +534,8 @@
             for warm in f.node.near[:9]:
                 warm.full_until = 200.0  # nothing else to go to: the most tempting it can be
             sent[age] += sum(bool(f.task(f"t{n}", 0.1).assignments) for n in range(20))
-    assert 0.5 * 0.022 < sent[0.0] / 1200 < 2 * 0.022      # 0.2 of 9.2
-    assert 0.5 * 0.062 < sent[0.5] / 1200 < 2 * 0.062      # 0.6 of 9.6
+    assert 0.5 * 0.022 < sent[0.0] / 1200 < 2 * 0.022  # 0.2 of 9.2
+    assert 0.5 * 0.062 < sent[0.5] / 1200 < 2 * 0.062  # 0.6 of 9.6
 
 
 def test_a_nodes_first_task_to_an_executor_that_came_up_waits_for_no_draw():
@@ -537,7 +555,7 @@
                 break
             f.end(task, Outcome.FINISHED)
     assert len(needed) == 30 and max(needed) == 0
-    assert not f.executors["back"].unused    # and the next one is drawn for again
+    assert not f.executors["back"].unused  # and the next one is drawn for again
 
 
 def test_rule_4_at_many_nodes_first_tasks_wait_for_their_draw():
@@ -550,7 +568,7 @@
         f.hear(*(f"warm{n}" for n in range(9)), slots=4)
         f.hear("cold", came_up=100.0, slots=4)
         sent += f.task("t", 0.1).assignments[0].executor.ref == "cold"
-    assert sent <= 4     # 0.022 of the tasks by the draw, and no more
+    assert sent <= 4  # 0.022 of the tasks by the draw, and no more
 
 
 def test_rule_4_no_heavy_task_and_no_queue_at_a_cold_executor():
@@ -568,7 +586,7 @@
     f = Fake(offerings=[dear, cheap], reports="off")
     f.hear("A", slots=1)
     answered = [f.task(f"t{n}", 1.0, kind=n % 2).assignments != [] for n in range(8)]
-    assert answered[0] and not answered[7]   # its slack of ten seconds is long, and not used up
+    assert answered[0] and not answered[7]  # its slack of ten seconds is long, and not used up
     assert f.executors["A"].work < 4.0
 
 
@@ -644,8 +662,15 @@
 
 
 def _keyed(number, names, sizes=None):
-    f = Fake(own_number=number, nodes=9, sized=True, reports="off", tells_start=False, copies=False,
-             offerings=[offering(due=50.0, expiry=90.0)])
+    f = Fake(
+        own_number=number,
+        nodes=9,
+        sized=True,
+        reports="off",
+        tells_start=False,
+        copies=False,
+        offerings=[offering(due=50.0, expiry=90.0)],
+    )
     for name in names:
         size, mark = (sizes or {}).get(name, 1.0), crc32(name.encode())
         f.executors[name] = f.node.new_executor(name, 0, 0, 0, size, mark)
@@ -675,7 +700,7 @@
     for number in range(3):
         f = _keyed(number, names if number % 2 else names[::-1])
         for key in [b"a", b"b", b"c", b"d"] * 3:
-            _given(f, key)          # keys come again: from here on they count
+            _given(f, key)  # keys come again: from here on they count
         for key in (b"a", b"b", b"c", b"d"):
             met.setdefault(key, set()).update(_given(f, key, 5))
     assert all(len(found) <= 3 for found in met.values()) and len(set.union(*met.values())) > 4
@@ -683,9 +708,11 @@
 
 def test_keys_that_never_come_again_bind_no_task():
     f = _keyed(0, [f"e{n}" for n in range(20)])
-    bound = [f.node.task_arrived(f.now, f"t{n}", 0, 0, 90.0, 0.1, 1.0, 0.0, False, b"%d" % n).homes != ()
-             for n in range(300)]
-    assert any(bound[:20]) and not any(bound[60:])      # they are believed to, until they do not
+    bound = [
+        f.node.task_arrived(f.now, f"t{n}", 0, 0, 90.0, 0.1, 1.0, 0.0, False, b"%d" % n).homes != ()
+        for n in range(300)
+    ]
+    assert any(bound[:20]) and not any(bound[60:])  # they are believed to, until they do not
 
 
 def test_a_key_that_more_tasks_are_about_than_its_executors_bear_goes_elsewhere():
@@ -702,7 +729,7 @@
     f.node.repeats = 1.0
     homes = [e.ref for n in range(600) for e in f.node._homes(b"key%d" % n)]
     large = sum(name in names[:4] for name in homes) / len(homes)
-    assert 0.5 < large < 0.75       # 16 of 24, of three draws without putting back
+    assert 0.5 < large < 0.75  # 16 of 24, of three draws without putting back
 
 
 def test_second_copies_are_a_part_of_the_tasks_and_none_while_tasks_are_turned_away():
@@ -710,7 +737,7 @@
     f = Fake(offerings=[offering(due=30.0, expiry=90.0)])
     f.hear(*(f"e{n}" for n in range(60)), slots=4)
     tasks = []
-    for n in range(50):         # none of them ever starts, and each would like a copy
+    for n in range(50):  # none of them ever starts, and each would like a copy
         f.until(n * 0.01)
         tasks.append(f.task(f"t{n}", 0.1))
     f.until(29.0)
@@ -720,5 +747,5 @@
     f.hear(*(f"e{n}" for n in range(9)), slots=4)
     task = f.task("waits", 0.1)
     assert not f.task("hopeless", 200.0).open and f.node.moves == 0.0
-    f.until(16.0)               # beyond half its slack
+    f.until(16.0)  # beyond half its slack
     assert len(task.assignments) == 1
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,5 @@
 """The client of discovery, against a service held at each instant at which a watch or a call can fail."""
+
 import asyncio
 import time
 from types import SimpleNamespace
@@ -12,7 +13,7 @@
 from firwalk.net.buffers import Buffers
 from firwalk.net.discovery import Discovery
 
-LIMIT = 0.4            # seconds, in place of the limits on silence and on calls
+LIMIT = 0.4  # seconds, in place of the limits on silence and on calls
 ENTRY = {"instanceId": "e0", "hostPort": "127.0.0.1:9", "zone": "a", "lifecycle": "active"}
 UPDATE = {"generation": 7, "reset": True, "instances": [ENTRY, ENTRY | {"instanceId": "e1"}]}
 WHOLE = orjson.dumps(UPDATE) + b"\n"
@@ -66,6 +67,7 @@
                     call.cancel()
             server.close()
             await asyncio.sleep(0)
+
     asyncio.run(run())
 
 
@@ -88,12 +90,13 @@
 def test_an_update_is_read_on_one_line_or_indented_in_pieces_of_any_size(text, cut, monkeypatch):
     async def behave(writer):
         twice = text + b"\n" + text
-        await begin(writer, *[twice[n:n + cut] for n in range(0, len(twice), cut)])
+        await begin(writer, *[twice[n : n + cut] for n in range(0, len(twice), cut)])
         await asyncio.sleep(LIMIT / 2)
 
     async def story(w):
         await until(lambda: len(w.d.updates) == 2, LIMIT)
         assert w.d.updates == [(7, ["e0", "e1"])] * 2 and not w.d.broken
+
     play(behave, story, monkeypatch)
 
 
@@ -107,6 +110,7 @@
         await until(lambda: w.d.updates, LIMIT)
         await until(w.client.asking.done, LIMIT)
         assert w.d.updates == [(7, ["e0", "e1"])] and not w.d.broken
+
     play(behave, story, monkeypatch, watch=False)
 
 
@@ -141,18 +145,20 @@
 @pytest.mark.parametrize("behave", [nothing, drips_blank_lines, drips_an_update, drips_its_head])
 def test_a_call_without_a_whole_list_ends_in_its_time_whatever_bytes_come(behave, watch, monkeypatch):
     """A limit on each read was none on the whole: a call that dripped bytes never ended."""
+
     async def story(w):
         await until(lambda: w.d.broken, 3 * LIMIT)
-        (when, silent), = w.d.broken
+        ((when, silent),) = w.d.broken
         assert silent and LIMIT * 0.9 < when - w.began < 2 * LIMIT and not w.d.updates
+
     play(behave, story, monkeypatch, watch)
 
 
-@pytest.mark.parametrize("then", [None, b"{", b"{\"generation\":8,"], ids=["nothing", "a bracket", "a half"])
+@pytest.mark.parametrize("then", [None, b"{", b'{"generation":8,'], ids=["nothing", "a bracket", "a half"])
 def test_a_watch_that_falls_silent_after_its_list_ends_in_its_time(then, monkeypatch):
     async def behave(writer):
         await begin(writer, WHOLE, *([then] if then else []))
-        while then:     # further bytes of a line that never ends
+        while then:  # further bytes of a line that never ends
             writer.write(chunk(b" "))
             await writer.drain()
             await asyncio.sleep(LIMIT / 10)
@@ -160,8 +166,9 @@
 
     async def story(w):
         await until(lambda: w.d.broken, 3 * LIMIT)
-        (when, silent), = w.d.broken
+        ((when, silent),) = w.d.broken
         assert silent and LIMIT * 0.9 < when - w.began < 2 * LIMIT and len(w.d.updates) == 1
+
     play(behave, story, monkeypatch)
 
 
@@ -179,12 +186,15 @@
     async def story(w):
         await asyncio.sleep(2.5 * LIMIT)
         assert not w.d.broken and len(w.d.updates) == 1
+
     play(behave, story, monkeypatch)
 
 
-@pytest.mark.parametrize("half", [
-    WHOLE[:40] + b"\n", INDENTED[:INDENTED.index(b"e1")].rsplit(b"\n", 1)[0] + b"\n"],
-    ids=["cut in a line", "cut between lines"])
+@pytest.mark.parametrize(
+    "half",
+    [WHOLE[:40] + b"\n", INDENTED[: INDENTED.index(b"e1")].rsplit(b"\n", 1)[0] + b"\n"],
+    ids=["cut in a line", "cut between lines"],
+)
 def test_half_a_list_and_a_sign_of_life_behind_it_end_a_watch_at_once(half, monkeypatch):
     async def behave(writer):
         await begin(writer, half)
@@ -196,16 +206,18 @@
     async def story(w):
         await until(lambda: w.d.broken, LIMIT)
         assert w.d.broken[0][0] - w.began < LIMIT / 2 and not w.d.updates
+
     play(behave, story, monkeypatch)
 
 
 def test_an_answer_that_ends_in_an_update_is_a_failed_call(monkeypatch):
     async def behave(writer):
-        await begin(writer, INDENTED[:INDENTED.index(b"e1")], b"\n")
+        await begin(writer, INDENTED[: INDENTED.index(b"e1")], b"\n")
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
     async def story(w):
         await until(lambda: w.d.broken, LIMIT)
         assert not w.d.updates
+
     play(behave, story, monkeypatch, watch=False)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -1,5 +1,6 @@
 """Every path that ends something, over sockets, with the crossing forced: what is still owed then is kept.
 The table of these paths is in docs/in-service.md."""
+
 import asyncio
 import resource
 import signal
@@ -52,10 +53,12 @@
 
 # -- clients that leave ----------------------------------------------------------------------------------
 
+
 @pytest.mark.parametrize("reset", [False, True], ids=["closes", "resets"])
 @pytest.mark.parametrize("behind", [0, 1, READ_AHEAD - 1, READ_AHEAD + 1, 4 * READ_AHEAD])
 def test_a_client_that_goes_with_messages_waiting_gets_nothing_begun(behind, reset):
     """While one waited, nothing was read and its end went unnoticed: what waited was sent on after it."""
+
     async def story(w):
         held = w.behaviours[0]
         _, writer = await w.connect()
@@ -64,7 +67,8 @@
         await asyncio.sleep(0.05)
         if reset:
             writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
             writer.transport.abort()
         else:
             writer.close()
@@ -72,11 +76,13 @@
         held.go.set()
         await asyncio.sleep(0.3)
         assert [got[1]["x-request-id"] for got in w.executors[0].got] == ["t0"]
+
     play(story, Held())
 
 
 def test_the_time_of_a_message_that_waits_for_another_runs_from_its_last_byte():
     """Read only when the one before was done, it had its whole time anew, and its answer came too late."""
+
     async def story(w):
         reader, writer = await w.connect()
         writer.write(post(name="a") + post(name="b", X_Deadline="1500m"))
@@ -87,21 +93,25 @@
         told = int(w.executors[0].got[1][1]["x-deadline"].rstrip("m"))
         assert told <= 500 + 150
         writer.close()
+
     play(story, Held())
 
 
 def test_a_good_message_behind_a_bad_one_is_answered():
     """The first bad one ended the connection, with all that had been taken behind it."""
+
     async def story(w):
         reader, writer = await w.connect()
         writer.write(post("/none/k", "x") + post(name="a") + post(X_Deadline="soon") + post(name="b"))
         assert await answers(reader, 4) == [404, 200, 400, 200]
         writer.close()
+
     play(story)
 
 
 def test_a_message_without_room_for_its_body_takes_no_task_in_hand_along():
     """A 503 in place of the answer to a task that runs would promise a harmless retry."""
+
     async def story(w):
         held = w.behaviours[0]
         others = [await w.connect() for _ in range(7)]
@@ -117,6 +127,7 @@
         assert len([g for g in w.executors[0].got if g[1]["x-request-id"] == "a"]) == 1
         for _, other in others:
             other.close()
+
     play(story, Held(), limits={"memory_mb": 21})
 
 
@@ -137,33 +148,37 @@
 
 def test_an_answer_is_not_taken_along_by_bytes_that_came_while_it_was_written(monkeypatch):
     """A close over unread bytes resets the connection, and what its client has not read yet is gone."""
+
     async def run():
         clients = some_clients()
         client, theirs = client_of(clients)
         await asyncio.sleep(0)
         client.busy, closing = True, client.sock.shutdown
 
-        def crossing(*how):     # in the moment before the end is written
+        def crossing(*how):  # in the moment before the end is written
             theirs.sendall(b"more")
             time.sleep(0.01)
             return closing(*how)
+
         monkeypatch.setattr(Client, "_read_up", lambda self: theirs.sendall(b"more") or False)
         answering = asyncio.create_task(client.answer(200, b"result", keep=False))
         await asyncio.sleep(0.2)
         theirs.settimeout(1.0)
         got = b""
-        while part := theirs.recv(4096):     # up to an end, not to a reset
+        while part := theirs.recv(4096):  # up to an end, not to a reset
             got += part
         assert got.endswith(b"result")
         theirs.close()
         await asyncio.wait_for(answering, 2)
         await asyncio.sleep(0.05)
         assert not clients.open and not clients.departing and clients.budget.clients == 0
+
     asyncio.run(run())
 
 
 def test_what_came_while_the_last_answer_was_written_is_read_at_the_end(monkeypatch):
     """The node closed the connection over a request that it had not read."""
+
     async def run():
         clients = some_clients()
         clients.stopping = True
@@ -177,6 +192,7 @@
             monkeypatch.setattr(Client, "_read_up", read_up)
             time.sleep(0.01)
             return read_up(self)
+
         monkeypatch.setattr(Client, "_read_up", crossing)
         await client.answer(200, b"result", keep=True)
         await asyncio.sleep(0.1)
@@ -188,27 +204,31 @@
             got += part
         assert got.count(b"HTTP/1.1 ") == 2
         theirs.close()
+
     asyncio.run(run())
 
 
 # -- descriptors -----------------------------------------------------------------------------------------
 
+
 def test_giving_way_looks_at_few_connections_however_many_there_are(monkeypatch):
     """All of them were looked at for each one let in: with some thousand a second the node had no time for
     anything else, and read tasks late that it took for new."""
+
     async def run():
         looks, dispensable = [], Client.dispensable
 
         def counted(self, now):
             looks.append(self)
             return dispensable(self, now)
+
         monkeypatch.setattr(Client, "dispensable", counted)
         monkeypatch.setattr("firwalk.net.clients.SETTLED", -1.0)
         clients, ends = some_clients(), []
         for n in range(400):
             client, theirs = client_of(clients, known=False)
             ends.append(theirs)
-            if n % 4 == 0:      # one that had a task, and rests
+            if n % 4 == 0:  # one that had a task, and rests
                 client.known = client.used = True
                 clients.rests(client)
             await asyncio.sleep(0)
@@ -219,6 +239,7 @@
             end.close()
         await asyncio.sleep(0.1)
         assert not clients.open and not clients.untried and not clients.rested
+
     asyncio.run(run())
 
 
@@ -238,35 +259,41 @@
             assert (await w.ask(post(name=f"t{n}")))[0] == 200
         for _, writer in idle:
             writer.close()
+
     play(story, limits={"sockets": 64}, refuse_list=1000, known={})
 
 
 def test_a_message_that_waited_with_the_machine_counts_from_when_it_came():
     """It counted from when it was read: executors were told seconds that its client did not have any more."""
+
     async def run():
         clients, served = some_clients(), []
 
         async def serve(client, *message):
             served.append(message[-1])
+
         clients.serve = serve
         with socket.create_server(("127.0.0.1", 0)) as server, socket.socket() as theirs:
             theirs.connect(server.getsockname())
             theirs.sendall(post())
             came = time.monotonic()
-            await asyncio.sleep(0.5)        # nobody accepts, or no descriptor is free
+            await asyncio.sleep(0.5)  # nobody accepts, or no descriptor is free
             assert clients.admit(server.accept()[0])
             await asyncio.sleep(0.1)
         assert len(served) == 1 and served[0] < came + 0.1
+
     asyncio.run(run())
 
 
 def test_a_connection_that_rests_before_its_first_message_loses_none_of_its_time():
     """Its first message counted from when it was accepted, as if it had waited to be let in."""
+
     async def run():
         clients, served = some_clients(), []
 
         async def serve(client, *message):
             served.append(message[-1])
+
         clients.serve = serve
         with socket.create_server(("127.0.0.1", 0)) as server, socket.socket() as theirs:
             theirs.connect(server.getsockname())
@@ -276,29 +303,37 @@
             theirs.sendall(post())
             await asyncio.sleep(0.1)
         assert len(served) == 1 and served[0] > came - 0.1
+
     asyncio.run(run())
 
 
 # -- attempts --------------------------------------------------------------------------------------------
 
+
 def test_an_attempt_whose_bytes_are_long_in_writing_is_not_begun():
     """The time told in its head was what was left before. Its last byte stays here: nothing can have run."""
+
     async def run():
         ends = []
         desk = SimpleNamespace(
-            report_sending=lambda errand, number: True, report_last_byte=lambda errand, number: True,
-            report_start=lambda *_: None, report_idle=lambda place, count: None, kept=lambda place: True,
-            report_outcome=lambda errand, number, how, load, result: ends.append(how))
+            report_sending=lambda errand, number: True,
+            report_last_byte=lambda errand, number: True,
+            report_start=lambda *_: None,
+            report_idle=lambda place, count: None,
+            kept=lambda place: True,
+            report_outcome=lambda errand, number, how, load, result: ends.append(how),
+        )
         pool = Executors(desk, Budget(64, 10**8), Buffers(), 0.25, 60.0)
         got = bytearray()
         begun = asyncio.Event()
 
         async def slow(reader, writer):
             begun.set()
-            await asyncio.sleep(0.3)     # its window is full meanwhile
+            await asyncio.sleep(0.3)  # its window is full meanwhile
             while part := await reader.read(1 << 20):
                 got.extend(part)
             writer.close()
+
         server = await asyncio.start_server(slow, "127.0.0.1", 0)
         size = 3 * 10**7
         place = Place("e0", parse(address_of(server)))
@@ -311,12 +346,13 @@
         await asyncio.sleep(0.1)
         assert ends == [Outcome.NOT_SENT] and len(got) == size - 1
         server.close()
+
     asyncio.run(run())
 
 
 async def twice(executor, writer, name):
     await executor.lines(writer, name, "started", "done")
-    await executor.lines(writer, name, "done")      # a second answer, right behind the first
+    await executor.lines(writer, name, "done")  # a second answer, right behind the first
 
 
 async def twice_late(executor, writer, name):
@@ -327,7 +363,7 @@
 
 async def in_the_middle(executor, writer, name):
     await executor.lines(writer, name, "started", whole=False)
-    writer.write(b"20\r\n{\"id\":")
+    writer.write(b'20\r\n{"id":')
     await writer.drain()
     writer.transport.abort()
 
@@ -336,37 +372,44 @@
 def test_a_second_answer_belongs_to_no_task(behave, statuses):
     """One that comes when the next task has been written may cost that task its answer, for it may have run;
     it is not taken for its answer, and the task goes nowhere else."""
+
     async def story(w):
         for n in range(6):
             status, body = await w.ask(post("/act/k", f"t{n}"))
             assert status in statuses and body == (b"made of t%d" % n if status == 200 else b"")
         assert [g[1]["x-request-id"] for g in w.executors[0].got] == [f"t{n}" for n in range(6)]
+
     play(story, behave)
 
 
 def test_an_executor_that_ends_in_the_middle_of_an_answer_may_have_run_it():
     async def story(w):
         assert (await w.ask(post("/act/k", "a")))[0] == 500
-        assert (await w.ask(post("/read/k", "b")))[0] == 503    # it goes to the other, and no further
+        assert (await w.ask(post("/read/k", "b")))[0] == 503  # it goes to the other, and no further
         assert sum(g[1]["x-request-id"] == "a" for e in w.executors for g in e.got) == 1
+
     play(story, in_the_middle, in_the_middle)
 
 
 # -- the end of the process ------------------------------------------------------------------------------
 
+
 def test_at_the_end_whom_the_machine_has_accepted_gets_an_answer_also_with_no_descriptor_left():
     """Those in the listener's queue were closed without a word, and what they had sent was reset."""
+
     async def run():
         clients = some_clients(64)
         clients.budget.clients, clients.budget.spare = clients.budget.most, clients.budget.most_spare
         service = SimpleNamespace(
-            clients=clients, listener=socket.create_server(("127.0.0.1", 0)),
-            succession=SimpleNamespace(shares_listener=lambda: False))
+            clients=clients,
+            listener=socket.create_server(("127.0.0.1", 0)),
+            succession=SimpleNamespace(shares_listener=lambda: False),
+        )
         service.listener.setblocking(False)
         ends = [socket.create_connection(service.listener.getsockname()) for _ in range(5)]
         for n, theirs in enumerate(ends):
             theirs.sendall(post(name=f"t{n}"))
-        clients.held, _ = service.listener.accept()     # accepted, and waiting to be let in
+        clients.held, _ = service.listener.accept()  # accepted, and waiting to be let in
         service.accepting = asyncio.create_task(asyncio.sleep(9))
         assert Stop(service, Deadlines(2.0)).accept_last() and len(clients.open) == 5
         await asyncio.sleep(0.5)
@@ -375,11 +418,13 @@
             assert theirs.recv(4096).startswith(b"HTTP/1.1 503 ")
             theirs.close()
         assert service.listener.fileno() < 0 and not clients.open
+
     asyncio.run(run())
 
 
 def test_the_listener_answers_for_as_long_as_the_process_owes_answers():
     """It was closed two seconds after the signal, with what came just then, though the process went on."""
+
     async def story(w):
         held = w.behaviours[0]
         first = asyncio.create_task(w.ask(post(name="first", X_Deadline="3000m")))
@@ -392,8 +437,14 @@
         held.go.set()
         assert (await first)[0] == 200 and (await second)[0] == 200
         assert await asyncio.wait_for(w.program.wait(), 4) == 0
-    play(story, Held(), settings={"offerings": [
-        {"name": "read", "due-time-us": 9000000, "expiry-us": 9000000, "repeat": "safe"}]})
+
+    play(
+        story,
+        Held(),
+        settings={
+            "offerings": [{"name": "read", "due-time-us": 9000000, "expiry-us": 9000000, "repeat": "safe"}]
+        },
+    )
 
 
 @pytest.mark.parametrize("signals", [1, 2])
@@ -411,12 +462,15 @@
         for reader, _ in (half, late, fresh):
             assert await answers(reader, 1) == [200]
         assert await asyncio.wait_for(w.program.wait(), 4) == 0
+
     play(story)
 
 
 @pytest.mark.parametrize("silent, refused", [(True, 0), (False, 1000)], ids=["silent", "turned down"])
 def test_a_restarted_node_is_ready_and_serves_whatever_discovery_does(silent, refused):
     """By the list of its configuration: no process may serve nobody for long."""
+
     async def story(w):
         assert (await w.ask(GET))[0] == 200 and (await w.ask(post()))[0] == 200
+
     play(story, silent=silent, refuse_list=refused)
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -1,4 +1,5 @@
 """The facade without sockets: steps that are picked, outcomes that are reported, time that passes."""
+
 import asyncio
 
 import orjson
@@ -10,8 +11,15 @@
 from firwalk.host import Condition, Outcome
 from firwalk.net.listing import read
 
-SETTINGS = {"offerings": OFFERINGS, "limits": LIMITS, "discovery": "ask", "resolution-us": 5000,
-            "specifics": {"tells-start": True}, "load-report": {"how": "on_probe"}, "azs": ["a"]}
+SETTINGS = {
+    "offerings": OFFERINGS,
+    "limits": LIMITS,
+    "discovery": "ask",
+    "resolution-us": 5000,
+    "specifics": {"tells-start": True},
+    "load-report": {"how": "on_probe"},
+    "azs": ["a"],
+}
 
 
 class Play:
@@ -26,15 +34,21 @@
         self.woken += 1
 
     def hear(self, *heard, whole=False, version=1):
-        self.desk.report_list(version, whole, [
-            (name, ("127.0.0.1", 1 + int(name[1:])), "a", "m", 0, condition, 0.0, 1.0)
-            for name, condition in heard])
+        self.desk.report_list(
+            version,
+            whole,
+            [
+                (name, ("127.0.0.1", 1 + int(name[1:])), "a", "m", 0, condition, 0.0, 1.0)
+                for name, condition in heard
+            ],
+        )
 
     def take(self, offering="read", budget=2.0):
         return self.desk.report_task(offering, "", budget, 0.01, 1.0, 0.0, False)
 
     def steps(self, errand):
         """All that can be picked now, by kind."""
+
         async def run():
             found = []
             while errand.steps or errand.over():
@@ -43,6 +57,7 @@
                     return found + ["over"]
                 found.append((step[0].name, step[1]) if len(step) > 1 else step[0].name)
             return found
+
         return asyncio.run(run())
 
     def until(self, when):
@@ -184,8 +199,10 @@
 
 
 def test_the_gate_asks_again_where_the_executor_came_back_cold_while_its_connection_came_up():
-    rules = {"guarantees": {"cold-from": 0.1, "cold-us": 10000000, "fall-multiple": 2.0,
-                            "tip-after-us": 2000000}, "siblings": 200}
+    rules = {
+        "guarantees": {"cold-from": 0.1, "cold-us": 10000000, "fall-multiple": 2.0, "tip-after-us": 2000000},
+        "siblings": 200,
+    }
     let_in = 0
     for seed in range(40):
         p = Play(executors=1, settings=rules)
@@ -194,17 +211,33 @@
         errand = p.take()
         name = errand.task.assignments[0].executor.ref.name
         p.now += 0.1
-        p.desk.report_list(2, False, [(name, errand.task.assignments[0].executor.ref.address, "a", "m", 0,
-                                       Condition.READY, p.now - 0.05, 1.0)])
+        p.desk.report_list(
+            2,
+            False,
+            [
+                (
+                    name,
+                    errand.task.assignments[0].executor.ref.address,
+                    "a",
+                    "m",
+                    0,
+                    Condition.READY,
+                    p.now - 0.05,
+                    1.0,
+                )
+            ],
+        )
         let_in += p.desk.report_sending(errand, 0)
-    assert let_in <= 4      # by its draw only, as any other task of the fleet
+    assert let_in <= 4  # by its draw only, as any other task of the fleet
 
 
 @pytest.mark.parametrize("lifecycle", ["leaving", "left", "a word of later days", None])
 def test_only_active_ones_are_sent_to(lifecycle):
     p = Play()
-    line = {"generation": 2, "instances": [
-        {"instanceId": "e0", "hostPort": "127.0.0.1:1", "zone": "a", "lifecycle": lifecycle}]}
+    line = {
+        "generation": 2,
+        "instances": [{"instanceId": "e0", "hostPort": "127.0.0.1:1", "zone": "a", "lifecycle": lifecycle}],
+    }
     p.desk.report_list(*read(orjson.dumps(line)))
     for _ in range(4):
         assert p.take().task.assignments[0].executor.ref.name == "e1"
@@ -273,8 +306,15 @@
 @pytest.mark.parametrize("late", [0.0, 0.5])
 def test_a_retry_whose_connection_comes_up_behind_the_window_for_repeats_is_not_sent(late):
     """It was decided within the window, and its bytes went out when its key was forgotten."""
-    put = {"name": "put", "due-time-us": 4000000, "expiry-us": 5000000, "repeat": "keyed", "group": "all",
-           "key-ttl-us": 1000000, "importance": 5.0}
+    put = {
+        "name": "put",
+        "due-time-us": 4000000,
+        "expiry-us": 5000000,
+        "repeat": "keyed",
+        "group": "all",
+        "key-ttl-us": 1000000,
+        "importance": 5.0,
+    }
     p = Play(settings={"offerings": [put], "limits": LIMITS | {"second-copies": False}})
     errand = p.take("put", budget=5.0)
     assert p.desk.report_sending(errand, 0) and p.desk.report_last_byte(errand, 0)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -1,4 +1,5 @@
 """No circle of imports, also not of those for types alone; nothing that serves imports the laboratory."""
+
 import ast
 from pathlib import Path
 
@@ -32,11 +33,12 @@
 
     def walk(name, way):
         if name in way:
-            found.append([*way[way.index(name):], name])
+            found.append([*way[way.index(name) :], name])
         elif name not in done:
             for other in named.get(name, []):
                 walk(other, [*way, name])
             done[name] = None
+
     for name in named:
         walk(name, [])
     return found
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -1,4 +1,5 @@
 """Executors that operators take out and call back, and the second address on which they say so."""
+
 import asyncio
 
 import orjson
@@ -25,8 +26,12 @@
 def test_who_is_out_gets_nothing_whatever_the_list_says():
     p = Play(2)
     assert p.desk.report_out("e0")
-    news = [[("e0", Condition.READY)], [("e0", Condition.READY), ("e1", Condition.READY)],
-            [("e0", Condition.GONE)], [("e0", Condition.READY)]]
+    news = [
+        [("e0", Condition.READY)],
+        [("e0", Condition.READY), ("e1", Condition.READY)],
+        [("e0", Condition.GONE)],
+        [("e0", Condition.READY)],
+    ]
     for version, entries in enumerate(news, 2):
         p.hear(*entries, whole=len(entries) > 1, version=version)
         assert [sent_to(p, p.take()) for _ in range(4)] == ["e1"] * 4
@@ -45,8 +50,9 @@
     assert Chore.CLOSE_IDLE in [chore[0] for chore in p.until(p.now)]
 
 
-@pytest.mark.parametrize("offering, started, sends", [
-    ("read", False, 2), ("read", True, 1), ("act", False, 1)])
+@pytest.mark.parametrize(
+    "offering, started, sends", [("read", False, 2), ("read", True, 1), ("act", False, 1)]
+)
 def test_what_has_not_begun_there_is_sent_elsewhere_where_the_rules_allow(offering, started, sends):
     p = Play(2)
     errand = p.take(offering)
@@ -136,21 +142,38 @@
             assert (await w.ask(post(name=f"u{n}")))[0] == 200
         assert len(w.executors[0].got) == 6
         assert (await call(w, b"DETACH e9\n")).startswith(b"-ERR no such")
+
     play(story, None, None, managed=True)
 
 
 def test_nonsense_is_told_so_and_does_nothing():
     async def story(w):
-        for line in (b"\n", b"\r\n", b" \n", b"STOP e0\n", b"ping\n", b"PING e0\n", b"DETACH\n", b"DETACH \n",
-                     b"DETACH e0 e1\n", b"DETACH  e0\n", b" PING\n", b"DETACH \xff\xfe\n", b"\0\0\n",
-                     b"PING\nPING\n", b"DETACH e0\nATTACH e0\n", b"x" * 5000,
-                     b"DETACH " + b"e" * 900 + b"\n"):
+        for line in (
+            b"\n",
+            b"\r\n",
+            b" \n",
+            b"STOP e0\n",
+            b"ping\n",
+            b"PING e0\n",
+            b"DETACH\n",
+            b"DETACH \n",
+            b"DETACH e0 e1\n",
+            b"DETACH  e0\n",
+            b" PING\n",
+            b"DETACH \xff\xfe\n",
+            b"\0\0\n",
+            b"PING\nPING\n",
+            b"DETACH e0\nATTACH e0\n",
+            b"x" * 5000,
+            b"DETACH " + b"e" * 900 + b"\n",
+        ):
             assert (await call(w, line)).startswith(b"-ERR "), line
         reader, writer = await asyncio.open_connection("127.0.0.1", w.management_port)
         writer.write(b"DETACH e0")
         writer.write_eof()
         assert (await reader.read()).startswith(b"-ERR ")
         assert (await w.ask(post()))[0] == 200 and w.executors[0].got
+
     play(story, managed=True)
 
 
@@ -162,6 +185,7 @@
         await serving(w)
         for _, writer in idle:
             writer.close()
+
     assert places(64) == LEAST
     play(story, managed=True, limits={"sockets": 64})
 
@@ -171,9 +195,13 @@
     async def run():
         async with World(managed=True) as w:
             path = w.path.parent / "other.json"
-            path.write_bytes(orjson.dumps(w.config | {
-                "listen": f"127.0.0.2:{w.port}", "management": address, "peer_listen": ""}))
+            path.write_bytes(
+                orjson.dumps(
+                    w.config | {"listen": f"127.0.0.2:{w.port}", "management": address, "peer_listen": ""}
+                )
+            )
             return await w.start(path)
+
     said, code = asyncio.run(run())
     assert code == 2 and said.count("\n") == 1 and "cannot start" in said, said
 
@@ -184,5 +212,6 @@
             path = w.path.parent / "other.json"
             path.write_bytes(orjson.dumps(w.config | {"listen": f"127.0.0.2:{w.port}", "peer_listen": ""}))
             return await w.start(path)
+
     said, code = asyncio.run(run())
     assert code == 2 and said.count("\n") == 1 and "in use" in said, said
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -1,4 +1,5 @@
 """Configurations of the old shape, checked and turned into new ones that start a node; loopback only."""
+
 import asyncio
 
 import orjson
@@ -8,12 +9,23 @@
 from firwalk import migrate
 from firwalk.settings import check
 
-OLD = {"name": "n0", "listen": "127.0.0.1:3000", "discovery": "127.0.0.1:8500", "seed": "0a",
-       "limits": {"memory_mb": 128, "sockets": 256}, "peers": ["127.0.0.1:7"], "later-word": 7,
-       "known": {"generation": 1, "reset": True, "instances": []},
-       "settings": {"offerings": [OFFERINGS[0] | {"late-importance": 0.3}, OFFERINGS[2]], "limits": LIMITS,
-                    "load-report": {"how": "on_probe", "names": ["x0"]}, "azs": ["a", "b", "c"],
-                    "discovery": "push"}}
+OLD = {
+    "name": "n0",
+    "listen": "127.0.0.1:3000",
+    "discovery": "127.0.0.1:8500",
+    "seed": "0a",
+    "limits": {"memory_mb": 128, "sockets": 256},
+    "peers": ["127.0.0.1:7"],
+    "later-word": 7,
+    "known": {"generation": 1, "reset": True, "instances": []},
+    "settings": {
+        "offerings": [OFFERINGS[0] | {"late-importance": 0.3}, OFFERINGS[2]],
+        "limits": LIMITS,
+        "load-report": {"how": "on_probe", "names": ["x0"]},
+        "azs": ["a", "b", "c"],
+        "discovery": "push",
+    },
+}
 
 
 def run(folder, *words, old=OLD):
@@ -32,8 +44,15 @@
     assert settings["discovery"] == "ask" and settings["specifics"]["tells-start"] is True
     assert "known" not in new and "peers" not in new and "late-importance" not in settings["offerings"][0]
     assert new["later-word"] == 7 and settings["offerings"][1] == OFFERINGS[2]
-    for part in ("changed: settings.limits.second-copies: true to false", "dropped: known", "dropped: peers",
-                 "dropped: late-importance of read", "3 zones", "fill in: settings.siblings", "marks-retry"):
+    for part in (
+        "changed: settings.limits.second-copies: true to false",
+        "dropped: known",
+        "dropped: peers",
+        "dropped: late-importance of read",
+        "3 zones",
+        "fill in: settings.siblings",
+        "marks-retry",
+    ):
         assert sum(part in line for line in lines) == 1, part
     again, lines = migrate.convert(new)  # what is of the new shape already is left as it is
     assert again == new and not any(line.startswith(("changed", "dropped")) for line in lines)
@@ -53,17 +72,26 @@
     return OLD | {"settings": OLD["settings"] | {part: values}}
 
 
-@pytest.mark.parametrize("old, word", [
-    (b"{", "unexpected"), (b"[]", "an object"), (b"{}", "no settings"),
-    (b'{"settings": 3}', "settings must be an object"),
-    (b'{"settings": {"limits": 4}}', "settings.limits must be an object"),
-    (changed("limits", **{"second-copies": 1}), "second-copies must be true or false, not 1"),
-    (changed("limits", **{"most-assignments": 0}), "a whole number from 1"),
-    (changed("guarantees", **{"cold-from": 1.5}), "a number from 0 to 1"),
-    (OLD | {"settings": {"weights": "heavy"}}, "one of off"),
-    (OLD | {"settings": {"tenants": [[]]}}, "tenants[0]"),
-    (OLD | {"settings": {"offerings": [{"repeat": "twice"}]}}, "settings.offerings[0].repeat must be one of"),
-    (OLD | {"peers": "x"}, "a list of text")])
+@pytest.mark.parametrize(
+    "old, word",
+    [
+        (b"{", "unexpected"),
+        (b"[]", "an object"),
+        (b"{}", "no settings"),
+        (b'{"settings": 3}', "settings must be an object"),
+        (b'{"settings": {"limits": 4}}', "settings.limits must be an object"),
+        (changed("limits", **{"second-copies": 1}), "second-copies must be true or false, not 1"),
+        (changed("limits", **{"most-assignments": 0}), "a whole number from 1"),
+        (changed("guarantees", **{"cold-from": 1.5}), "a number from 0 to 1"),
+        (OLD | {"settings": {"weights": "heavy"}}, "one of off"),
+        (OLD | {"settings": {"tenants": [[]]}}, "tenants[0]"),
+        (
+            OLD | {"settings": {"offerings": [{"repeat": "twice"}]}},
+            "settings.offerings[0].repeat must be one of",
+        ),
+        (OLD | {"peers": "x"}, "a list of text"),
+    ],
+)
 def test_bad_input_is_one_plain_line_and_nothing_is_written(tmp_path, capsys, old, word):
     assert run(tmp_path, old=old) == 2
     told = capsys.readouterr().err
@@ -89,10 +117,17 @@
         w.reload(settings={"limits": {"second-copies": "no"}})
         await w.logs("must be true or false")
         assert (await w.ask(post(name="after")))[0] in (200, 503)
+
     new, _ = migrate.convert(OLD | {"settings": OLD["settings"] | {"azs": ["a"], "kinds": ["m"]}})
 
     async def run_it():
-        async with World(silent, None, None, settings=new["settings"], known={
-                "generation": 0, "reset": True, "instances": []}) as world:
+        async with World(
+            silent,
+            None,
+            None,
+            settings=new["settings"],
+            known={"generation": 0, "reset": True, "instances": []},
+        ) as world:
             await story(world)
+
     asyncio.run(run_it())
--- a/tests/test_retuning.py
+++ b/tests/test_retuning.py
@@ -1,4 +1,5 @@
 """New settings at SIGHUP: what a running node takes over, and what it turns down whole."""
+
 import asyncio
 import copy
 
@@ -12,9 +13,15 @@
 from firwalk.host import Effect, Outcome
 from firwalk.settings import check_news, needs_restart
 
-CONFIG = {"name": "n0", "listen": "127.0.0.1:3000", "discovery": "127.0.0.1:8500", "seed": "0a",
-          "limits": {"memory_mb": 64, "sockets": 256}, "known": {"generation": 1, "instances": []},
-          "settings": SETTINGS | {"tenants": [{"name": "t", "quota-per-s": 3.0}]}}
+CONFIG = {
+    "name": "n0",
+    "listen": "127.0.0.1:3000",
+    "discovery": "127.0.0.1:8500",
+    "seed": "0a",
+    "limits": {"memory_mb": 64, "sockets": 256},
+    "known": {"generation": 1, "instances": []},
+    "settings": SETTINGS | {"tenants": [{"name": "t", "quota-per-s": 3.0}]},
+}
 
 
 def changed(**offering):
@@ -48,7 +55,7 @@
         errand = p.take()
         p.desk.report_last_byte(errand, 0)
         p.desk.report_settings(new)
-        p.desk.report_outcome(errand, 0, Outcome.BROKEN)    # it may have run, and may run again
+        p.desk.report_outcome(errand, 0, Outcome.BROKEN)  # it may have run, and may run again
         assert kinds(errand).count(Step.SEND) == 2
     p = Play(3)
     p.desk.report_settings(changed(repeat="unsafe"))
@@ -110,8 +117,11 @@
 
 
 @pytest.mark.parametrize("value", [0, -5, -0.5, 0.0, "5", True, None, [], {}, 1e300])
-@pytest.mark.parametrize("path", [("offerings", 1, "due-time-us"), ("offerings", 2, "expiry-us"),
-                                  ("limits", "most-assignments")], ids=str)
+@pytest.mark.parametrize(
+    "path",
+    [("offerings", 1, "due-time-us"), ("offerings", 2, "expiry-us"), ("limits", "most-assignments")],
+    ids=str,
+)
 def test_what_is_no_number_above_0_is_turned_down(path, value):
     config = copy.deepcopy(CONFIG)
     part = config["settings"]
@@ -122,8 +132,21 @@
         check_news(CONFIG, config)
 
 
-@pytest.mark.parametrize("text", ["", "[]", "7", "null", '"x"', "{}", "{", "\0", "NaN",
-                                  '{"settings": {"limits": {"most-assignments": NaN}}}'])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "[]",
+        "7",
+        "null",
+        '"x"',
+        "{}",
+        "{",
+        "\0",
+        "NaN",
+        '{"settings": {"limits": {"most-assignments": NaN}}}',
+    ],
+)
 def test_what_is_no_configuration_is_turned_down(text):
     with pytest.raises(ValueError):
         check_news(CONFIG, orjson.loads(text))
@@ -140,7 +163,7 @@
     desk = Desk({"offerings": [{"name": "read", "expiry-us": 0}], "limits": {}}, 7, lambda: 0.0, lambda: None)
     assert desk.node.most == 1
     small = {"settings": {"offerings": [{"name": "read", "expiry-us": 5}]}, "discovery": "127.0.0.1:1"}
-    check_news(small, small)    # a file written by hand may stay as small as it is
+    check_news(small, small)  # a file written by hand may stay as small as it is
 
 
 def test_what_needs_a_restart_is_named():
@@ -164,12 +187,15 @@
         w.reload(settings=new)
         await w.logs("offerings: read, put, look")
         assert (await w.ask(post("/look/k", name="t1"))) == (200, b"made of t1")
-        assert (await w.ask(post("/act/k", name="t2")))[0] == 503      # vanished: nothing of it has run
+        assert (await w.ask(post("/act/k", name="t2")))[0] == 503  # vanished: nothing of it has run
         assert (await w.ask(post("/never/k", name="t3")))[0] == 404
-        assert (await old) == (200, b"made of old")                    # under way, it went on
-        bad = [w.config | {"settings": new | {"offerings": [look | {"expiry-us": 0}]},
-                           "discovery": "127.0.0.1:9"},
-               w.config | {"settings": {}}, w.config | {"known": 7, "settings": w.settings}]
+        assert (await old) == (200, b"made of old")  # under way, it went on
+        bad = [
+            w.config
+            | {"settings": new | {"offerings": [look | {"expiry-us": 0}]}, "discovery": "127.0.0.1:9"},
+            w.config | {"settings": {}},
+            w.config | {"known": 7, "settings": w.settings},
+        ]
         for text in (*map(orjson.dumps, bad), orjson.dumps(w.config)[:-1], b" "):
             w.reload(text)
             await w.logs("all stays as it was")
@@ -178,4 +204,5 @@
         await w.logs("offerings: read, put, act")
         assert (await w.ask(post("/act/k", name="t5")))[0] == 200
         assert (await w.ask(post("/look/k", name="t6")))[0] == 503
+
     play(story, slowly)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,4 +1,5 @@
 """The program itself, started and spoken to over sockets."""
+
 import asyncio
 import errno
 import os
@@ -33,10 +34,12 @@
 
 def play(story, *behaviours, **world):
     """Runs `story(world)` with the program started."""
+
     async def run():
         async with World(*behaviours, **world) as w:
             await asyncio.wait_for(story(w), 20)
         return w
+
     return asyncio.run(run())
 
 
@@ -110,13 +113,23 @@
 
 def test_a_task_is_passed_on_and_its_result_is_the_answer():
     async def story(w):
-        status, body = await w.ask(post("/read/k1?a=b", "id7", b"x" * 65536, Idempotency_Key="f" * 32,
-                                        X_Deadline="1500m", X_Extras="slots=2,mem=0.5", X_Cost_Hint=9000))
+        status, body = await w.ask(
+            post(
+                "/read/k1?a=b",
+                "id7",
+                b"x" * 65536,
+                Idempotency_Key="f" * 32,
+                X_Deadline="1500m",
+                X_Extras="slots=2,mem=0.5",
+                X_Cost_Hint=9000,
+            )
+        )
         assert (status, body) == (200, b"made of id7")
-        (first, headers, sent), = w.executors[0].got
+        ((first, headers, sent),) = w.executors[0].got
         assert first == "POST /read/k1?a=b HTTP/1.1" and sent == b"x" * 65536
         assert headers["x-request-id"] == "id7" and headers["idempotency-key"] == "f" * 32
         assert 1000 < int(headers["x-deadline"].rstrip("m")) <= 1500
+
     play(story)
 
 
@@ -126,6 +139,7 @@
         for n in range(5):
             assert await w.ask(post(name=f"t{n}"), pair) == (200, b"made of t%d" % n)
         assert w.executors[0].connections <= 2  # one for tasks, one more if a probe was out
+
     play(story)
 
 
@@ -136,27 +150,46 @@
             writer.write(bytes([byte]))
             await asyncio.sleep(0)
         assert await w.ask(b"", pair) == (200, b"made of slow")
-        assert [await w.ask(post(name="a") + post(name="b") + GET, pair), await w.ask(b"", pair),
-                await w.ask(b"", pair)] == [(200, b"made of a"), (200, b"made of b"), (200, b"")]
+        assert [
+            await w.ask(post(name="a") + post(name="b") + GET, pair),
+            await w.ask(b"", pair),
+            await w.ask(b"", pair),
+        ] == [(200, b"made of a"), (200, b"made of b"), (200, b"")]
+
     play(story)
 
 
 # What comes back, and whether a side-effecting, a fingerprinted and an idempotent task may go elsewhere.
-@pytest.mark.parametrize("how, never_ran", [
-    (not_run, True), (returned, True), (plain_503, False), (reset, False), (no_result, False), (lost, False),
-    (cut_short, False), (garbage, False), (without_a_result, False),
-    (nested_too_deep, False)])
+@pytest.mark.parametrize(
+    "how, never_ran",
+    [
+        (not_run, True),
+        (returned, True),
+        (plain_503, False),
+        (reset, False),
+        (no_result, False),
+        (lost, False),
+        (cut_short, False),
+        (garbage, False),
+        (without_a_result, False),
+        (nested_too_deep, False),
+    ],
+)
 def test_has_it_run(how, never_ran):
     async def story(w):
         for n, path in enumerate(("/act/k", "/put/k", "/read/k")):
             w.executors[0].got.clear()
             w.executors[1].got.clear()
             pair = [await w.ask(post(path, f"t{n}{m}", Idempotency_Key="k")) for m in range(2)]
-            met = [m for m in range(2) if w.executors[0].got and any(
-                g[1]["x-request-id"] == f"t{n}{m}" for g in w.executors[0].got)]
+            met = [
+                m
+                for m in range(2)
+                if w.executors[0].got and any(g[1]["x-request-id"] == f"t{n}{m}" for g in w.executors[0].got)
+            ]
             for m in range(2):
                 status = 500 if m in met and path == "/act/k" and not never_ran else 200
                 assert pair[m][0] == status, (path, m, met, pair)
+
     play(story, how, None)
 
 
@@ -168,6 +201,7 @@
         for n in range(4):
             assert (await w.ask(post("/act/k", f"t{n}")))[0] == 200
         assert len(w.executors[0].got) == 4
+
     play(story, None, None)
 
 
@@ -187,6 +221,7 @@
             assert [status for status, _ in answers] == [200] * 6
             assert 0.25 <= time.monotonic() - began < 1.5  # some of them waited for it first
         assert len(w.executors[0].got) == 6 and not w.executors[1].got
+
     play(story, None, None)
 
 
@@ -196,6 +231,7 @@
         assert (await w.ask(post("/act/k", X_Deadline="700m")))[0] == 500  # it may have run
         assert 0.5 < time.monotonic() - began < 0.7
         await w.until(lambda: w.executors[0].ended >= 1)  # called off by closing
+
     play(story, silent)
 
 
@@ -207,6 +243,7 @@
         writer.close()
         await w.until(lambda: w.executors[0].ended >= 1, 1.0)
         assert len(w.executors[0].got) == 1
+
     play(story, silent)
 
 
@@ -217,22 +254,29 @@
             for writer in w.executors[0].writers:
                 writer.close()
         assert len(w.executors[0].got) == 4
+
     play(story)
 
 
 def desk(ends):
     """What the pool of connections needs of one."""
     return SimpleNamespace(
-        report_sending=lambda errand, number: True, report_last_byte=lambda errand, number: True,
-        report_start=lambda *_: None, report_idle=lambda place, count: None,
-        report_outcome=lambda errand, number, how, load, result: ends.append(how))
-
-
-@pytest.mark.parametrize("comes, how", [
-    (b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", [Outcome.FULL]), (None, [])])
+        report_sending=lambda errand, number: True,
+        report_last_byte=lambda errand, number: True,
+        report_start=lambda *_: None,
+        report_idle=lambda place, count: None,
+        report_outcome=lambda errand, number, how, load, result: ends.append(how),
+    )
+
+
+@pytest.mark.parametrize(
+    "comes, how",
+    [(b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", [Outcome.FULL]), (None, [])],
+)
 def test_what_comes_before_the_last_byte_is_written(comes, how):
     """An answer then spoils the connection for the next task; a break then proves that nothing ran, and
     another connection may be taken."""
+
     async def run():
         ours, theirs = socket.socketpair()
         ours.setblocking(False)
@@ -251,6 +295,7 @@
         await asyncio.wait([link.reading, writing], timeout=2)
         assert ends == how and not pool.idle and pool.budget.links == 0 and ours.fileno() == -1
         assert writing.cancelled() if comes else isinstance(writing.exception(), ConnectionError)
+
     asyncio.run(run())
 
 
@@ -271,6 +316,7 @@
             assert status == 200 or (status, ended) == (503, ["broken"] * 2), (status, ended)
         assert sum(status == 200 for status, _ in answers) >= 4
         assert all(len(e.got) > n for e, n in zip(w.executors, before, strict=True))  # none was set aside
+
     play(story, None, None)
 
 
@@ -289,6 +335,7 @@
         theirs.close()
         await asyncio.wait([writing], timeout=4.0)
         assert isinstance(writing.exception(), ConnectionError) and not asked
+
     asyncio.run(run())
 
 
@@ -305,6 +352,7 @@
 
 def test_one_turn_is_due_at_a_time_however_often_it_is_woken():
     """Woken inside a turn, two chains of turns went on side by side, and one more with each such turn."""
+
     async def run():
         service, ticks = Service.__new__(Service), []
         service.clock = time.monotonic
@@ -315,11 +363,13 @@
             if len(ticks) < 6:
                 service.turns.soon()
             return service.clock() + 0.02, []
+
         service.desk = SimpleNamespace(tick=tick)
         service.turns.soon()
         await asyncio.sleep(0.3)
         assert 10 <= len(ticks) <= 24
         service.turns.due.cancel()
+
     asyncio.run(run())
 
 
@@ -340,6 +390,7 @@
         pool.close_idle(place)
         executor.server.close()
         await asyncio.sleep(0.05)
+
     asyncio.run(run())
 
 
@@ -354,6 +405,7 @@
         await asyncio.sleep(0.05)
         assert budget.clients == 0 and not clients.open and ours.fileno() == -1
         theirs.close()
+
     asyncio.run(run())
 
 
@@ -361,6 +413,7 @@
     async def story(w):
         assert (await w.ask(post()))[0] == 200
         await w.until(lambda: w.executors[0].ended == 1, 6.0)
+
     play(story, endless)
 
 
@@ -368,6 +421,7 @@
     async def story(w):
         await w.ask(post())
         await w.until(lambda: w.executors[0].ended == w.executors[0].connections, 3.0)
+
     play(story, settings={"limits": {"connect-timeout-us": 250000, "idle-close-us": 500000}})
 
 
@@ -392,6 +446,7 @@
         await w.tell(w.entry(0), whole=True)
         await asyncio.sleep(0.05)
         assert (await w.ask(post(name="z")))[0] == 200 and w.executors[0].got
+
     play(story, None, None)
 
 
@@ -402,18 +457,24 @@
         await asyncio.sleep(0.05)
         assert (await w.ask(post(name="late")))[0] == 200
         assert len(w.asked) == 3
-    old = {"generation": 0, "reset": True, "instances": [
-        {"instanceId": "old", "hostPort": "127.0.0.1:1", "zone": "a", "lifecycle": "active"}]}
+
+    old = {
+        "generation": 0,
+        "reset": True,
+        "instances": [{"instanceId": "old", "hostPort": "127.0.0.1:1", "zone": "a", "lifecycle": "active"}],
+    }
     play(story, known=old, refuse_list=2)
 
 
 def test_a_node_that_begins_sends_nothing_on_by_what_its_configuration_says_of_executors():
     """They may be gone for long: nodes that came back with their zone sent on to such, which counts as told
     from the first moment (87 to 101 times on one day of the fleet)."""
+
     async def story(w):
         for n in range(6):
             assert (await w.ask(post(name=f"t{n}")))[0] == 200
         assert not w.executors[0].got and len(w.executors[1].got) == 6
+
     play(story, None, None, gone=[0], list_late=0.4)
 
 
@@ -421,6 +482,7 @@
 def test_what_came_while_the_node_was_stopped_is_not_sent_on_past_its_clients_time(asleep, sent):
     """It counted the task from when it read it, and sent on what nobody waited for any more. A short stop
     costs nothing."""
+
     async def story(w):
         assert (await w.ask(post(name="before")))[0] == 200
         await asyncio.sleep(0.5)
@@ -430,13 +492,15 @@
         w.program.send_signal(signal.SIGCONT)
         status = (await asking)[0]
         assert len(w.executors[0].got) == 1 + sent and status == (200 if sent else 503)
-        assert (await w.ask(post(name="after")))[0] == 200     # that one did not wait
+        assert (await w.ask(post(name="after")))[0] == 200  # that one did not wait
+
     play(story)
 
 
 def test_a_node_whose_list_does_not_come_takes_tasks_all_the_same():
     async def story(w):
         assert (await w.ask(post()))[0] == 200
+
     play(story, silent=True)
 
 
@@ -445,7 +509,7 @@
     async def story(w):
         await w.until(lambda: w.watches)
         if how == "half a line":
-            w.watches[-1].write(b"40\r\n{\"generation\":9,\"reset\":true,\"inst")
+            w.watches[-1].write(b'40\r\n{"generation":9,"reset":true,"inst')
             await w.watches[-1].drain()
         if how == "reset":
             w.watches[-1].transport.abort()
@@ -455,6 +519,7 @@
         await w.until(lambda: len(w.watches) == 2)
         await asyncio.sleep(0.5)
         assert (await w.ask(post(name="b")))[0] == 200 and len(w.asked) == 2
+
     play(story)
 
 
@@ -474,6 +539,7 @@
         await w.tell(w.entry(0), whole=True)
         await asyncio.sleep(0.05)
         assert (await w.ask(post(name="c")))[0] == 200
+
     play(story)
 
 
@@ -484,6 +550,7 @@
             await asyncio.sleep(1.0)
         gaps = [b - a for a, b in zip(w.asked_at, w.asked_at[1:], strict=False)]
         assert 1 <= len(gaps) <= 3 and all(CALL_TIME - 0.1 < gap < 6.0 - CALL_TIME for gap in gaps)
+
     play(story, silent=True)
 
 
@@ -494,6 +561,7 @@
         await w.until(lambda: w.watches, 8.0)
         await asyncio.sleep(0.05)
         assert (await w.ask(post(name="late")))[0] == 200
+
     play(story, known=known, refuse_list=1)
 
 
@@ -503,22 +571,26 @@
 
         async def story(w):
             assert (await w.ask(post()))[0] == 200
+
         play(story, peer_port=taken.getsockname()[1])
 
 
 def test_a_node_is_one_thread_whatever_it_connects_to():
     """The loop's own connect looked numbers up on further threads; one of them was not done when the loop
     was closed, and its answer was an error in the log of a node that had ended well."""
+
     async def story(w):
         for n in range(3):
             assert (await w.ask(post(name=f"t{n}")))[0] == 200
         assert len(os.listdir(f"/proc/{w.program.pid}/task")) == 1
+
     play(story)
 
 
 def test_connecting_tells_why_it_could_not_and_asks_nobody_for_names(monkeypatch):
     def asked(*_, **__):
         raise AssertionError("a name was looked up")
+
     monkeypatch.setattr(socket, "getaddrinfo", asked)
 
     async def run():
@@ -529,6 +601,7 @@
             gone = server.getsockname()
         with new_socket(gone) as sock, pytest.raises(ConnectionRefusedError):
             await connected(sock, gone)
+
     asyncio.run(run())
 
 
@@ -540,6 +613,7 @@
     def fails(*_):
         calls.append(1)
         raise OSError(number, "not here")
+
     monkeypatch.setattr("firwalk.net.executors.new_socket", fails)
 
     async def run():
@@ -550,6 +624,7 @@
         step = await desk.pick(errand)
         executors.carry(errand, step[1], step[2], b"t", lambda: b"bytes")
         return await asyncio.wait_for(desk.pick(errand), 1), executors.budget.links
+
     step, links = asyncio.run(run())
     assert step[0] is Step.BOUNCED and len(calls) == 2 and links == 0
 
@@ -586,6 +661,7 @@
         assert await asyncio.wait_for(w.program.wait(), 4) == 0
         silent.close()
         other.close()
+
     play(story, None, None)
 
 
@@ -603,6 +679,7 @@
         assert (await w.ask(GET, idle))[0] == 503
         assert await idle[0].read() == b""
         assert await asyncio.wait_for(w.program.wait(), 3) == 0
+
     play(story, slowly)
 
 
@@ -615,27 +692,49 @@
         assert (await long)[0] == 500
         assert await asyncio.wait_for(w.program.wait(), 3) == 0
         assert time.monotonic() - began < 3.6
+
     play(story, silent)
 
 
-@pytest.mark.parametrize("data, status", [
-    (b"\x16\x03\x01\x02\x00nonsense\r\n\r\n", 400), (b"POST /read/k HTTP/9.9\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\nA: " + b"x" * 20000 + b"\r\n\r\n", 431),
-    (b"GET /" + b"x" * 20000 + b" HTTP/1.1\r\n\r\n", 431), (post(body=b"x" * 70000), 413),
-    (post(Content_Length="-4"), 400),
-    (post(Transfer_Encoding="chunked", Content_Length=None, body=b"zz\r\n"), 400),
-    (post(X_Deadline="soon"), 400), (post(X_Deadline="5"), 400), (post(X_Deadline="nanm"), 400),
-    (post(X_Deadline="1_0m"), 400), (post(X_Deadline="1e3m"), 400), (post(X_Request_Id="a b"), 400),
-    (post(X_Request_Id="\u00ff"), 400), (post(X_Request_Id="i" * 129), 400), (post("/read/a#b"), 400),
-    (post('/read/"k"'), 400), (post("/read/%zz"), 400), (post("http://h/read/k"), 400), (post("/put/k"), 400),
-    (post("/put/k", Idempotency_Key="\u00ff"), 400), (post(Transfer_Encoding="chunked"), 400),
-    (post().replace(b"X-Cost-Hint: 9000", b"Transfer_Encoding: chunked"), 400),
-    (post(Transfer_Encoding="gzip\r\nTransfer-Encoding: chunked", Content_Length=None), 400),
-    (post(X_Request_Id="a\r\nX-Request-Id: b"), 400), (post(Content_Length="60000000"), 413),
-    (post(Content_Length="9" * 30), 400),
-    (post(X_Cost_Hint="-1"), 400), (post(X_Extras="slots=many"), 400), (post(X_Request_Id=None), 400),
-    (post("/unknown/k"), 404), (b"GET /else HTTP/1.1\r\n\r\n", 404), (b"PUT /read/k HTTP/1.1\r\n\r\n", 405),
-    (GET, 200)])
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (b"\x16\x03\x01\x02\x00nonsense\r\n\r\n", 400),
+        (b"POST /read/k HTTP/9.9\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nA: " + b"x" * 20000 + b"\r\n\r\n", 431),
+        (b"GET /" + b"x" * 20000 + b" HTTP/1.1\r\n\r\n", 431),
+        (post(body=b"x" * 70000), 413),
+        (post(Content_Length="-4"), 400),
+        (post(Transfer_Encoding="chunked", Content_Length=None, body=b"zz\r\n"), 400),
+        (post(X_Deadline="soon"), 400),
+        (post(X_Deadline="5"), 400),
+        (post(X_Deadline="nanm"), 400),
+        (post(X_Deadline="1_0m"), 400),
+        (post(X_Deadline="1e3m"), 400),
+        (post(X_Request_Id="a b"), 400),
+        (post(X_Request_Id="\u00ff"), 400),
+        (post(X_Request_Id="i" * 129), 400),
+        (post("/read/a#b"), 400),
+        (post('/read/"k"'), 400),
+        (post("/read/%zz"), 400),
+        (post("http://h/read/k"), 400),
+        (post("/put/k"), 400),
+        (post("/put/k", Idempotency_Key="\u00ff"), 400),
+        (post(Transfer_Encoding="chunked"), 400),
+        (post().replace(b"X-Cost-Hint: 9000", b"Transfer_Encoding: chunked"), 400),
+        (post(Transfer_Encoding="gzip\r\nTransfer-Encoding: chunked", Content_Length=None), 400),
+        (post(X_Request_Id="a\r\nX-Request-Id: b"), 400),
+        (post(Content_Length="60000000"), 413),
+        (post(Content_Length="9" * 30), 400),
+        (post(X_Cost_Hint="-1"), 400),
+        (post(X_Extras="slots=many"), 400),
+        (post(X_Request_Id=None), 400),
+        (post("/unknown/k"), 404),
+        (b"GET /else HTTP/1.1\r\n\r\n", 404),
+        (b"PUT /read/k HTTP/1.1\r\n\r\n", 405),
+        (GET, 200),
+    ],
+)
 def test_bad_input_is_told_and_ends_nothing(program, data, status):
     async def run():
         reader, writer = await asyncio.open_connection("127.0.0.1", program.port)
@@ -643,6 +742,7 @@
         line = await asyncio.wait_for(reader.readline(), 5)
         writer.close()
         return int(line.split()[1])
+
     assert program.loop.run_until_complete(run()) == status
 
 
@@ -667,6 +767,7 @@
         await w.until(lambda: w.executors[0].got)
         assert (await w.ask(b"more\r\n\r\n", pair))[0] == 400
         await w.until(lambda: w.executors[0].ended)  # called off
+
     play(story, silent)
 
 
@@ -674,11 +775,19 @@
     async def story(w):
         data = post("/put/k", name="t1 ", Idempotency_Key="f1\t", X_Deadline="2000m ", X_Cost_Hint="9000 ")
         assert await w.ask(data) == (200, b"made of t1")
-        data = post("/put/k", name="t2\t ", Idempotency_Key="f2 ", Transfer_Encoding="chunked ",
-                    X_Tenant="t ", Content_Length=None, body=b"4\r\nbody\r\n0\r\n\r\n")
+        data = post(
+            "/put/k",
+            name="t2\t ",
+            Idempotency_Key="f2 ",
+            Transfer_Encoding="chunked ",
+            X_Tenant="t ",
+            Content_Length=None,
+            body=b"4\r\nbody\r\n0\r\n\r\n",
+        )
         assert await w.ask(data) == (200, b"made of t2")
         assert [got[1]["idempotency-key"] for got in w.executors[0].got] == ["f1", "f2"]
         assert [got[2] for got in w.executors[0].got] == [b"body", b"body"]
+
     play(story)
 
 
@@ -690,7 +799,7 @@
         assert await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1) == b"HTTP/1.1 100 Continue\r\n\r\n"
         assert not w.executors[0].got
         assert await w.ask(body, (reader, writer)) == (200, b"made of t1")
-        at_once = post(name="t2", Expect="100-continue")   # who does not wait is told nothing
+        at_once = post(name="t2", Expect="100-continue")  # who does not wait is told nothing
         assert await w.ask(at_once, (reader, writer)) == (200, b"made of t2")
         old = post(name="t3", Expect="100-continue").replace(b"HTTP/1.1", b"HTTP/1.0")
         pair = await w.connect()
@@ -698,6 +807,7 @@
         await asyncio.sleep(0.05)
         assert await w.ask(old[-4:], pair) == (200, b"made of t3")
         writer.close()
+
     play(story)
 
 
@@ -708,6 +818,7 @@
         assert (await w.ask(post("/act/other", body=b"")))[0] == 409
         assert (await first)[0] == 200 and len(w.executors[0].got) == 1
         assert (await w.ask(post("/act/k")))[0] == 200
+
     play(story, slowly)
 
 
@@ -716,6 +827,7 @@
         for n in range(6):
             assert (await w.ask(post(name=f"t{n}")))[0] == 400
         assert len(w.executors[0].got) == 6 and w.executors[0].connections <= 2 and not w.executors[1].got
+
     play(story, unfit, None)
 
 
@@ -732,6 +844,7 @@
         ends = await asyncio.gather(*[reader.read() for reader, _ in pairs[:4]])
         assert [end[9:12] for end in ends] == [b"", b"408", b"408", b"200"]
         assert time.monotonic() - began < 2.9
+
     play(story)
 
 
@@ -746,6 +859,7 @@
             await writer.drain()
         assert time.monotonic() - began < 2.0 and (await w.ask(post(name="t2")))[0] == 200
         assert int(Path(f"/proc/{w.program.pid}/statm").read_text().split()[1]) * 4096 < 60e6
+
     play(story)
 
 
@@ -757,6 +871,7 @@
         for _ in range(6):
             assert (await w.ask(post("/none/k"), pair))[0] == 404
         assert 0.7 < time.monotonic() - began < 3.0  # three of the six came beyond what is met at once
+
     play(story)
 
 
@@ -768,6 +883,7 @@
             assert [status for status, _ in answers] == [200] * 12 and time.monotonic() - began < 1.5
             for _, writer in silent:
                 writer.close()
+
     play(story, limits={"sockets": 64})
 
 
@@ -777,6 +893,7 @@
             for size in (0, 1, 256, 257, 60000):
                 stranger.sendto(b"\xff" * size, ("127.0.0.1", w.peer_port))
         assert (await w.ask(post()))[0] == 200
+
     play(story)
 
 
@@ -793,53 +910,103 @@
                 if answer is not None:
                     return answer
                 assert silent > SETTLED, f"closed without an answer, silent for {silent:.3f} s"
+
         answers = await asyncio.gather(*[ask(n) for n in range(60)])
         count = {status: sum(a[0] == status for a in answers) for status in (200, 503)}
         assert sum(count.values()) == 60 and count[200] >= 5 and count[503] >= 5
         assert len(os.listdir(f"/proc/{w.program.pid}/fd")) <= 48
         await w.until(lambda: len(os.listdir(f"/proc/{w.program.pid}/fd")) < 40)
         assert (await w.ask(post(name="after")))[0] == 200
+
     play(story, slowly, limits={"sockets": 48})
 
 
-@pytest.mark.parametrize("text, word", [
-    (None, "no such file"), ("{", "unexpected"), ("[]", "an object"), ('{"settings":{}}', "discovery"),
-    ('{"settings":{},"discovery":"nowhere","listen":"127.0.0.1:0"}', "address"),
-    ('{"settings":{},"discovery":"a.name:80","listen":"127.0.0.1:0"}', "address"),
-    ('{"settings":{"offerings":7},"discovery":"127.0.0.1:80","listen":"127.0.0.1:80"}', "must be a list"),
-    ('{"settings":{"limits":{"second-copies":"no"}},"discovery":"127.0.0.1:80"}', "true or false"),
-    ('{"settings":{},"discovery":"127.0.0.1:80","listen":"127.0.0.1:80","known":[1]}', "list of executors")])
+@pytest.mark.parametrize(
+    "text, word",
+    [
+        (None, "no such file"),
+        ("{", "unexpected"),
+        ("[]", "an object"),
+        ('{"settings":{}}', "discovery"),
+        ('{"settings":{},"discovery":"nowhere","listen":"127.0.0.1:0"}', "address"),
+        ('{"settings":{},"discovery":"a.name:80","listen":"127.0.0.1:0"}', "address"),
+        ('{"settings":{"offerings":7},"discovery":"127.0.0.1:80","listen":"127.0.0.1:80"}', "must be a list"),
+        ('{"settings":{"limits":{"second-copies":"no"}},"discovery":"127.0.0.1:80"}', "true or false"),
+        (
+            '{"settings":{},"discovery":"127.0.0.1:80","listen":"127.0.0.1:80","known":[1]}',
+            "list of executors",
+        ),
+    ],
+)
 def test_a_bad_configuration_is_one_plain_line(tmp_path, text, word):
     path = tmp_path / "config.json"
     if text is not None:
         path.write_text(text)
-    ended = subprocess.run([sys.executable, "-m", "firwalk", "--config", path], capture_output=True,
-                           text=True, timeout=10)
+    ended = subprocess.run(
+        [sys.executable, "-m", "firwalk", "--config", path], capture_output=True, text=True, timeout=10
+    )
     assert ended.returncode == 2 and ended.stderr.count("\n") == 1 and word in ended.stderr.lower()
 
 
 OTHERWISE_SOUND = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1"}
 
 
-@pytest.mark.parametrize("config, words", [
-    ({"limits": {"sockets": 3}, "settings": {
-        "discovery": "shout", "siblings": 0, "limits": {"most-assignments": 0, "connect-timeout-us": 0},
-        "offerings": [{"name": "a", "expiry-us": 5, "repeat": "sometimes"}, {"name": "b", "expiry-us": 0},
-                      {"name": "c", "expiry-us": 5, "group": 7}]}},
-     ["limits.sockets", "settings.discovery", "settings.siblings", "settings.limits.most-assignments",
-      "settings.limits.connect-timeout-us", "offerings[0].repeat", "offerings[2].group"]),
-    ({"settings": {"offerings": [
-        {"name": "a", "expiry-us": 5}, {"expiry-us": 5}, {"name": "b", "expiry-us": 0}, {"name": "a"}]}},
-     ["offerings[1].name is missing", "offerings[2].expiry-us must be a number above 0",
-      "offerings[3].name stands twice", "offerings[3].expiry-us is missing"]),
-    ({"settings": {"offerings": []}}, ["one class of tasks at least"])],
-    ids=["in themselves", "together", "no class"])
+@pytest.mark.parametrize(
+    "config, words",
+    [
+        (
+            {
+                "limits": {"sockets": 3},
+                "settings": {
+                    "discovery": "shout",
+                    "siblings": 0,
+                    "limits": {"most-assignments": 0, "connect-timeout-us": 0},
+                    "offerings": [
+                        {"name": "a", "expiry-us": 5, "repeat": "sometimes"},
+                        {"name": "b", "expiry-us": 0},
+                        {"name": "c", "expiry-us": 5, "group": 7},
+                    ],
+                },
+            },
+            [
+                "limits.sockets",
+                "settings.discovery",
+                "settings.siblings",
+                "settings.limits.most-assignments",
+                "settings.limits.connect-timeout-us",
+                "offerings[0].repeat",
+                "offerings[2].group",
+            ],
+        ),
+        (
+            {
+                "settings": {
+                    "offerings": [
+                        {"name": "a", "expiry-us": 5},
+                        {"expiry-us": 5},
+                        {"name": "b", "expiry-us": 0},
+                        {"name": "a"},
+                    ]
+                }
+            },
+            [
+                "offerings[1].name is missing",
+                "offerings[2].expiry-us must be a number above 0",
+                "offerings[3].name stands twice",
+                "offerings[3].expiry-us is missing",
+            ],
+        ),
+        ({"settings": {"offerings": []}}, ["one class of tasks at least"]),
+    ],
+    ids=["in themselves", "together", "no class"],
+)
 def test_each_fault_of_a_configuration_has_a_line_of_its_own(tmp_path, config, words):
     """The first one alone was told: operators came back once for each."""
     path = tmp_path / "config.json"
     path.write_bytes(orjson.dumps(OTHERWISE_SOUND | config))
-    ended = subprocess.run([sys.executable, "-m", "firwalk", "--config", path], capture_output=True,
-                           text=True, timeout=10)
+    ended = subprocess.run(
+        [sys.executable, "-m", "firwalk", "--config", path], capture_output=True, text=True, timeout=10
+    )
     lines = ended.stderr.splitlines()
     assert ended.returncode == 2 and len(lines) == len(words), ended.stderr
     assert all(sum(word in line for line in lines) == 1 for word in words), ended.stderr
@@ -848,8 +1015,10 @@
 def test_at_sighup_all_faults_are_told_and_the_old_configuration_stays():
     async def story(w):
         first, *others = w.settings["offerings"]
-        bad = w.settings | {"offerings": [first | {"repeat": "maybe", "group": "some"}, *others],
-                            "limits": LIMITS | {"most-assignments": 0}}
+        bad = w.settings | {
+            "offerings": [first | {"repeat": "maybe", "group": "some"}, *others],
+            "limits": LIMITS | {"most-assignments": 0},
+        }
         w.reload(settings=bad)
         for word in ("most-assignments", "offerings[0].repeat", "offerings[0].group"):
             await w.logs(word)
@@ -857,6 +1026,7 @@
         w.reload(settings=w.settings | {"offerings": []})
         await w.logs("one class of tasks at least")
         assert (await w.ask(post(name="t2")))[0] == 200
+
     play(story)
 
 
@@ -864,5 +1034,7 @@
     code = "from firwalk import log; [log.must(False, 'x') for _ in 'ab']; print(log.broken)"
     told = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, timeout=10)
     assert told.stdout.strip() == "{'x': 2}" and "does not hold" in told.stderr
-    assert "AssertionError" in subprocess.run([sys.executable, "-c", code], capture_output=True,
-                                              text=True, timeout=10).stderr
+    assert (
+        "AssertionError"
+        in subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=10).stderr
+    )
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -2,6 +2,7 @@
 
 The deployments are written in the words of the operators' site files; here they become a node's settings,
 each range by both of its ends, without anything of the bench."""
+
 import tomllib
 from pathlib import Path
 
@@ -12,7 +13,7 @@
 from firwalk.settings import EFFECTS, GROUPS, check, check_news
 
 SITES = sorted((Path(__file__).parents[1] / "deploy" / "sites").glob("*.toml"))
-MILLI = 1000           # microseconds
+MILLI = 1000  # microseconds
 
 
 def end_of(value, which):
@@ -28,37 +29,62 @@
     classes = site["class"]
     capacity = 100.0
     return {
-        "self-index": 0, "siblings": end_of(site["scale"]["big_balancers"], which), "az": 0,
-        "azs": site["net"]["zones"], "kinds": [kind["name"] for kind in tier["kind"]],
-        "resolution-us": site["day"]["tick_ms"] * MILLI, "discovery": site["discovery"]["mode"],
-        "weights": tier["weights"], "importance-by": site["load"]["worth_by"],
+        "self-index": 0,
+        "siblings": end_of(site["scale"]["big_balancers"], which),
+        "az": 0,
+        "azs": site["net"]["zones"],
+        "kinds": [kind["name"] for kind in tier["kind"]],
+        "resolution-us": site["day"]["tick_ms"] * MILLI,
+        "discovery": site["discovery"]["mode"],
+        "weights": tier["weights"],
+        "importance-by": site["load"]["worth_by"],
         "excess-importance": site["load"].get("over_share_worth", 1.0),
         "clients": {"marks-retry": end_of(site["clients"]["marks_retry"], which)},
-        "load-report": {"how": "on_probe" if tier["report"]["how"] == "probe" else "inline",
-                        "names": tier["report"]["fields"]},
+        "load-report": {
+            "how": "on_probe" if tier["report"]["how"] == "probe" else "inline",
+            "names": tier["report"]["fields"],
+        },
         "limits": {
-            "most-assignments": allow["max_attempts"], "second-copies": allow["second_copies"],
-            "cancel": allow["cancel"], "probing": allow["probes"], "peers": allow["peers"],
+            "most-assignments": allow["max_attempts"],
+            "second-copies": allow["second_copies"],
+            "cancel": allow["cancel"],
+            "probing": allow["probes"],
+            "peers": allow["peers"],
             "retry-after": allow["retry_after"],
             "max-retry-after-us": site["clients"]["max_retry_after_ms"] * MILLI,
             "connect-timeout-us": tier["conn"]["connect_timeout_ms"] * MILLI,
-            "idle-close-us": tier["conn"]["idle_s"] * 1000 * MILLI},
+            "idle-close-us": tier["conn"]["idle_s"] * 1000 * MILLI,
+        },
         "prices": {"cross-zone": site["prices"]["cross_zone"], "handshake": site["prices"]["handshake"]},
         "guarantees": {
             "cold-from": end_of(tier["kind"][0]["cold_from"], which),
             "cold-us": int(end_of(tier["kind"][0]["cold_s"], which) * 1e6),
-            "fall-multiple": rules["fall_multiple"], "tip-after-us": rules["fall_ms"] * MILLI,
-            "ask-within-us": 10000 * MILLI},
-        "offerings": [{
-            "name": c["name"], "due-time-us": c["aim_ms"] * MILLI, "expiry-us": c["deadline_ms"] * MILLI,
-            "importance": c["worth"], "repeat": c["effect"], "group": c.get("group", "all"),
-            "key-ttl-us": c.get("window_ms", 5000) * MILLI} for c in classes],
-        "tenants": [{"name": t["name"], "quota-per-s": t["share"] * capacity}
-                    for t in site.get("tenant", [])],
+            "fall-multiple": rules["fall_multiple"],
+            "tip-after-us": rules["fall_ms"] * MILLI,
+            "ask-within-us": 10000 * MILLI,
+        },
+        "offerings": [
+            {
+                "name": c["name"],
+                "due-time-us": c["aim_ms"] * MILLI,
+                "expiry-us": c["deadline_ms"] * MILLI,
+                "importance": c["worth"],
+                "repeat": c["effect"],
+                "group": c.get("group", "all"),
+                "key-ttl-us": c.get("window_ms", 5000) * MILLI,
+            }
+            for c in classes
+        ],
+        "tenants": [
+            {"name": t["name"], "quota-per-s": t["share"] * capacity} for t in site.get("tenant", [])
+        ],
         "specifics": {
-            "tells-start": family["tells_start"], "class-kind": [-1] * len(classes),
+            "tells-start": family["tells_start"],
+            "class-kind": [-1] * len(classes),
             "class-stretch": [family["class"][-1]["stretch"]] * len(classes),
-            "class-priority": [family["class"][-1]["priority"]] * len(classes)}}
+            "class-priority": [family["class"][-1]["priority"]] * len(classes),
+        },
+    }
 
 
 def read(path):
@@ -87,9 +113,23 @@
     for number, c in enumerate(site["class"]):
         now = [1000.0]
         desk = Desk(settings, 7, lambda now=now: now[0], lambda: None)
-        desk.report_list(1, True, [
-            (f"e{n}", ("127.0.0.1", 1 + n), site["net"]["zones"][n % 2], settings["kinds"][0], n % 3,
-             Condition.READY, 0.0, 2.0) for n in range(6)])
+        desk.report_list(
+            1,
+            True,
+            [
+                (
+                    f"e{n}",
+                    ("127.0.0.1", 1 + n),
+                    site["net"]["zones"][n % 2],
+                    settings["kinds"][0],
+                    n % 3,
+                    Condition.READY,
+                    0.0,
+                    2.0,
+                )
+                for n in range(6)
+            ],
+        )
         kind = desk.node.offerings[number]
         assert (kind.due, kind.expiry) == pytest.approx((c["aim_ms"] / 1e3, c["deadline_ms"] / 1e3))
         assert (kind.effect, kind.group) == (EFFECTS[c["effect"]], GROUPS[c.get("group", "all")])
@@ -97,7 +137,7 @@
         errand = desk.report_task(c["name"], tenant, None, 0.01, 1.0, 0.0, False)
         first = errand.task.assignments[0].executor
         desk.report_last_byte(errand, 0)
-        desk.report_outcome(errand, 0, Outcome.BROKEN)      # it may have run
+        desk.report_outcome(errand, 0, Outcome.BROKEN)  # it may have run
         again = [a.executor for a in errand.task.assignments[1:]]
         if kind.effect is Effect.SIDE_EFFECTING:
             assert not again and errand.steps[-1][0] is Step.ABANDONED
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -1,5 +1,6 @@
 """Rule 4 over whole fleets, by sums: what all nodes together send an executor in slow start, in any window,
 when none of them knows what the others send. The decision modules themselves, in virtual time."""
+
 import random
 from math import sqrt
 
@@ -8,10 +9,10 @@
 
 from firwalk.host import Outcome
 
-WINDOW, MULTIPLE = 2.0, 2.5            # seconds, and times its capacity: what the settings allow
+WINDOW, MULTIPLE = 2.0, 2.5  # seconds, and times its capacity: what the settings allow
 COLD_FROM, COLD_FOR = 0.3, 8.0
 SLOTS, MEAN_WORK = 4, 0.25
-WARM = 11                              # other executors, of the same size
+WARM = 11  # other executors, of the same size
 DRAWS = 12
 SECONDS = 5.0
 
@@ -27,14 +28,24 @@
 def fleet(nodes, draw, began):
     made = []
     for number in range(nodes):
-        f = Fake(at=began, own_number=number, nodes=nodes, reports="off", tells_start=False, copies=False,
-                 cold_from=COLD_FROM, cold_for=COLD_FOR, fall_multiple=MULTIPLE, fall_window=WINDOW)
+        f = Fake(
+            at=began,
+            own_number=number,
+            nodes=nodes,
+            reports="off",
+            tells_start=False,
+            copies=False,
+            cold_from=COLD_FROM,
+            cold_for=COLD_FOR,
+            fall_multiple=MULTIPLE,
+            fall_window=WINDOW,
+        )
         f.node.seed = (draw * 1009 + number) * 0x9E3779B97F4A7C15 % 2**64
         f.until(100.0)
         f.hear(*(f"warm{n}" for n in range(WARM)), slots=SLOTS)
         f.hear("cold", came_up=100.0, slots=SLOTS)
         for warm in f.node.near[:WARM]:
-            warm.full_until = 1e9      # nothing else to go to: the most tempting it can be
+            warm.full_until = 1e9  # nothing else to go to: the most tempting it can be
         made.append(f)
     return made
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -1,4 +1,5 @@
 """Two real processes as one node: nobody is refused, reset or left unread while one replaces the other."""
+
 import asyncio
 import errno
 import os
@@ -29,11 +30,17 @@
 
     async def start(self):
         self.port = free_port()
-        self.w.path.write_bytes(orjson.dumps(
-            self.w.config | {"management": f"127.0.0.1:{self.port}"} | self.changes))
+        self.w.path.write_bytes(
+            orjson.dumps(self.w.config | {"management": f"127.0.0.1:{self.port}"} | self.changes)
+        )
         self.program = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-m", "firwalk", stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"TMPDIR": self.w.folder.name, "BALANCER_CONFIG": str(self.w.path)})
+            sys.executable,
+            "-O",
+            "-m",
+            "firwalk",
+            stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"TMPDIR": self.w.folder.name, "BALANCER_CONFIG": str(self.w.path)},
+        )
         return self
 
     async def ready(self, seconds=6.0):
@@ -84,12 +91,15 @@
             try:
                 pair = pair or await self.w.connect()
                 data = post(name=name)
-                pair[1].write(data[:40])        # in pieces, so that some are half read when it changes
+                pair[1].write(data[:40])  # in pieces, so that some are half read when it changes
                 await asyncio.sleep(0.003)
                 pair[1].write(data[40:])
                 answer = await asyncio.wait_for(read_message(pair[0]), 6)
-                if answer is None or not answer[0].startswith("HTTP/1.1 200") or (
-                        answer[2] != f"made of {name}".encode()):
+                if (
+                    answer is None
+                    or not answer[0].startswith("HTTP/1.1 200")
+                    or (answer[2] != f"made of {name}".encode())
+                ):
                     self.wrong.append((name, answer))
                     pair = None
             except OSError as problem:
@@ -129,16 +139,18 @@
         await w.until(lambda: load.ended > ended + 30)
         await load.stop()
         assert not load.wrong, load.wrong[:3]
-        assert (await w.ask(post(name="last"), idle))[0] == 200        # the same connection all along
+        assert (await w.ask(post(name="last"), idle))[0] == 200  # the same connection all along
         names = [got[1]["x-request-id"] for e in w.executors for got in e.got]
         assert len(names) == len(set(names)) == load.number + 3
         await third.end()
+
     play(story, None, None, managed=True)
 
 
 def test_tasks_half_read_when_the_node_changes_hands_are_all_finished():
     """They stay with the old process, whose connections to executors have gone over: counted too low, its
     descriptors did not allow new ones. It closed clients for them, and turned tasks away."""
+
     async def story(w):
         pairs = [await w.connect() for _ in range(12)]
         for n, pair in enumerate(pairs):
@@ -150,18 +162,20 @@
             pair[1].write(text[:40])
         await other.ready()
         await w.logs("finishes what it has taken")
-        await asyncio.sleep(0.1)        # what can go over has gone
+        await asyncio.sleep(0.1)  # what can go over has gone
         rests = [text if n % 2 else text[40:] for n, text in enumerate(texts)]
         answers = await asyncio.gather(*[w.ask(*both) for both in zip(rests, pairs, strict=True)])
         assert [answer[0] for answer in answers] == [200] * len(pairs)
         await over(w)
         await other.end()
+
     play(story, None, None, managed=True)
 
 
 def test_a_client_goes_over_as_soon_as_it_is_answered():
     """Found still by a look now and then only, one that sends on at once stayed until the old process ended,
     and its last task was given up."""
+
     async def run():
         budget, moved = Budget(64, 10**8), asyncio.get_running_loop().create_future()
         clients = Clients(None, None, budget, Buffers())
@@ -170,12 +184,13 @@
         assert clients.admit(ours)
         theirs.send(b"GET /_health HTTP/1.1\r\n")
         await asyncio.sleep(0.05)
-        clients.moving = lambda known, sock: moved.set_result(sock)     # nobody looks for who is still
+        clients.moving = lambda known, sock: moved.set_result(sock)  # nobody looks for who is still
         theirs.send(b"\r\n")
         assert await asyncio.wait_for(moved, 2) is ours and not clients.open and budget.clients == 0
         assert theirs.recv(99).startswith(b"HTTP/1.1 200")
         theirs.send(b"more")
         assert ours.recv(99) == b"more"
+
     asyncio.run(run())
 
 
@@ -193,33 +208,38 @@
 
 def test_tasks_in_work_go_over_and_the_old_process_ends_at_once():
     """They may last longer than a process that was told to end."""
+
     async def story(w):
         pairs = [await w.connect() for _ in range(3)]
-        texts = [post(f"/{path}/k", name=path, X_Deadline="9000m", Idempotency_Key="i")
-                 for path in ("read", "put", "act")]
+        texts = [
+            post(f"/{path}/k", name=path, X_Deadline="9000m", Idempotency_Key="i")
+            for path in ("read", "put", "act")
+        ]
         works = [asyncio.create_task(w.ask(*both)) for both in zip(texts, pairs, strict=True)]
         await w.until(lambda: sum(len(e.got) for e in w.executors) == 3)
         await asyncio.sleep(0.05)
         other = await (await Another(w).start()).ready()
         began = time.monotonic()
         await over(w)
-        assert time.monotonic() - began < 0.5   # nothing is left to wait for
-        third = await (await Another(w).start()).ready()    # and once more
+        assert time.monotonic() - began < 0.5  # nothing is left to wait for
+        third = await (await Another(w).start()).ready()  # and once more
         assert "goes on with: 3" in await other.end()
         assert not any(work.done() for work in works)
         answers = await asyncio.gather(*works)
         assert answers == [(200, b"made of read"), (200, b"made of put"), (200, b"made of act")]
         assert sum(len(e.got) for e in w.executors) == 3
-        for pair in pairs:      # the connections live on, on both sides
+        for pair in pairs:  # the connections live on, on both sides
             assert (await w.ask(b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n", pair))[0] == 200
         assert sum(e.connections - e.ended for e in w.executors) >= 1
         await third.end()
+
     play(story, long, long, managed=True, settings=LONG | {"load-report": {"how": "off"}})
 
 
 @pytest.mark.parametrize("path, status, sends", [("read", 200, 2), ("act", 500, 1)])
 def test_a_task_that_went_over_keeps_the_rules_on_repeats(path, status, sends):
     """Its executor dies under it: what may have run is known to the new process too."""
+
     async def first_dies(executor, writer, name):
         if dead.is_set():
             await executor.lines(writer, name, "started", "done")
@@ -227,11 +247,12 @@
         await executor.lines(writer, name, "started", whole=False)
         await dead.wait()
         writer.transport.abort()
+
     dead = asyncio.Event()
 
     async def story(w):
         pair = await w.connect()
-        body = bytes(range(256)) * 200      # more than one line takes at once
+        body = bytes(range(256)) * 200  # more than one line takes at once
         text = post(f"/{path}/k?a=%20", name="t", body=body, X_Deadline="9000m")
         work = asyncio.create_task(w.ask(text, pair))
         await w.until(lambda: any(e.got for e in w.executors))
@@ -243,6 +264,7 @@
         got = [(first, headers["x-request-id"], sent) for e in w.executors for first, headers, sent in e.got]
         assert got == [(f"POST /{path}/k?a=%20 HTTP/1.1", "t", body)] * sends
         await other.end()
+
     play(story, first_dies, first_dies, managed=True, settings=LONG)
 
 
@@ -269,6 +291,7 @@
         line.close()
         for sock in files:
             sock.close()
+
     play(story, slowly, managed=True)
 
 
@@ -283,6 +306,7 @@
         await ending
         assert (await w.ask(post(name="new"), pair))[0] == 200  # handed over when it was answered
         await other.end()
+
     play(story, slowly, managed=True)
 
 
@@ -293,7 +317,7 @@
         for n in range(4):
             assert (await w.ask(post(name=f"t{n}")))[0] == 200
         assert not w.executors[0].got
-        assert await call(w.management_port, b"ATTACH e0\n") == b"+OK\n"   # at the old one
+        assert await call(w.management_port, b"ATTACH e0\n") == b"+OK\n"  # at the old one
         assert await call(w.management_port, b"DETACH e1\n") == b"+OK\n"
         for n in range(4):
             assert (await w.ask(post(name=f"u{n}")))[0] == 200
@@ -301,6 +325,7 @@
         assert await call(other.port, b"DETACH e9\n") == b"-ERR no such executor\n"
         await over(w)
         assert "taken out by operators: e0" in await other.end()
+
     play(story, None, None, managed=True)
 
 
@@ -317,6 +342,7 @@
         await other.end()
         other = await (await Another(w).start()).ready()
         assert "taken out" not in await other.end()
+
     play(story, None, None, managed=True)
 
 
@@ -324,10 +350,16 @@
     async def story(w):
         w.path.write_bytes(b"{}")
         bad = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "firwalk", "--config", w.path, stderr=asyncio.subprocess.DEVNULL,
-            env=os.environ | {"TMPDIR": w.folder.name})
+            sys.executable,
+            "-m",
+            "firwalk",
+            "--config",
+            w.path,
+            stderr=asyncio.subprocess.DEVNULL,
+            env=os.environ | {"TMPDIR": w.folder.name},
+        )
         assert await bad.wait() == 2
-        bad = await Another(w, management=f"127.0.0.1:{w.management_port}").start()     # an address in use
+        bad = await Another(w, management=f"127.0.0.1:{w.management_port}").start()  # an address in use
         assert await bad.program.wait() == 2
         assert (await w.ask(post(name="t1")))[0] == 200
         other = await (await Another(w).start()).ready()
@@ -338,6 +370,7 @@
         await over(w)
         assert (await w.ask(post(name="t3")))[0] == 200
         await other.end()
+
     play(story, managed=True)
 
 
@@ -353,13 +386,14 @@
         await over(w)
         assert (await w.ask(post(name="u")))[0] == 200
         await other.end()
+
     play(story, None, None, managed=True)
 
 
 def test_a_second_upgrade_straight_after_the_first_waits_for_the_oldest():
     async def story(w):
         pair = await w.connect()
-        pair[1].write(post("/act/k", name="old", X_Deadline="2000m"))   # keeps the first process for a while
+        pair[1].write(post("/act/k", name="old", X_Deadline="2000m"))  # keeps the first process for a while
         await w.until(lambda: w.executors[0].got)
         second = await (await Another(w).start()).ready()
         w.program.send_signal(signal.SIGTERM)
@@ -371,6 +405,7 @@
         assert "serves from now on" in await second.end()
         assert (await w.ask(post("/read/k", name="t2")))[0] == 200
         await third.end()
+
     play(story, mute_to_old, managed=True)
 
 
@@ -381,14 +416,18 @@
         await w.until(lambda: w.executors[0].got)
         other = await (await Another(w).start()).ready()
         look = w.settings["offerings"][0] | {"name": "look"}
-        w.path.write_bytes(orjson.dumps(
-            w.config | {"settings": w.settings | {"offerings": [*w.settings["offerings"], look]}}))
-        w.program.send_signal(signal.SIGHUP)    # to the old one alone
+        w.path.write_bytes(
+            orjson.dumps(
+                w.config | {"settings": w.settings | {"offerings": [*w.settings["offerings"], look]}}
+            )
+        )
+        w.program.send_signal(signal.SIGHUP)  # to the old one alone
         await w.logs("offerings: read, put, act, look")
         assert (await w.ask(post("/look/k", name="t1")))[0] == 200
         assert (await busy)[0] == 200
         await over(w)
         assert "offerings: read, put, act, look" in await other.end()
+
     play(story, slowly, managed=True)
 
 
@@ -402,6 +441,7 @@
             said = (await stranger.program.stderr.read()).decode()
             assert await stranger.program.wait() == 2 and "in use" in said and said.count("\n") == 1, said
         assert (await w.ask(post()))[0] == 200
+
     play(story, managed=True)
 
 
@@ -413,12 +453,13 @@
         other = await (await Another(w).start()).ready()
         files = [len(os.listdir(f"/proc/{pid}/fd")) for pid in (w.program.pid, other.program.pid)]
         assert sum(files) <= 160, files
-        for n in range(8):      # new ones come before the old process has ended, and nobody gives way
+        for n in range(8):  # new ones come before the old process has ended, and nobody gives way
             assert (await w.ask(post(name=f"x{n}")))[0] == 200
         await over(w)
         for n, pair in enumerate(many):
             assert (await w.ask(post(name=f"u{n}"), pair))[0] == 200
         assert "the whole of the limits" in await other.end()
+
     play(story, managed=True, limits={"sockets": 160})
 
 
@@ -435,6 +476,7 @@
         assert (await w.ask(post(name="v")))[0] == 200
         assert [e.connections for e in w.executors] == opened
         await other.end()
+
     play(story, managed=True, settings={"load-report": {"how": "off"}})
 
 
@@ -449,11 +491,23 @@
         assert time.monotonic() - began < 3.6
         assert (await read_message(pair[0]))[0].startswith("HTTP/1.1 500")
         await other.end()
+
     play(story, silent, managed=True)
 
 
-@pytest.mark.parametrize("text", [b"", b"{", b"[]", b'{"version":9}', b'{"version":1,"out":7}', b"\xff" * 99,
-                                  b'{"version":1,"out":{"e0":"x"}}', b"1" * (1 << 21)])
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"version":9}',
+        b'{"version":1,"out":7}',
+        b"\xff" * 99,
+        b'{"version":1,"out":{"e0":"x"}}',
+        b"1" * (1 << 21),
+    ],
+)
 def test_a_file_that_cannot_be_used_costs_a_line_and_no_more(tmp_path, text, monkeypatch):
     said = []
     monkeypatch.setattr("firwalk.net.handover.say", said.append)
@@ -483,12 +537,14 @@
             sock.close()
         one.close()
         two.close()
+
     asyncio.run(run())
 
 
 def test_what_does_not_fit_on_the_way_waits_and_what_cannot_be_copied_is_not_sent():
     """A machine lets a user have so many descriptors on the way and no more; a process at its limit has none
     for copies. Taken for the end of the other process, either would have ended all connections."""
+
     class Full:
         tries = 0
 
@@ -519,6 +575,7 @@
         assert about["number"] == 3 and one.open and one.sock.tries == 3
         for thing in (got, kept, given, sock, two):
             thing.close()
+
     sock = None
     asyncio.run(run())
 
@@ -532,15 +589,18 @@
             tries.append(1)
             line.open = len(tries) < 3
             raise OSError(errno.EMFILE, "too many open files")
+
         succession._hand_over_now = now
         await asyncio.wait_for(succession._hand_over(line), 2)
         assert len(tries) == 3
+
     asyncio.run(run())
 
 
 def test_a_world_without_a_second_address_keeps_nothing():
     async def story(w):
         assert [p.name for p in w.path.parent.iterdir()] == ["config.json"]
+
     play(story)
     assert World().managed is False
 
@@ -548,11 +608,12 @@
 def test_what_is_handed_on_twice_does_not_block_those_who_hold_it():
     """A copy of what came from the process before made it block, for all: at the second replacement in a row
     the old process stood still in its peers' socket for nine seconds, with its clients waiting."""
+
     async def story():
         peers = socket.socket(type=socket.SOCK_DGRAM)
         peers.setblocking(False)
         held = peers
-        for _ in range(2):       # from the first process to the second, and from that one to the third
+        for _ in range(2):  # from the first process to the second, and from that one to the third
             one, two = (Line(sock) for sock in socket.socketpair())
             one.say({"state": 1}, held)
             _, (held,) = await two.next()
@@ -561,11 +622,13 @@
             two.close()
         held.close()
         peers.close()
+
     asyncio.run(asyncio.wait_for(story(), 5))
 
 
 def test_many_connections_go_over_within_few_turns_of_the_loop():
     """One came an iteration: beside other work a request that went over was read behind its deadline."""
+
     async def run():
         ours, theirs = socket.socketpair()
         giver, taker = Line(ours), Line(theirs)
@@ -576,6 +639,7 @@
             turns[0] += 1
             if not over:
                 loop.call_soon(turn)
+
         for mine, _ in ends:
             giver.say({"client": True}, mine, give=True)
         loop.call_soon(turn)
@@ -588,4 +652,5 @@
         giver.close()
         taker.close()
         return over[0]
+
     assert asyncio.run(run()) <= 10
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -1,4 +1,5 @@
 """The adapter against the worked frames of the wire's description, and against malformed input."""
+
 import io
 import json
 
@@ -8,9 +9,14 @@
 from firwalk.wirehost import codec as c
 from firwalk.wirehost.__main__ import Wire
 
-SETTINGS = {"discovery": "ask", "siblings": 1, "resolution-us": 5000, "unknown": 1,
-            "offerings": [{"due-time-us": 400000, "expiry-us": 8000000, "repeat": "safe", "importance": 5.0}],
-            "limits": {"most-assignments": 5, "second-copies": True, "cancel": True}}
+SETTINGS = {
+    "discovery": "ask",
+    "siblings": 1,
+    "resolution-us": 5000,
+    "unknown": 1,
+    "offerings": [{"due-time-us": 400000, "expiry-us": 8000000, "repeat": "safe", "importance": 5.0}],
+    "limits": {"most-assignments": 5, "second-copies": True, "cancel": True},
+}
 
 
 def batch(number, clock, *records):
@@ -23,11 +29,13 @@
     return c.EVENTS[c.INIT].pack(instance, 7, len(text)).replace(b"\0", b"\x5a", 1) + text
 
 
-SHEET = bytes.fromhex("320002000000" "0000010000803f0a124a07431f00000000000000000000"
-                      "0001010000c03f0a9011f26c1f20145d00000000000000")
-TARGETS = bytes.fromhex("3c030000000229000000" "00")
-ITEM = bytes.fromhex("6e03000000c4913a5d194f0500000000000000640ad2557c3bf091"
-                     "80a90300e02e0000000000400000000001")
+SHEET = bytes.fromhex(
+    "3200020000000000010000803f0a124a07431f000000000000000000000001010000c03f0a9011f26c1f20145d00000000000000"
+)
+TARGETS = bytes.fromhex("3c03000000022900000000")
+ITEM = bytes.fromhex(
+    "6e03000000c4913a5d194f0500000000000000640ad2557c3bf09180a90300e02e0000000000400000000001"
+)
 RESPONSE = bytes.fromhex("7803000000c4913a5d194f05000a124a07431f44480000000100000000")
 
 
@@ -57,11 +65,21 @@
 
 def test_worked_layouts_read_back():
     assert c.EVENTS[c.RESPONSE].unpack(RESPONSE) == (
-        3, 0x54F195D3A91C4, bytes.fromhex("0a124a07431f"), 18500, 0, 1, 0, 0, 0)
+        3,
+        0x54F195D3A91C4,
+        bytes.fromhex("0a124a07431f"),
+        18500,
+        0,
+        1,
+        0,
+        0,
+        0,
+    )
     assert c.EVENTS[c.TIMER].unpack(bytes.fromhex("50030000004d00000000000000")) == (3, 77)
     assert c.EVENTS[c.DROPPED].unpack(bytes.fromhex("1e05000000192b6f0e4d520500"))[0] == 5
     assert c.DEFER.pack(c.DO_DEFER, 3, 8423802, 77) == bytes.fromhex(
-        "32030000007a898000000000004d00000000000000")
+        "32030000007a898000000000004d00000000000000"
+    )
     assert set(c.OUTCOMES.values()) == set(Outcome) - {Outcome.UNFIT}  # an answer of sockets only
 
 
@@ -72,11 +90,18 @@
     assert (wire.instances[3].tasks, wire.instances[3].executors) == ({}, {})
 
 
-@pytest.mark.parametrize("data, word", [
-    (b"\x01\0\0", "batch header"), (batch(1, 5, ITEM)[:-3], "batch 1"),
-    (batch(1, 5, b"\x07"), "unknown record"), (batch(1, 5, init(settings=[1])), "JSON object"),
-    (batch(1, 5, ITEM), "not started"),
-    (batch(1, 5, SHEET[:-4]), "cut short"), (batch(1, 5, ITEM[:-1]), "malformed")])
+@pytest.mark.parametrize(
+    "data, word",
+    [
+        (b"\x01\0\0", "batch header"),
+        (batch(1, 5, ITEM)[:-3], "batch 1"),
+        (batch(1, 5, b"\x07"), "unknown record"),
+        (batch(1, 5, init(settings=[1])), "JSON object"),
+        (batch(1, 5, ITEM), "not started"),
+        (batch(1, 5, SHEET[:-4]), "cut short"),
+        (batch(1, 5, ITEM[:-1]), "malformed"),
+    ],
+)
 def test_malformed_input_is_named(data, word):
     with pytest.raises(c.Malformed, match=word):
         run(data)
