A start tries its address and its sockets again for 1.5 s

Cause: each was tried once, so that an address let go of a moment later, ENFILE, EMFILE, ENOBUFS or ENOMEM ended the start with 2; the place where the next process finds this one failed with an unbound name then. Change: net/opening.py does it again while the reason is one that passes; a process before that has just bound the address is asked again, too. SIGTERM meanwhile ends it with 0. The listener of operators and of peers, and the meeting place, likewise; what failed is closed.

--- a/firwalk/__main__.py
+++ b/firwalk/__main__.py
@@ -17,6 +17,7 @@
 import uvloop
 
 from firwalk.log import report
+from firwalk.net.opening import ToldToStop
 from firwalk.net.service import Service
 from firwalk.settings import in_lines, load, read
 
@@ -87,6 +88,10 @@
         if operations:
             service.join(_operations(operations, service.config))
         await service.open()
+    except ToldToStop:
+        report("told to end before it served: nothing was taken")
+        _ignore_signals(loop)
+        return 0
     except Unfit as problem:
         for line in str(problem).splitlines():
             print(f"firwalk: cannot start: {line}", file=sys.stderr)
--- a/firwalk/net/handover.py
+++ b/firwalk/net/handover.py
@@ -14,13 +14,16 @@
 from array import array
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from zlib import crc32
 
 import orjson
 
 from firwalk.log import say, trouble
+from firwalk.net.errors import Pause
 from firwalk.net.filters import SO_ATTACH_REUSEPORT_CBPF, always_return
+from firwalk.net.opening import SHORT_OF_RESOURCES
 from firwalk.net.waiting import readable
 
 VERSION = 1
@@ -196,7 +199,10 @@
 
     def call(self) -> Line | None:
         """Reaches the process that accepts now, if there is one."""
-        sock = socket.socket(socket.AF_UNIX)
+        try:
+            sock = socket.socket(socket.AF_UNIX)
+        except OSError:
+            return None
         try:
             self._reached(sock.connect)
             line = Line(sock)
@@ -208,7 +214,16 @@
         return None
 
     def listen(self) -> None:
-        """From now on the next process finds this one."""
+        """From now on the next process finds this one; later, if it cannot be for a moment."""
+        problem = self._bind()
+        if problem is None or problem.errno in SHORT_OF_RESOURCES:
+            self.accepting = asyncio.get_running_loop().create_task(self._listen())
+        else:
+            say(f"no process can take over from this one: {problem}")
+
+    def _bind(self) -> OSError | None:
+        """What stands in the way, if something does."""
+        sock = None
         try:
             sock = socket.socket(socket.AF_UNIX)
             sock.setblocking(False)
@@ -216,11 +231,21 @@
             self._reached(sock.bind)
             sock.listen(8)
         except OSError as problem:
-            say(f"no process can take over from this one: {problem}")
-            sock.close()
-            return
+            if sock is not None:
+                sock.close()
+            return problem
         self.listener = sock
-        self.accepting = asyncio.get_running_loop().create_task(self._accept())
+        return None
+
+    async def _listen(self) -> None:
+        pause = Pause()
+        while self.listener is None:
+            await asyncio.sleep(pause.next())
+            problem = self._bind()
+            if problem is not None and problem.errno not in SHORT_OF_RESOURCES:
+                say(f"no process can take over from this one: {problem}")
+                return
+        await self._accept()
 
     async def _accept(self) -> None:
         while True:
@@ -242,7 +267,8 @@
             self.accepting = None
         if self.listener is not None:
             if unlink:
-                self.path.unlink(missing_ok=True)
+                with suppress(OSError):  # one that is left behind answers nobody
+                    self.path.unlink(missing_ok=True)
             self.listener.close()
             self.listener = None
 
--- a/firwalk/net/management.py
+++ b/firwalk/net/management.py
@@ -42,11 +42,17 @@
         self.listener: socket.socket | None = None
         self.accepting: asyncio.Task | None = None
 
-    def listen(self, address: tuple[str, int]) -> None:
-        self.listener = new_socket(address)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(address)
-        self.listener.listen(BACKLOG)
+    async def listen(self, address: tuple[str, int]) -> None:
+        """OSError, and nothing is left open."""
+        listener = new_socket(address)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(address)
+            listener.listen(BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        self.listener = listener
         self.accepting = asyncio.get_running_loop().create_task(self._accept())
 
     async def _accept(self) -> None:
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -6,6 +6,7 @@
 import resource
 import socket
 from collections.abc import Callable
+from math import inf
 from time import monotonic, time
 
 from firwalk.events import Event, State
@@ -19,6 +20,7 @@
 from firwalk.net.executors import Executors
 from firwalk.net.handover import steer
 from firwalk.net.management import Management, places
+from firwalk.net.opening import ADDRESS_TAKEN, SHORT_OF_RESOURCES, ToldToStop, patiently
 from firwalk.net.peers import Peers
 from firwalk.net.stopping import Stop
 from firwalk.net.succession import Succession
@@ -138,19 +140,30 @@
     async def open(self) -> None:
         address = parse(self.config["listen"])
         management = parse(self.config["management"]) if self.managed else None
+        await patiently(lambda: self._take_over_or_bind(address), ADDRESS_TAKEN, self.told_to_stop)
+        if management is not None:
+            await patiently(lambda: self.management.listen(management), SHORT_OF_RESOURCES, self.told_to_stop)
+
+    async def _take_over_or_bind(self, address: tuple[str, int]) -> None:
+        """From the process before, if there is one: one that has just bound the address may answer by now."""
         shared = await self.succession.join()
         if shared:
             self.listener, *peers = shared
             self.listener.setblocking(False)
             self.peers.sock = peers[0] if peers else None
         else:
-            self._listen(address)
+            self._bind(address)
             self._hear_peers()
-        if management is not None:
-            self.management.listen(management)
 
-    def _listen(self, address: tuple[str, int]) -> None:
+    def _bind(self, address: tuple[str, int]) -> None:
         self.listener = new_socket(address)
+        try:
+            self._bind_listener(address)
+        except OSError:
+            self.listener.close()
+            raise
+
+    def _bind_listener(self, address: tuple[str, int]) -> None:
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if self.succession.hung:  # beside the one that hangs; its listener allows that
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
@@ -210,7 +223,10 @@
             self.clients.keep(self.loop.create_task(self._speak()))
 
     async def _speak(self) -> None:
-        await self.peers.open()
+        try:
+            await patiently(self.peers.open, SHORT_OF_RESOURCES, self.told_to_stop, inf)
+        except ToldToStop:
+            return
         if self.cluster is not None:
             self.cluster.start()
 
@@ -261,7 +277,11 @@
             self.loop.create_task(self.clients.stalls.run()),
         ]
         self.turns.soon()
-        if not await self._begin():
+        try:
+            begun = await self._begin()
+        except ToldToStop:
+            begun = False
+        if not begun:
             report("told to end before it served: nothing was taken")
             self.let_go(standing)
             return
@@ -285,9 +305,12 @@
         if self.told_to_stop() and not self.succession.hung:
             return False
         if not self.succession.hung:  # beside one that hangs it listens already
-            self._let_in()
+            await patiently(self._open_to_clients, ADDRESS_TAKEN, self.told_to_stop)
         return True
 
+    async def _open_to_clients(self) -> None:
+        self._let_in()
+
     def let_go(self, standing: list[asyncio.Task]) -> None:
         """Ends what stands by and what both processes of a node share."""
         for work in standing:
