An agent knows its processes by the machine's clock, and outlives a full folder

Change: the start of a process is read from /proc in seconds since the machine's own, with the boot's number; files of agents before, by the wall clock, are understood. A write that fails is said and tried again with each look.

--- a/firwalk/agent/machine.py
+++ b/firwalk/agent/machine.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import time
+from contextlib import suppress
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -25,6 +26,8 @@
 CHECK_TIME = 5.0  # seconds in which one must end
 NONE = "-"  # in place of an empty word
 STATE = "agent.json"
+START_TICKS = 19  # of proc_pid_stat(5), counted from behind the name: field 22
+SAME_S = 0.1  # by which two times of one start may differ
 
 
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
@@ -70,10 +73,24 @@
 
 
 class State(Struct):
-    """What is kept; `created`: when each process came to be, by its pid, which may be another's by now."""
+    """What is kept; `created`: when each process began, in seconds since the machine did, by its pid, which
+    may be another's by now; `boot`: of the machine. Without it the times are by the wall clock, as agents
+    wrote them before."""
 
     kept: Kept
     created: dict[int, float]
+    boot: str = ""
+
+
+def boot_id() -> str:
+    """Which start of the machine this is."""
+    return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+
+
+def began_s(pid: int) -> float:
+    """When a process began, in seconds since the machine did: no step of the wall clock moves it. OSError."""
+    words = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return int(words[START_TICKS]) / os.sysconf("SC_CLK_TCK")
 
 
 class Machine:
@@ -83,6 +100,7 @@
         self.told, self.folder = told, Path(told.folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.processes: dict[int, psutil.Popen | psutil.Process] = {}  # by pid
+        self.unwritten = False  # whether the file is behind
         self.kept = self._read()
         self.keeper = Keeper(self, self.kept, Times(told.ready, told.confirm, told.hang))
         self.stopping = asyncio.Event()
@@ -100,28 +118,43 @@
                 say(f"agent: begun without what {STATE} keeps: {' '.join(str(problem).split())}")
             return Kept(self.told.release, self._base().get("tag", ""))
         for child in (told.kept.serving, told.kept.coming, told.kept.leaving):
-            found = self._found(child.pid, told.created.get(child.pid)) if child is not None else None
-            if found is not None:
+            if child is not None and (found := self._found(child.pid, told)) is not None:
                 self.processes[child.pid] = found
         return told.kept
 
-    def _found(self, pid: int, created: float | None) -> psutil.Process | None:
+    def _found(self, pid: int, told: State) -> psutil.Process | None:
+        """The process that an agent before started, if it is there yet."""
+        if pid not in told.created or told.boot not in ("", boot_id()):
+            return None
         try:
             process = psutil.Process(pid)
-            return process if created is not None and abs(process.create_time() - created) < 0.1 else None
-        except (psutil.Error, ValueError):
+            began = began_s(pid) if told.boot else process.create_time()
+        except (OSError, psutil.Error, ValueError):
             return None
+        return process if abs(began - told.created[pid]) < SAME_S else None
 
     def keep(self, kept: Kept) -> None:
-        """Written beside and put in its place whole."""
+        """Written beside and put in its place whole; what cannot be written is tried again with each look,
+        and the agent goes on: its node needs it more than the file."""
+        try:
+            self._write(kept)
+            self.unwritten = False
+        except OSError as problem:
+            self.unwritten = True
+            say(f"agent: {STATE} cannot be written: {problem}")
+
+    def keep_again(self) -> None:
+        """What could not be written."""
+        if self.unwritten:
+            self.keep(self.kept)
+
+    def _write(self, kept: Kept) -> None:
         created: dict[int, float] = {}
-        for pid, process in self.processes.items():
-            try:
-                created[pid] = process.create_time()
-            except psutil.Error:
-                continue
+        for pid in self.processes:
+            with suppress(OSError):
+                created[pid] = began_s(pid)
         part = self.folder / f"{STATE}.part"
-        part.write_bytes(msgspec.json.encode(State(kept, created)))
+        part.write_bytes(msgspec.json.encode(State(kept, created, boot_id())))
         part.replace(self.folder / STATE)
 
     # -- the keeper's host -----------------------------------------------------------------------------------
@@ -214,6 +247,7 @@
         self.keeper.begun(time.monotonic())
         while True:
             await self._look()
+            self.keep_again()
             now = time.monotonic()
             if self.stopping.is_set():
                 self.keeper.stop(now)
