--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -108,3 +108,46 @@
         await serves(process, port)
 
     play(story)
+
+
+# Some of the program's calls for its configuration fail.
+SHORT_OF_FILES = """
+import os, sys
+from firwalk import settings
+from firwalk.__main__ import main
+calls = 0
+def opened(*words):
+    global calls
+    calls += 1
+    if {first} <= calls < {last}:
+        raise OSError({number}, os.strerror({number}))
+    return open(*words)
+settings.open = opened
+sys.exit(main())
+"""
+
+
+@pytest.mark.parametrize("name", ["ENFILE", "EMFILE", "ENOMEM"])
+def test_a_configuration_that_cannot_be_opened_for_a_moment_does_not_end_a_start(name):
+    async def story(world):
+        code = SHORT_OF_FILES.format(first=1, last=6, number=getattr(errno, name))
+        await serves(*await start(world, "-c", code))
+
+    play(story)
+
+
+@pytest.mark.parametrize("name", ["ENFILE", "EMFILE", "ENOMEM"])
+def test_a_new_configuration_that_cannot_be_opened_for_a_moment_is_taken_over_later(name):
+    async def story(world):
+        code = SHORT_OF_FILES.format(first=2, last=6, number=getattr(errno, name))
+        process, port = await start(world, "-c", code)
+        while b"listens at" not in await asyncio.wait_for(process.stderr.readline(), 10):
+            pass
+        process.send_signal(signal.SIGHUP)
+        line = await asyncio.wait_for(process.stderr.readline(), 3)
+        assert b"reloaded" in line, line
+        process.send_signal(signal.SIGTERM)
+        await process.stderr.read()
+        assert await process.wait() == 0
+
+    play(story)
