--- a/firwalk/__main__.py
+++ b/firwalk/__main__.py
@@ -13,14 +13,18 @@
 import signal
 import sys
 from contextlib import suppress
+from time import monotonic
 
 import uvloop
 
 from firwalk.log import report
-from firwalk.net.opening import ToldToStop
+from firwalk.net.opening import SHORT_OF_RESOURCES, ToldToStop, patiently
 from firwalk.net.service import Service
 from firwalk.settings import in_lines, load, read
 
+RELOAD_PATIENCE_S = 3.0  # in which a file that cannot be opened at SIGHUP is tried again
+AGAIN_S = 0.05
+
 
 class Unfit(Exception):
     """An operators' file that cannot be used; the text has a line for each fault."""
@@ -51,9 +55,17 @@
     both read their file."""
     if not told:
         service.succession.pass_on_reload()
+    _take_over(service, path, operations, monotonic() + RELOAD_PATIENCE_S)
+
+
+def _take_over(service: Service, path: str, operations: str | None, until: float) -> None:
+    """Reads the files; again a little later, until then, where they cannot be opened for a moment."""
     try:
         service.reload(read(path))
     except Exception as problem:  # a bad file must not end a node that serves
+        if getattr(problem, "errno", 0) in SHORT_OF_RESOURCES and monotonic() < until:
+            service.loop.call_later(AGAIN_S, _take_over, service, path, operations, until)
+            return
         for line in in_lines(problem):
             report(f"all stays as it was: cannot use {path}: {line}")
     if service.cluster is not None:
@@ -73,10 +85,14 @@
         service.desk.events.write = write
 
 
+async def _load(path: str) -> dict:
+    return load(path)
+
+
 async def _run(path: str, operations: str | None) -> int:
     loop = asyncio.get_running_loop()
     try:
-        service = Service(load(path))
+        service = Service(await patiently(lambda: _load(path), SHORT_OF_RESOURCES, lambda: False))
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, service.stop.request)
         service.reread = lambda: _reload(service, path, True, operations)
--- a/firwalk/net/opening.py
+++ b/firwalk/net/opening.py
@@ -6,6 +6,7 @@
 import errno
 from collections.abc import Awaitable, Callable
 from time import monotonic
+from typing import TypeVar
 
 from firwalk.net.errors import Pause
 
@@ -16,22 +17,24 @@
 ADDRESS_TAKEN = SHORT_OF_RESOURCES | {errno.EADDRINUSE, errno.EADDRNOTAVAIL}
 
 
+Result = TypeVar("Result")
+
+
 class ToldToStop(Exception):
     """The process was told to end before it had what it needs."""
 
 
 async def patiently(
-    act: Callable[[], Awaitable[None]],
+    act: Callable[[], Awaitable[Result]],
     passing: frozenset[int],
     told_to_stop: Callable[[], bool],
     patience_s: float = PATIENCE_S,
-) -> None:
+) -> Result:
     """Does it, again while it fails for one of the reasons that pass. OSError, ToldToStop."""
     pause, end = Pause(), monotonic() + patience_s
     while True:
         try:
-            await act()
-            return
+            return await act()
         except OSError as problem:
             if problem.errno not in passing or monotonic() > end:
                 raise
