--- a/firwalk/agent/machine.py
+++ b/firwalk/agent/machine.py
@@ -124,9 +124,9 @@
 
     def _found(self, pid: int, told: State) -> psutil.Process | None:
         """The process that an agent before started, if it is there yet."""
-        if pid not in told.created or told.boot not in ("", boot_id()):
-            return None
         try:
+            if pid not in told.created or told.boot not in ("", boot_id()):
+                return None
             process = psutil.Process(pid)
             began = began_s(pid) if told.boot else process.create_time()
         except (OSError, psutil.Error, ValueError):
--- a/tests/fleet/test_budgets_processes.py
+++ b/tests/fleet/test_budgets_processes.py
@@ -82,11 +82,7 @@
     report, rig = played["another contract while tasks run"]
     assert 0.0 < report["budgets"]["west"]["most_out"] <= 1.0 and report["budgets"]["west"]["ran"] > 2.0
     assert report["service"]["west-flood"]["bounced"] > 500
-    # An executor that does not tell its start in time is given up on when the task is due, on a busy machine
-    # too; nothing is given up for its budget.
-    for told in report["service"].values():
-        assert not told["abandoned_early"] and told["abandoned"] < 0.1 * told["tasks"], told
-    assert not report["service"]["west-flood"]["abandoned"]
+    assert not sum(told["abandoned"] for told in report["service"].values())
 
 
 def test_who_has_no_contract_is_served_and_wrong_hints_shut_nobody_out(played):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -311,10 +311,7 @@
         assert done >= 4 and sum(len(e.got) for e in w.executors) == done
         before = [len(e.got) for e in w.executors]
         answers = await asyncio.gather(*[w.ask(post("/read/k", f"u{n}")) for n in range(8)])
-        for n, (status, _) in enumerate(answers):  # else it met dead connections at both, seen as late
-            ended = [e["reason"] for e in w.events(f"u{n}") if e["event"] == "attempt_ended"]
-            assert status == 200 or (status, ended) == (503, ["broken"] * 2), (status, ended)
-        assert sum(status == 200 for status, _ in answers) >= 4
+        assert [status for status, _ in answers] == [200] * 8
         assert all(len(e.got) > n for e, n in zip(w.executors, before, strict=True))  # none was set aside
 
     play(story, None, None)
