--- a/review/rig.py
+++ b/review/rig.py
@@ -20,6 +20,7 @@
 HEALTH_CHECK = b"GET /_health HTTP/1.1\r\nHost: f\r\n\r\n"
 BLANK_LINE_INTERVAL_S = 2.0
 START_TIMEOUT_S = 15.0
+TIME_LIMIT_S = 110.0
 HELD = 0
 BROKEN = 1
 CANNOT_RUN = 2
@@ -427,6 +428,11 @@
     return status, body.decode()
 
 
+async def _with_time_limit(case: Awaitable[bool]) -> bool:
+    async with asyncio.timeout(TIME_LIMIT_S):
+        return await case
+
+
 def main(case_file: str, case: Callable[[Record, Path], Awaitable[bool]]) -> int:
     """Run a case in a temporary folder; return the exit code of its script.
 
@@ -434,10 +440,11 @@
     """
     record = Record(Path(case_file).resolve().parent)
     record.write(f"trouble: {'on' if trouble_is_on() else 'off'}")
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the case ends what it started
     with tempfile.TemporaryDirectory() as folder:
         try:
-            held = asyncio.run(asyncio.wait_for(case(record, Path(folder)), 110.0))  # type: ignore[arg-type]
-        except (CannotRun, OSError, TimeoutError) as error:
+            held = asyncio.run(_with_time_limit(case(record, Path(folder))))
+        except (Exception, KeyboardInterrupt) as error:  # whatever it was, the rule was not judged
             record.write(f"cannot run: {error!r}")
             return CANNOT_RUN
     record.write("the rule held" if held else "THE RULE WAS BROKEN")
