--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,6 +33,7 @@
         "settings": {
             "self-index": 0,
             "siblings": 1,
+            "resolution-us": 5000,
             "az": 0,
             "azs": ["a", "b"],
             "kinds": ["m"],
@@ -177,4 +178,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(rig.main(__file__, run))
+    sys.exit(rig.main(Path(__file__).resolve().with_name("record.txt"), run))
--- a/review/rig.py
+++ b/review/rig.py
@@ -63,9 +63,9 @@
 class Record:
     """The record of a case: one line for each thing sent, answered, run or done, with the seconds so far."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, file: Path) -> None:
         self.began_at = time.monotonic()
-        self.file: TextIO = (folder / "record.txt").open("w")
+        self.file: TextIO = file.open("w")
 
     def now(self) -> float:
         """Return the seconds since the case began."""
@@ -433,12 +433,12 @@
         return await case
 
 
-def main(case_file: str, case: Callable[[Record, Path], Awaitable[bool]]) -> int:
+def main(record_file: Path, case: Callable[[Record, Path], Awaitable[bool]]) -> int:
     """Run a case in a temporary folder; return the exit code of its script.
 
     `case(record, folder)` returns whether the rule held, and ends the processes that it started.
     """
-    record = Record(Path(case_file).resolve().parent)
+    record = Record(record_file)
     record.write(f"trouble: {'on' if trouble_is_on() else 'off'}")
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the case ends what it started
     with tempfile.TemporaryDirectory() as folder:
