Events: an attempt's event has the zone and cell that the node believes

Change: `attempt_begun` gains `zone` (number in `azs`) and `cell`; -1 where the node does not know them. A zone carries its number, so the search over all zones behind each outcome is gone (`zone_view.zone_number`). The golden sample of a request's events gains the two fields at the end of its lines; nothing else of it differs.

--- a/firwalk/dispatcher/dispatcher.py
+++ b/firwalk/dispatcher/dispatcher.py
@@ -232,7 +232,7 @@
         if attempt.is_in_flight and not attempt.started_at:
             now = self.clock()
             if self.health_observer is not None:
-                zone = zone_view.zone_number(self.policy, attempt.executor)
+                zone = attempt.executor.zone.number
                 self.health_observer.count_start(zone, now - attempt.sent_at, now)
             self.policy.attempt_started(now, attempt)
             self._finish_event(now)
@@ -287,7 +287,7 @@
         executor = self.executors[endpoint.name]
         if self.health_observer is not None:
             is_unreachable = outcome not in (Outcome.COMPLETED, Outcome.AT_CAPACITY)
-            zone = zone_view.zone_number(self.policy, executor)
+            zone = executor.zone.number
             self.health_observer.count_outcome(zone, is_unreachable, False, now, now - duration_s)
         self.policy.health_check_ended(now, executor, outcome, duration_s, parse_load_report(load))
         self._finish_event(now)
--- a/firwalk/dispatcher/endpoint_list.py
+++ b/firwalk/dispatcher/endpoint_list.py
@@ -12,11 +12,10 @@
 from firwalk.dispatcher.endpoint import Endpoint
 from firwalk.dispatcher.failure_gossip import ExecutorIndex
 from firwalk.dispatcher.maintenance import Maintenance
+from firwalk.policy.executor import UNKNOWN_NUMBER
 from firwalk.policy.interface import EndpointState
 from firwalk.policy.policy import Executor, Policy
 
-UNKNOWN_NUMBER = -1  # A zone or machine type that is not in the settings has this number.
-
 
 class EndpointEntry(NamedTuple):
     """The entry of an executor. Processes of a node exchange entries with the fields in this order."""
--- a/firwalk/dispatcher/policy_host.py
+++ b/firwalk/dispatcher/policy_host.py
@@ -26,7 +26,6 @@
 from firwalk.dispatcher.load_report import parse_load_report
 from firwalk.dispatcher.pending_request import PendingRequest
 from firwalk.dispatcher.timers import TimerCallback, TimerQueue
-from firwalk.dispatcher.zone_view import zone_number
 from firwalk.observability.events import EventLog, FailureReason
 from firwalk.observability.log import check_invariant
 from firwalk.observability.monitor import Monitor
@@ -152,7 +151,7 @@
         if outcome is Outcome.CANCELLED and (not is_late or started_at):
             return
         is_unreachable = outcome in UNREACHABLE_OUTCOMES and not started_at
-        zone = zone_number(self.policy, executor)
+        zone = executor.zone.number
         observer.count_outcome(zone, is_unreachable, outcome is Outcome.ERROR, now, attempt.sent_at)
 
     def _settle_charge(self, request: Request) -> None:
--- a/firwalk/dispatcher/zone_view.py
+++ b/firwalk/dispatcher/zone_view.py
@@ -4,17 +4,11 @@
 
 from math import inf
 
-from firwalk.policy.policy import Executor, Policy
+from firwalk.policy.policy import Policy
 
-UNKNOWN_ZONE = -1
 UNTIL_REVOKED = inf
 
 
-def zone_number(policy: Policy, executor: Executor) -> int:
-    """Return the number of the executor's zone."""
-    return next((number for number, zone in policy.zones.items() if zone is executor.zone), UNKNOWN_ZONE)
-
-
 def exclude_zones(policy: Policy, excluded: list[int]) -> None:
     """Stop sending to these zones; a later call without a zone includes it again."""
     for number, zone in policy.zones.items():
@@ -28,7 +22,7 @@
     """Return the work per second of the ready executors of each zone, not reduced by slow start."""
     capacities = [0.0] * zone_count
     for executor in policy.near + policy.far:
-        number = zone_number(policy, executor)
+        number = executor.zone.number
         if 0 <= number < zone_count:
             capacities[number] += executor.slots * executor.speed
     return capacities
--- a/firwalk/observability/monitor.py
+++ b/firwalk/observability/monitor.py
@@ -192,6 +192,8 @@
             record.request_id,
             attempt=number,
             executor=attempt_record.executor,
+            zone=executor.zone.number,
+            cell=executor.cell,
         )
 
     @staticmethod
--- a/firwalk/policy/executor.py
+++ b/firwalk/policy/executor.py
@@ -16,13 +16,16 @@
 GOSSIP_TTL_S = 6.0  # An error reported by any node counts for this long.
 MAX_SLOW_START_SENDS = 64
 
+UNKNOWN_NUMBER = -1  # The number of a zone, cell or machine type that this node does not know.
+
 LoadReport = Mapping[str, float]
 
 
 class Zone:
     """A zone: its lag, its mean load by other nodes, and its unreachable executors."""
 
-    def __init__(self) -> None:
+    def __init__(self, number: int) -> None:
+        self.number = number
         self.lag = 0.0  # mean excess start delay in seconds
         self.lag_at = 0.0
         self.mean_slot_load = 0.0  # mean load of a slot by other nodes
--- a/firwalk/policy/executor_set.py
+++ b/firwalk/policy/executor_set.py
@@ -16,7 +16,7 @@
     def __init__(self, config: PolicyConfig, random: RandomSource) -> None:
         self.config = config
         self.random = random
-        self.own_zone = Zone()
+        self.own_zone = Zone(config.zone)
         self.zones: dict[int, Zone] = {config.zone: self.own_zone}
         self.machine_type_speeds: dict[int, SpeedEstimate] = {}
         self.executors: list[Executor] = []
@@ -47,7 +47,7 @@
         executor = Executor(
             handle,
             machine_type,
-            self.zones.setdefault(zone, Zone()),
+            self.zones.setdefault(zone, Zone(zone)),
             cell,
             machine_type_speed.speed,
             slow_start_offset,
--- a/tests/golden/test_golden_stored.py
+++ b/tests/golden/test_golden_stored.py
@@ -243,10 +243,12 @@
     dispatcher.monitor.answered(pending.record, 200, "served")
     assert lines == [
         b'{"at":12.345679,"event":"request_taken","request":"r1","left_s":1.5}',
-        b'{"at":12.345679,"event":"attempt_begun","request":"r1","reason":"first","attempt":0,"executor":"e1"}',
+        b'{"at":12.345679,"event":"attempt_begun","request":"r1","reason":"first","attempt":0,"executor":"e1",'
+        b'"zone":0,"cell":0}',
         b'{"at":12.345679,"event":"attempt_committed","request":"r1","attempt":0}',
         b'{"at":12.345679,"event":"attempt_ended","request":"r1","reason":"error","attempt":0}',
-        b'{"at":12.345679,"event":"attempt_begun","request":"r1","reason":"retry","attempt":1,"executor":"e0"}',
+        b'{"at":12.345679,"event":"attempt_begun","request":"r1","reason":"retry","attempt":1,"executor":"e0",'
+        b'"zone":0,"cell":0}',
         b'{"at":12.345679,"event":"attempt_committed","request":"r1","attempt":1}',
         b'{"at":12.345679,"event":"attempt_ended","request":"r1","reason":"finished","attempt":1}',
         b'{"at":12.345679,"event":"request_answered","request":"r1","reason":"served","status":200}',
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -7,8 +7,11 @@
 
 from firwalk.observability.events import MAX_RECENT_EVENTS, Event, EventLog
 from firwalk.observability.monitor import Monitor, Rule
+from firwalk.policy.executor import Zone
 from firwalk.policy.interface import DeduplicationScope, Idempotency, Outcome
 
+ZONE_A, ZONE_B = Zone(0), Zone(1)
+
 
 class MonitorScenario:
     """A monitor on a clock that the test sets."""
@@ -26,7 +29,7 @@
         )
         return self.monitor.taken("r1", SimpleNamespace(request_class=request_class), self.now + 2.0)
 
-    def run_attempt(self, record, number, outcome=None, commit=True, zone="a", cell=0):
+    def run_attempt(self, record, number, outcome=None, commit=True, zone=ZONE_A, cell=0):
         executor = SimpleNamespace(handle=SimpleNamespace(name=f"e{number}"), zone=zone, cell=cell)
         self.monitor.attempt_begun(record, SimpleNamespace(number=number, executor=executor), "first")
         if commit:
@@ -84,7 +87,7 @@
 def repeated_in_another_zone(scenario):
     record = scenario.take_request(Idempotency.KEYED, DeduplicationScope.ZONE)
     scenario.run_attempt(record, 0, Outcome.CONNECTION_LOST)
-    scenario.run_attempt(record, 1, zone="b")
+    scenario.run_attempt(record, 1, zone=ZONE_B)
 
 
 def repeated_after_key_ttl(scenario):
