Retries: zones and cells that are not known are not the same one, and don't stay unknown

Callers saw: after an upgrade beside a crowded discovery a keyed request (group: zone) whose connection broke took effect in two zones, and was answered 200.

Cause: an executor that a process knows first from a request handed over to it gets zone "" and cell -1. (1) The list that names it later changed only its address, state and start (EndpointList._apply_entry), so it stayed unknown for good. (2) All unknown zones were one Zone object, and all unknown cells -1, so RetryLimits.is_safe took two unknown executors for members of one group. The monitor compared the same objects and saw nothing.

Change: an unknown zone or cell equals no other; an entry of a list updates zone, cell, machine type and size of an executor that is known (what it leaves out stays as it is; a size only grows); an attempt keeps the zone and cell in which it was sent, so that an executor that moves takes no key with it; the monitor judges by that too; an unusable cell is unknown. Why it works: what decides on a retry is what was known when the first attempt went out, and ignorance forbids.

Monitor tests have Zone objects for texts.

--- a/firwalk/dispatcher/endpoint_list.py
+++ b/firwalk/dispatcher/endpoint_list.py
@@ -110,6 +110,8 @@
             if entry.state is EndpointState.REMOVED:
                 return
             executor = self._add_executor(entry)
+        else:
+            self.policy.executor_listed(executor, *self._attributes(entry))
         if entry.state is EndpointState.REMOVED or entry.address != executor.handle.address:
             self.close_idle_connections(executor)
         executor.handle.address = entry.address
@@ -118,16 +120,20 @@
     def _add_executor(self, entry: EndpointEntry) -> Executor:
         encoded_name = entry.name.encode()
         executor = self.policy.new_executor(
-            Endpoint(entry.name, entry.address),
+            Endpoint(entry.name, entry.address), *self._attributes(entry), crc32(encoded_name)
+        )
+        self.executors[entry.name] = executor
+        self.index.add(encoded_name, executor)
+        return executor
+
+    def _attributes(self, entry: EndpointEntry) -> tuple[int, int, int, float]:
+        """Return the numbers of the machine type, zone and cell, and the size."""
+        return (
             self.machine_types.get(entry.machine_type, UNKNOWN_NUMBER),
             self.zones.get(entry.zone, UNKNOWN_NUMBER),
             entry.cell,
             entry.weight,
-            crc32(encoded_name),
         )
-        self.executors[entry.name] = executor
-        self.index.add(encoded_name, executor)
-        return executor
 
     def _update_policy(self, now: float, executor: Executor, state: EndpointState, started_at: float) -> None:
         observed = self.maintenance.observe(executor.handle.name, state, started_at)
--- a/firwalk/net/listing.py
+++ b/firwalk/net/listing.py
@@ -15,6 +15,7 @@
 from firwalk.net import http
 from firwalk.net.address import parse_address
 from firwalk.observability.log import log_external
+from firwalk.policy.executor import UNKNOWN_NUMBER
 from firwalk.policy.interface import EndpointState
 
 STATES_BY_LIFECYCLE = {
@@ -103,7 +104,8 @@
 
 
 def _read_cell(value: object) -> int:
-    return value if isinstance(value, int) and 0 <= value < MAX_CELL else 0
+    """Return the cell; an unusable one is unknown, not a cell that executors could share."""
+    return value if isinstance(value, int) and 0 <= value < MAX_CELL else UNKNOWN_NUMBER
 
 
 def _read_state(value: object) -> EndpointState:
--- a/firwalk/observability/monitor.py
+++ b/firwalk/observability/monitor.py
@@ -13,9 +13,11 @@
 
 from firwalk.observability.events import Event, EventLog
 from firwalk.observability.log import log_internal
+from firwalk.policy.executor import UNKNOWN_NUMBER
 from firwalk.policy.interface import DeduplicationScope, Idempotency, Outcome
 
 if TYPE_CHECKING:
+    from firwalk.policy.executor import Zone
     from firwalk.policy.policy import Attempt, Request
 
 MAX_LATENESS_S = 0.5  # Clients accept no answer later than this after the deadline.
@@ -57,7 +59,7 @@
     def __init__(
         self,
         executor: str,
-        zone: object,
+        zone: Zone,
         cell: int,
         sent_at: float,
         committed: bool = False,
@@ -175,8 +177,7 @@
         """Record the start of an attempt, just before its first byte is written."""
         now = self.clock()
         number = attempt.number
-        executor = attempt.executor
-        attempt_record = AttemptRecord(executor.handle.name, executor.zone, executor.cell, now)
+        attempt_record = AttemptRecord(attempt.executor.handle.name, attempt.zone, attempt.cell, now)
         if record.is_over():
             self.violation(Rule.NOTHING_AFTER, record.request_id, attempt=number)
         if now >= record.deadline:
@@ -192,8 +193,8 @@
             record.request_id,
             attempt=number,
             executor=attempt_record.executor,
-            zone=executor.zone.number,
-            cell=executor.cell,
+            zone=attempt.zone.number,
+            cell=attempt.cell,
         )
 
     @staticmethod
@@ -206,8 +207,10 @@
         if attempt.sent_at > earlier.sent_at + record.key_ttl_s:
             return True
         if record.deduplication_scope is DeduplicationScope.ZONE:
-            return earlier.zone is not attempt.zone
-        return record.deduplication_scope is DeduplicationScope.CELL and earlier.cell != attempt.cell
+            return earlier.zone is not attempt.zone or not attempt.zone.is_known
+        if record.deduplication_scope is DeduplicationScope.CELL:
+            return earlier.cell != attempt.cell or attempt.cell == UNKNOWN_NUMBER
+        return False
 
     def attempt_committed(self, record: RequestRecord, number: int) -> None:
         """Record that the last byte of an attempt is about to be written: from here on it may run."""
@@ -234,8 +237,8 @@
         for attempt in request.attempts:
             record.attempts[attempt.number] = AttemptRecord(
                 attempt.executor.handle.name,
-                attempt.executor.zone,
-                attempt.executor.cell,
+                attempt.zone,
+                attempt.cell,
                 attempt.sent_at,
                 committed=attempt.number in committed_attempts,
                 never_ran=not attempt.may_have_run,
--- a/firwalk/policy/candidates.py
+++ b/firwalk/policy/candidates.py
@@ -38,6 +38,7 @@
         self.far: list[Executor] = []
         self.hash_ring: list[tuple[int, int, Executor]] = []  # all executors, by the hash of their names
         self.changed: dict[Executor, bool] = {}  # since the last list: whether the executor was ready
+        self.has_moved = False  # whether an executor has changed its zone since the last list
         self.is_large = False
 
     def add(self, executor: Executor) -> None:
@@ -48,11 +49,17 @@
         """Record a state change until the update of the endpoint list is complete."""
         self.changed.setdefault(executor, was_ready)
 
+    def record_move(self) -> None:
+        """Record that an executor has changed its zone: the lists of ready executors must be rebuilt."""
+        self.has_moved = True
+
     def apply_changes(self, own_zone: Zone) -> bool:
         """Apply recorded changes to the lists of ready executors; return False if these must be rebuilt."""
         changed = self.changed
+        has_moved = self.has_moved
         self.changed = {}
-        if not self.is_large or len(changed) > MAX_INCREMENTAL_CHANGES:
+        self.has_moved = False
+        if not self.is_large or has_moved or len(changed) > MAX_INCREMENTAL_CHANGES:
             return False
         for executor, was_ready in changed.items():
             ready = executor.state is EndpointState.READY
--- a/firwalk/policy/executor.py
+++ b/firwalk/policy/executor.py
@@ -26,6 +26,7 @@
 
     def __init__(self, number: int) -> None:
         self.number = number
+        self.is_known = number != UNKNOWN_NUMBER  # executors of the unknown zone may be in different ones
         self.lag = 0.0  # mean excess start delay in seconds
         self.lag_at = 0.0
         self.mean_slot_load = 0.0  # mean load of a slot by other nodes
--- a/firwalk/policy/executor_set.py
+++ b/firwalk/policy/executor_set.py
@@ -4,7 +4,7 @@
 
 from firwalk.policy.candidates import Candidates
 from firwalk.policy.enums import EndpointState
-from firwalk.policy.executor import Executor, SpeedEstimate, Zone
+from firwalk.policy.executor import UNKNOWN_NUMBER, Executor, SpeedEstimate, Zone
 from firwalk.policy.policy_config import CRC32_RANGE, PolicyConfig, RandomSource
 
 GOLDEN_RATIO = 0.6180339887  # Multiples of it modulo 1 spread the slow start offsets evenly.
@@ -37,17 +37,12 @@
         Its initial speed is that of its machine type, else the mean of all machine types, else 1. It has one
         slot if the endpoint list gives no sizes.
         """
-        known_speeds = [
-            estimate.speed for estimate in self.machine_type_speeds.values() if estimate.sample_count
-        ] or [1.0]
-        machine_type_speed = self.machine_type_speeds.setdefault(
-            machine_type, SpeedEstimate(sum(known_speeds) / len(known_speeds))
-        )
+        machine_type_speed = self._machine_type_speed(machine_type)
         slow_start_offset = len(self.executors) * GOLDEN_RATIO % 1.0
         executor = Executor(
             handle,
             machine_type,
-            self.zones.setdefault(zone, Zone(zone)),
+            self._zone(zone),
             cell,
             machine_type_speed.speed,
             slow_start_offset,
@@ -59,6 +54,51 @@
         self.candidates.add(executor)
         return executor
 
+    def _machine_type_speed(self, machine_type: int) -> SpeedEstimate:
+        known_speeds = [
+            estimate.speed for estimate in self.machine_type_speeds.values() if estimate.sample_count
+        ] or [1.0]
+        return self.machine_type_speeds.setdefault(
+            machine_type, SpeedEstimate(sum(known_speeds) / len(known_speeds))
+        )
+
+    def _zone(self, number: int) -> Zone:
+        return self.zones.setdefault(number, Zone(number))
+
+    def update_attributes(
+        self, executor: Executor, machine_type: int, zone: int, cell: int, size: float
+    ) -> None:
+        """Apply the attributes in the endpoint list; those that the list leaves unknown stay as they are.
+
+        The first list that names an executor may come after it was added: another process of this node may
+        have sent to it before. A size only grows, since one that the list leaves out reads as the smallest.
+        """
+        if zone != UNKNOWN_NUMBER:
+            self._move(executor, self._zone(zone))
+        if cell != UNKNOWN_NUMBER:
+            executor.cell = cell
+        if machine_type not in (UNKNOWN_NUMBER, executor.machine_type):
+            self._change_machine_type(executor, machine_type)
+        if self.config.has_sizes:
+            executor.size = max(executor.size, size)
+            executor.slots = max(executor.slots, round(size))
+
+    def _move(self, executor: Executor, zone: Zone) -> None:
+        previous = executor.zone
+        if zone is previous:
+            return
+        if executor in previous.unreachable:
+            previous.unreachable.remove(executor)
+        executor.zone = zone
+        self.candidates.record_move()
+
+    def _change_machine_type(self, executor: Executor, machine_type: int) -> None:
+        machine_type_speed = self._machine_type_speed(machine_type)
+        executor.machine_type = machine_type
+        executor.slots = max(executor.slots, machine_type_speed.slots)
+        if not executor.sample_count:
+            executor.speed = machine_type_speed.speed
+
     def change_state(self, executor: Executor, state: EndpointState, started_at: float) -> None:
         """Apply an executor's state in the endpoint list; a later start time begins a slow start."""
         if state is not executor.state:
--- a/firwalk/policy/policy.py
+++ b/firwalk/policy/policy.py
@@ -79,9 +79,15 @@
     def new_executor(
         self, handle: object, machine_type: int, zone: int, cell: int, size: float, name_hash: int = 0
     ) -> Executor:
-        """Add an executor that is not ready yet."""
+        """Add an executor that is not ready yet; `UNKNOWN_NUMBER` stands for what is not known of it."""
         return self.executor_set.add(handle, machine_type, zone, cell, size, name_hash)
 
+    def executor_listed(
+        self, executor: Executor, machine_type: int, zone: int, cell: int, size: float
+    ) -> None:
+        """Apply what the endpoint list says of a known executor, beside its state."""
+        self.executor_set.update_attributes(executor, machine_type, zone, cell, size)
+
     def endpoint_changed(
         self, now: float, executor: Executor, state: EndpointState, started_at: float
     ) -> None:
--- a/firwalk/policy/request.py
+++ b/firwalk/policy/request.py
@@ -103,6 +103,8 @@
     ) -> None:
         self.request = request
         self.executor = executor
+        self.zone = executor.zone  # where it may take effect: an update of the list may move the executor
+        self.cell = executor.cell
         self.sent_at = sent_at
         self.estimate = estimate  # seconds of work added to the executor's outstanding work
         self.wait = wait  # expected queueing delay in seconds
--- a/firwalk/policy/retries.py
+++ b/firwalk/policy/retries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from firwalk.policy.enums import DeduplicationScope, Idempotency
-from firwalk.policy.executor import Executor
+from firwalk.policy.executor import UNKNOWN_NUMBER, Executor
 from firwalk.policy.policy_config import PolicyConfig, PolicyLimits
 from firwalk.policy.request import Attempt, Request
 
@@ -52,10 +52,19 @@
             if (
                 idempotency is Idempotency.NON_IDEMPOTENT
                 or now > attempt.sent_at + request_class.key_ttl - 2 * self.config.clock_resolution_s
-                or scope is DeduplicationScope.ZONE
-                and attempt.executor.zone != executor.zone
-                or scope is DeduplicationScope.CELL
-                and attempt.executor.cell != executor.cell
+                or not _deduplicates(scope, attempt, executor)
             ):
                 return False
         return True
+
+
+def _deduplicates(scope: DeduplicationScope, attempt: Attempt, executor: Executor) -> bool:
+    """Return whether the executor recognizes the key of an attempt that another executor may have run.
+
+    Two executors whose zones or cells are unknown may be in different ones.
+    """
+    if scope is DeduplicationScope.ZONE:
+        return executor.zone.is_known and attempt.zone is executor.zone
+    if scope is DeduplicationScope.CELL:
+        return executor.cell != UNKNOWN_NUMBER and attempt.cell == executor.cell
+    return True
--- a/tests/golden/test_golden_peers.py
+++ b/tests/golden/test_golden_peers.py
@@ -29,6 +29,7 @@
 )
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
+from firwalk.policy.executor import UNKNOWN_NUMBER
 from firwalk.policy.interface import EndpointState, Outcome
 from firwalk.wirehost import codec
 from firwalk.wirehost.__main__ import Wire
@@ -478,19 +479,19 @@
     [
         (
             b'{"instanceId":"e","hostPort":"[::1]:80"}',
-            ("e", ("::1", 80), "", "", 0, EndpointState.DRAINING, 0.0, 1.0),
+            ("e", ("::1", 80), "", "", UNKNOWN_NUMBER, EndpointState.DRAINING, 0.0, 1.0),
         ),
         (
             b'{"instanceId":"e","hostPort":"127.0.0.1:80","lifecycle":"leaving","weight":0.5}',
-            ("e", ("127.0.0.1", 80), "", "", 0, EndpointState.DRAINING, 0.0, 1.0),
+            ("e", ("127.0.0.1", 80), "", "", UNKNOWN_NUMBER, EndpointState.DRAINING, 0.0, 1.0),
         ),
         (
             b'{"instanceId":"e","hostPort":"127.0.0.1:80","lifecycle":"left","cell":-1}',
-            ("e", ("127.0.0.1", 80), "", "", 0, EndpointState.REMOVED, 0.0, 1.0),
+            ("e", ("127.0.0.1", 80), "", "", UNKNOWN_NUMBER, EndpointState.REMOVED, 0.0, 1.0),
         ),
         (
             b'{"instanceId":"e","hostPort":"127.0.0.1:80","lifecycle":"new","zone":7,"startedAtMs":"x"}',
-            ("e", ("127.0.0.1", 80), "", "", 0, EndpointState.DRAINING, 0.0, 1.0),
+            ("e", ("127.0.0.1", 80), "", "", UNKNOWN_NUMBER, EndpointState.DRAINING, 0.0, 1.0),
         ),
     ],
 )
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -74,6 +74,25 @@
         assert len(node.near) + len(node.far) == len(ready)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_executors_that_change_their_zone_are_listed_in_the_new_one_only(seed):
+    """Guards against incremental changes that look for a moved executor in the list of its new zone."""
+    rng = random.Random(seed)
+    host = make_fleet(600)
+    node = host.node
+    for _ in range(20):
+        for executor in rng.sample(node.executor_set.executors, 5):
+            node.executor_listed(executor, 0, rng.randint(0, 1), 0, 2.0)
+            if rng.random() < 0.5:
+                node.endpoint_changed(host.now, executor, rng.choice(list(EndpointState)), 0.0)
+        node.endpoint_list_received(host.now)
+        ready = [one for one in node.executor_set.executors if one.state is EndpointState.READY]
+        assert sorted(one.handle for one in node.near) == sorted(
+            one.handle for one in ready if one.zone is node.executor_set.own_zone
+        )
+        assert len(node.near) + len(node.far) == len(ready)
+
+
 def test_draining_executor_with_idle_connections_is_not_selected():
     """Its connections made it the best candidate, but every send was refused: all requests were rejected."""
     host = make_fleet(600)
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -10,6 +10,7 @@
 
 from firwalk.net import http, listing
 from firwalk.observability import log
+from firwalk.policy.executor import UNKNOWN_NUMBER
 from firwalk.policy.interface import EndpointState
 
 ENTRY = {
@@ -37,7 +38,7 @@
 DEFAULTED_FIELDS = [
     ("zone", [None, 5, [], {}], 2, ""),
     ("machineType", [None, 5, [], {}], 3, ""),
-    ("cell", [None, "x", [], {}, inf, nan, -1, 10**30, 1.5], 4, 0),
+    ("cell", [None, "x", [], {}, inf, nan, -1, 10**30, 1.5], 4, UNKNOWN_NUMBER),
     ("lifecycle", [None, "", "away", 5, [], {}], 5, EndpointState.DRAINING),
     ("startedAtMs", [None, "x", [], inf, nan, -1.0, 1e300], 6, 0.0),
     ("weight", [None, "x", [], inf, nan, -1.0, 1e300], 7, 1.0),
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -7,10 +7,10 @@
 
 from firwalk.observability.events import MAX_RECENT_EVENTS, Event, EventLog
 from firwalk.observability.monitor import Monitor, Rule
-from firwalk.policy.executor import Zone
+from firwalk.policy.executor import UNKNOWN_NUMBER, Zone
 from firwalk.policy.interface import DeduplicationScope, Idempotency, Outcome
 
-ZONE_A, ZONE_B = Zone(0), Zone(1)
+ZONE_A, ZONE_B, UNKNOWN_ZONE = Zone(0), Zone(1), Zone(UNKNOWN_NUMBER)
 
 
 class MonitorScenario:
@@ -30,8 +30,9 @@
         return self.monitor.taken("r1", SimpleNamespace(request_class=request_class), self.now + 2.0)
 
     def run_attempt(self, record, number, outcome=None, commit=True, zone=ZONE_A, cell=0):
-        executor = SimpleNamespace(handle=SimpleNamespace(name=f"e{number}"), zone=zone, cell=cell)
-        self.monitor.attempt_begun(record, SimpleNamespace(number=number, executor=executor), "first")
+        executor = SimpleNamespace(handle=SimpleNamespace(name=f"e{number}"))
+        attempt = SimpleNamespace(number=number, executor=executor, zone=zone, cell=cell)
+        self.monitor.attempt_begun(record, attempt, "first")
         if commit:
             self.monitor.attempt_committed(record, number)
         if outcome is not None:
@@ -90,6 +91,18 @@
     scenario.run_attempt(record, 1, zone=ZONE_B)
 
 
+def repeated_where_the_zone_is_unknown(scenario):
+    record = scenario.take_request(Idempotency.KEYED, DeduplicationScope.ZONE)
+    scenario.run_attempt(record, 0, Outcome.CONNECTION_LOST, zone=UNKNOWN_ZONE)
+    scenario.run_attempt(record, 1, zone=UNKNOWN_ZONE)
+
+
+def repeated_where_the_cell_is_unknown(scenario):
+    record = scenario.take_request(Idempotency.KEYED, DeduplicationScope.CELL)
+    scenario.run_attempt(record, 0, Outcome.CONNECTION_LOST, cell=UNKNOWN_NUMBER)
+    scenario.run_attempt(record, 1, cell=UNKNOWN_NUMBER)
+
+
 def repeated_after_key_ttl(scenario):
     record = scenario.take_request(Idempotency.KEYED, key_ttl=0.5)
     scenario.run_attempt(record, 0, Outcome.CONNECTION_LOST)
@@ -113,6 +126,8 @@
         (attempt_after_the_deadline, Rule.IN_TIME),
         (non_idempotent_repeated, Rule.ONE_EFFECT),
         (repeated_in_another_zone, Rule.ONE_EFFECT),
+        (repeated_where_the_zone_is_unknown, Rule.ONE_EFFECT),
+        (repeated_where_the_cell_is_unknown, Rule.ONE_EFFECT),
         (repeated_after_key_ttl, Rule.ONE_EFFECT),
         (rejected_after_it_may_have_run, Rule.HARMLESS),
     ],
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -292,6 +292,102 @@
     play(scenario, first_dies, first_dies, managed=True, settings=LONG_DEADLINES)
 
 
+ZONE_CLASSES = [
+    {"name": "report", "due-time-us": 9000000, "expiry-us": 12000000, "repeat": "safe", "importance": 1.0},
+    {
+        "name": "order",
+        "due-time-us": 4000000,
+        "expiry-us": 6000000,
+        "repeat": "keyed",
+        "group": "zone",
+        "key-ttl-us": 10000000,
+        "importance": 1.0,
+    },
+]
+EXECUTOR_ZONES = ("a", "a", "b")
+SLOW_LIST_S = 2.6  # The successor gives up a call after 2.2 s, and serves without a list after 2 s.
+
+
+class ZonesWorld(World):
+    """A world whose executors are in two zones."""
+
+    def entry(self, number, address=None, lifecycle="active"):
+        return super().entry(number, address, lifecycle) | {"zone": EXECUTOR_ZONES[number]}
+
+
+def test_keyed_requests_stay_in_their_zone_at_executors_known_from_handed_over_requests():
+    """Guards against keyed requests that ran in two zones, at executors that a successor had not listed.
+
+    They join while the successor waits for a slow list, and are known to it first from requests in progress.
+    """
+    zones_of_keys = {}
+
+    async def report_or_order(executor, writer, name):
+        if name.startswith("report"):
+            await asyncio.sleep(5.0)
+        else:
+            zones_of_keys.setdefault(name, []).append(executor.zone)
+            if len(zones_of_keys[name]) == 1:
+                writer.transport.abort()
+                return
+        await executor.lines(writer, name, "done")
+
+    async def scenario(world):
+        for executor, zone in zip(world.executors, EXECUTOR_ZONES, strict=True):
+            executor.zone = zone
+        await world.tell(world.entry(0), whole=True)
+        await world.until(lambda: world.watches)
+        predecessor_watch = world.watches[-1]
+        world.list_late = SLOW_LIST_S
+        successor = await NodeProcess(world).start()
+        await world.logs("has come")
+        world.watches.append(predecessor_watch)
+        await world.tell(world.entry(1), world.entry(2))
+        await asyncio.sleep(0.2)
+        reports = [
+            asyncio.create_task(world.ask(post("/report/k", name=f"report{n}", X_Deadline="12000m")))
+            for n in range(9)
+        ]
+        await world.until(lambda: sum(len(e.got) for e in world.executors) == 9)
+        assert all(e.got for e in world.executors[1:]), "both new executors have requests in progress"
+        await successor.ready()
+        await stop_first_process(world)
+        world.gone, world.list_late = (), 0.0
+        calls = len(world.watches)
+        await world.until(lambda: len(world.watches) > calls)
+        await asyncio.sleep(0.3)  # The successor has the list with all executors now.
+        for number in range(12):
+            await world.ask(
+                post("/order/k", name=f"order{number}", X_Deadline="6000m", Idempotency_Key=f"key{number}")
+            )
+        assert all(answer[0] == 200 for answer in await asyncio.gather(*reports))
+        await successor.end()
+        crossed = [zones for zones in zones_of_keys.values() if len(set(zones)) > 1]
+        assert not crossed, f"{len(crossed)} of {len(zones_of_keys)} keys took effect in two zones"
+        assert any(len(zones) > 1 for zones in zones_of_keys.values()), (
+            "lost orders are retried in their zone"
+        )
+
+    async def run():
+        world = ZonesWorld(
+            *[report_or_order] * len(EXECUTOR_ZONES),
+            managed=True,
+            gone=(1, 2),
+            known={"generation": 0, "reset": True, "instances": []},
+            settings={
+                "offerings": ZONE_CLASSES,
+                "azs": ["a", "b"],
+                "limits": {"most-assignments": 3, "cancel": True},
+                "specifics": {},
+                "load-report": {"how": "off"},
+            },
+        )
+        async with world:
+            await asyncio.wait_for(scenario(world), 30)
+
+    asyncio.run(run())
+
+
 def test_a_successor_without_the_capability_receives_no_requests():
     async def scenario(world):
         connection = await world.connect()
