Handover: an attempt crosses with the zone and cell in which it was sent

Callers saw: a keyed request (group: zone or cell) that was handed over in an upgrade and then lost its executor was answered as failed, although another executor of its zone was free, where the new process had not listed its executor yet. And one whose executor the new process lists in another zone than the old one was sent on in that zone, where its key is unknown.

Change: each attempt of the message has `zone` (a name, since the numbers of two settings may differ) and `cell`. An earlier version passes over them, and where one does not send them the place is that of this process's list, or unknown, as before; then nothing is retried there.

Golden: the samples of a request that goes over gain the two fields at the end of each attempt; the former samples stay, as those of an earlier version, and are read by the same tests.

--- a/firwalk/dispatcher/endpoint_list.py
+++ b/firwalk/dispatcher/endpoint_list.py
@@ -12,7 +12,7 @@
 from firwalk.dispatcher.endpoint import Endpoint
 from firwalk.dispatcher.failure_gossip import ExecutorIndex
 from firwalk.dispatcher.maintenance import Maintenance
-from firwalk.policy.executor import UNKNOWN_NUMBER
+from firwalk.policy.executor import UNKNOWN_NUMBER, Zone
 from firwalk.policy.interface import EndpointState
 from firwalk.policy.policy import Executor, Policy
 
@@ -104,6 +104,14 @@
         self.policy.endpoint_list_received(now)
         return True
 
+    def zone(self, name: str) -> Zone:
+        """Return the zone of that name; the unknown one if the settings do not name it."""
+        return self.policy.zone(self.zones.get(name, UNKNOWN_NUMBER))
+
+    def zone_name(self, zone: Zone) -> str:
+        """Return the name of a zone; empty for the unknown one."""
+        return next((name for name, number in self.zones.items() if number == zone.number), "")
+
     def _apply_entry(self, now: float, entry: EndpointEntry) -> None:
         executor = self.executors.get(entry.name)
         if executor is None:
--- a/firwalk/dispatcher/request_handover.py
+++ b/firwalk/dispatcher/request_handover.py
@@ -11,6 +11,8 @@
 from typing import Any, Self, cast
 
 from firwalk.dispatcher.dispatcher import RESPONSE_MARGIN_S, Dispatcher, Endpoint, PendingRequest
+from firwalk.dispatcher.endpoint_list import EndpointEntry
+from firwalk.policy.executor import UNKNOWN_NUMBER
 from firwalk.policy.interface import DeduplicationScope, EndpointState, Idempotency
 from firwalk.policy.policy import Attempt, Executor, Request, RequestClass
 
@@ -147,7 +149,11 @@
 
 
 class HandedOverAttempt:
-    """One attempt of a request, with times on the sender's clock."""
+    """One attempt of a request, with times on the sender's clock.
+
+    `zone` and `cell` are those in which it was sent; None if the other process runs an earlier version, which
+    does not tell them.
+    """
 
     def __init__(
         self,
@@ -160,6 +166,8 @@
         started_at: float,
         may_have_run: bool,
         is_committed: bool,
+        zone: str | None,
+        cell: int | None,
     ) -> None:
         self.executor = executor
         self.address = address
@@ -169,9 +177,11 @@
         self.started_at = started_at  # 0 until the executor reports a start
         self.may_have_run = may_have_run
         self.is_committed = is_committed
+        self.zone = zone
+        self.cell = cell
 
     @classmethod
-    def of(cls, pending: PendingRequest, attempt: Attempt) -> HandedOverAttempt:
+    def of(cls, dispatcher: Dispatcher, pending: PendingRequest, attempt: Attempt) -> HandedOverAttempt:
         """Return a snapshot of an attempt of the pending request."""
         endpoint = cast(Endpoint, attempt.executor.handle)
         return cls(
@@ -183,6 +193,8 @@
             started_at=attempt.started_at,
             may_have_run=attempt.may_have_run,
             is_committed=attempt.number in pending.committed,
+            zone=dispatcher.endpoint_list.zone_name(attempt.zone),
+            cell=attempt.cell,
         )
 
     def to_wire(self) -> WireObject:
@@ -196,12 +208,16 @@
             "started": self.started_at,
             "may_have_run": self.may_have_run,
             "begun": self.is_committed,
+            "zone": self.zone,
+            "cell": self.cell,
         }
 
     @classmethod
     def from_wire(cls, wire: Mapping[str, Any]) -> HandedOverAttempt:
         """Decode the JSON object; raise one of `MALFORMED` if it is invalid."""
         address = wire["address"]
+        zone = wire.get("zone")
+        cell = wire.get("cell")
         return cls(
             executor=str(wire["executor"]),
             address=(str(address[0]), int(address[1])),
@@ -211,6 +227,8 @@
             started_at=float(wire["started"] or 0.0),
             may_have_run=bool(wire["may_have_run"]),
             is_committed=bool(wire["begun"]),
+            zone=None if zone is None else str(zone),
+            cell=None if cell is None else int(cell),
         )
 
 
@@ -293,7 +311,7 @@
         fields=RequestFields.of(request),
         class_name=_class_name(dispatcher, request.request_class),
         class_fields=RequestClassFields.of(request.request_class),
-        attempts=tuple(HandedOverAttempt.of(pending, attempt) for attempt in request.attempts),
+        attempts=tuple(HandedOverAttempt.of(dispatcher, pending, attempt) for attempt in request.attempts),
     )
 
 
@@ -362,6 +380,10 @@
     if handed_over.started_at:
         attempt.started_at = handed_over.started_at + clock_offset_s
     attempt.may_have_run = handed_over.may_have_run
+    if handed_over.zone is not None:
+        attempt.zone = dispatcher.endpoint_list.zone(handed_over.zone)
+    if handed_over.cell is not None:
+        attempt.cell = handed_over.cell
     return attempt
 
 
@@ -380,12 +402,18 @@
 def _executor(dispatcher: Dispatcher, attempt: HandedOverAttempt) -> Executor:
     """Return the executor of an attempt; add it as draining if this process has never listed it.
 
-    Its zone and cell are unknown, so that a keyed request is not retried in any zone or cell.
+    What the other process does not tell of it is unknown until a list names it.
     """
     if attempt.executor not in dispatcher.executors:
-        dispatcher.restore_endpoint_list(
-            dispatcher.version,
-            [(attempt.executor, attempt.address, "", "", -1, EndpointState.DRAINING, 0.0, 1.0)],
-            False,
+        entry = EndpointEntry(
+            attempt.executor,
+            attempt.address,
+            zone=attempt.zone or "",
+            machine_type="",
+            cell=UNKNOWN_NUMBER if attempt.cell is None else attempt.cell,
+            state=EndpointState.DRAINING,
+            started_at=0.0,
+            weight=1.0,
         )
+        dispatcher.restore_endpoint_list(dispatcher.version, [entry], False)
     return dispatcher.executors[attempt.executor]
--- a/firwalk/policy/executor_set.py
+++ b/firwalk/policy/executor_set.py
@@ -42,7 +42,7 @@
         executor = Executor(
             handle,
             machine_type,
-            self._zone(zone),
+            self.zone(zone),
             cell,
             machine_type_speed.speed,
             slow_start_offset,
@@ -62,7 +62,8 @@
             machine_type, SpeedEstimate(sum(known_speeds) / len(known_speeds))
         )
 
-    def _zone(self, number: int) -> Zone:
+    def zone(self, number: int) -> Zone:
+        """Return the zone with that number."""
         return self.zones.setdefault(number, Zone(number))
 
     def update_attributes(
@@ -74,7 +75,7 @@
         have sent to it before. A size only grows, since one that the list leaves out reads as the smallest.
         """
         if zone != UNKNOWN_NUMBER:
-            self._move(executor, self._zone(zone))
+            self._move(executor, self.zone(zone))
         if cell != UNKNOWN_NUMBER:
             executor.cell = cell
         if machine_type not in (UNKNOWN_NUMBER, executor.machine_type):
--- a/firwalk/policy/policy.py
+++ b/firwalk/policy/policy.py
@@ -11,7 +11,7 @@
 from firwalk.policy.admission import Admission
 from firwalk.policy.endpoint_polling import EndpointPolling
 from firwalk.policy.enums import EndpointState, Outcome
-from firwalk.policy.executor import Executor, LoadReport
+from firwalk.policy.executor import Executor, LoadReport, Zone
 from firwalk.policy.executor_set import ExecutorSet
 from firwalk.policy.interface import Host
 from firwalk.policy.load_reports import LoadReports
@@ -66,6 +66,10 @@
         """Ready executors in other zones."""
         return self.executor_set.far
 
+    def zone(self, number: int) -> Zone:
+        """Return the zone with that number in the settings, or `UNKNOWN_NUMBER`."""
+        return self.executor_set.zone(number)
+
     def reconfigure(self, limits: PolicyLimits) -> None:
         """Apply new limits. Requests in progress keep their class and their maximum number of attempts."""
         self.limits = limits
--- a/tests/golden/test_golden_processes.py
+++ b/tests/golden/test_golden_processes.py
@@ -31,7 +31,7 @@
     (f"e{number}", ("127.0.0.1", 9000 + number), "a", "m", 0, EndpointState.READY, 0.0, 2.0)
     for number in (0, 1)
 ]
-TASK = (
+TASK_OF_AN_EARLIER_VERSION = (
     b'{"now":1000.75,"out":1,"due":1001.25,"expiry":1001.73,"task":[0.01,0.0100000000000000'
     b'04,1.0,0.19964063121005893,5.0,5,false],"offering":"put","terms":[1.0,2.0,5.0,1,0,5.0'
     b',0.0,-1],"assignments":[{"executor":"e1","address":["127.0.0.1",9001],"sent":1000.25,'
@@ -39,12 +39,13 @@
     b'true},{"executor":"e0","address":["127.0.0.1",9000],"sent":1000.375,"estimate":0.0100'
     b'00000000000004,"wait":0.0,"started":1000.5,"may_have_run":true,"begun":true}]}'
 )
+TASK = TASK_OF_AN_EARLIER_VERSION.replace(b'"begun":true}', b'"begun":true,"zone":"a","cell":0}')
 STATE = (
     b'{"state":{"version":4,"discovery":"127.0.0.1:7000","entries":[["e0",["127.0.0.1",9000'
     b'],"a","m",0,1,0.0,2.0],["e1",["127.0.0.1",9001],"a","m",0,1,0.0,2.0]],"out":{"out":{"'
     b'e1":1000.0},"back":{}}},"files":0}\n'
 )
-MOVED = (
+MOVED_BY_AN_EARLIER_VERSION = (
     b'{"task":{"now":1000.75,"out":1,"due":1001.25,"expiry":1001.73,"task":[0.01,0.01000000'
     b'0000000004,1.0,0.19964063121005893,5.0,5,false],"offering":"put","terms":[1.0,2.0,5.0'
     b',1,0,5.0,0.0,-1],"assignments":[{"executor":"e1","address":["127.0.0.1",9001],"sent":'
@@ -54,6 +55,7 @@
     b'},"at":1234.5,"keep":true,"bytes":["r1","/put/k","body\xc3\xbf","HTTP/1.1 200","host"'
     b',"h","x-tenant","\xc3\xa9"],"files":2}\n'
 )
+MOVED = MOVED_BY_AN_EARLIER_VERSION.replace(b'"begun":true}', b'"begun":true,"zone":"a","cell":0}')
 
 
 class Clock:
@@ -171,13 +173,16 @@
     assert orjson.dumps(request_handover.export_request(*task_under_way()).to_wire()) == TASK
 
 
-def test_task_is_unpacked():
+@pytest.mark.parametrize("task", [TASK, TASK_OF_AN_EARLIER_VERSION])
+def test_task_is_unpacked(task):
     """Times move with the clock of the process that goes on: 500 s later here, and 2 s on the way."""
     dispatcher = new_desk(Clock(1502.75))
     pending = request_handover.resume_request(
-        dispatcher, request_handover.HandedOverRequest.from_wire(orjson.loads(TASK)), 2.0, "r1"
+        dispatcher, request_handover.HandedOverRequest.from_wire(orjson.loads(task)), 2.0, "r1"
     )
     request = pending.request
+    zone = dispatcher.policy.zones[0]
+    assert [(one.zone, one.cell) for one in request.attempts] == [(zone, 0), (zone, 0)]
     assert (
         request.hint,
         request.cost,
@@ -243,7 +248,8 @@
     assert said_task() == MOVED
 
 
-def test_task_is_heard():
+@pytest.mark.parametrize("line", [MOVED, MOVED_BY_AN_EARLIER_VERSION])
+def test_task_is_heard(line):
     """The line gives the message, and the task that the decisions go on with."""
     heard = []
     service_desk = new_desk(Clock(1000.75))
@@ -254,7 +260,7 @@
     process.service.executors.resume_attempt = lambda pending, number, sock, name, seen: heard.append(
         (sock, number, name, seen)
     )
-    about = orjson.loads(MOVED)
+    about = orjson.loads(line)
     about["at"] = restart_successor.monotonic()
     process.as_successor._resume_request(restart_messages.decode(about), "client", "link")
     message = (b"r1", b"/put/k", {b"host": b"h", b"x-tenant": b"\xe9"}, b"body\xff", True)
--- a/tests/test_deduplication.py
+++ b/tests/test_deduplication.py
@@ -112,6 +112,37 @@
     assert not successor.dispatcher.monitor.violations
 
 
+@pytest.mark.parametrize("scope, elsewhere", [("zone", {"zone": "b"}), ("cell", {"cell": 2})])
+def test_a_handed_over_request_is_retried_in_the_scope_of_its_attempt(scope, elsewhere):
+    """Guards against an attempt at an executor that the successor has not listed forbidding every retry."""
+    predecessor = Node(scope, entry("e0"))
+    pending = predecessor.order()
+    successor = Node(scope, entry("e1"), entry("e2", **elsewhere))
+    assert successor.lose(hand_over(predecessor, successor, pending)) == "e1"
+    only_elsewhere = Node(scope, entry("e2", **elsewhere))
+    assert only_elsewhere.lose(hand_over(predecessor, only_elsewhere, pending)) is None
+
+
+@pytest.mark.parametrize("scope", ["zone", "cell"])
+def test_an_attempt_whose_scope_the_predecessor_does_not_tell_forbids_a_retry(scope):
+    """Guards against a guess where a predecessor of an earlier version sends no zone and cell."""
+    predecessor = Node(scope, entry("e0"))
+    successor = Node(scope, entry("e1"))
+    wire = export_request(predecessor.dispatcher, predecessor.order()).to_wire()
+    for attempt in wire["assignments"]:
+        del attempt["zone"], attempt["cell"]
+    handed_over = HandedOverRequest.from_wire(wire)
+    assert successor.lose(resume_request(successor.dispatcher, handed_over, 0.0, "r1")) is None
+
+
+@pytest.mark.parametrize("scope", ["zone", "cell"])
+def test_a_handed_over_attempt_counts_where_its_process_sent_it(scope):
+    """Guards against the successor's list, where an executor has moved, replacing what the sender knew."""
+    predecessor = Node(scope, entry("e0"))
+    successor = Node(scope, entry("e0", zone="b", cell=2), entry("e1", zone="b", cell=2))
+    assert successor.lose(hand_over(predecessor, successor, predecessor.order())) is None
+
+
 @pytest.mark.parametrize("scope", ["zone", "cell"])
 def test_a_lost_request_is_retried_in_its_scope_once_the_list_has_named_it(scope):
     """Guards against an executor's zone and cell staying unknown, which forbids every retry there."""
