Endpoint list: a handover or DETACH no longer ends the backoff towards discovery

Cause: `EndpointList.restore` and `apply_maintenance` finished with `Policy.endpoint_list_received`, which sets the count of failed calls to 0. `received_at` was put back by hand, the count was not.

Change: `endpoint_list_received` is for updates of the service; what else changes executors ends with `endpoints_updated`, which rebuilds the lists alone.

--- a/firwalk/dispatcher/endpoint_list.py
+++ b/firwalk/dispatcher/endpoint_list.py
@@ -60,10 +60,26 @@
         self.received_at = 0.0
 
     def apply(self, now: float, version: int, is_complete: bool, entries: Iterable[EndpointFields]) -> bool:
-        """Apply an update; return False if it is older than the list and was ignored.
+        """Apply an update by the discovery service; return False if it is older than the list and ignored.
 
         A complete update removes the executors that it does not name.
         """
+        is_applied = self._apply_update(now, version, is_complete, entries)
+        if is_applied:
+            self.received_at = now
+            self.policy.endpoint_list_received(now)
+        return is_applied
+
+    def restore(self, now: float, version: int, is_complete: bool, entries: Iterable[EndpointFields]) -> bool:
+        """Apply the list of another process of this node; it is no answer of the discovery service."""
+        is_applied = self._apply_update(now, version, is_complete, entries)
+        if is_applied:
+            self.policy.endpoints_updated(now)
+        return is_applied
+
+    def _apply_update(
+        self, now: float, version: int, is_complete: bool, entries: Iterable[EndpointFields]
+    ) -> bool:
         if version < self.version and not is_complete:
             return False
         previous_entries = self.entries
@@ -83,17 +99,8 @@
         if is_complete:
             self._remove_unlisted(now, listed_names)
         self.version = version
-        self.received_at = now
-        self.policy.endpoint_list_received(now)
         return True
 
-    def restore(self, now: float, version: int, is_complete: bool, entries: Iterable[EndpointFields]) -> bool:
-        """Apply the list of another process of this node, without updating `received_at`."""
-        received_at = self.received_at
-        is_applied = self.apply(now, version, is_complete, entries)
-        self.received_at = received_at
-        return is_applied
-
     def apply_maintenance(self, now: float, executor: Executor) -> bool:
         """Reapply the last listed state of a detached or attached executor; return whether there is one."""
         name = executor.handle.name
@@ -101,7 +108,7 @@
         if listed is None:
             return False
         self._update_policy(now, executor, *listed)
-        self.policy.endpoint_list_received(now)
+        self.policy.endpoints_updated(now)
         return True
 
     def zone(self, name: str) -> Zone:
--- a/firwalk/policy/policy.py
+++ b/firwalk/policy/policy.py
@@ -99,8 +99,12 @@
         self.executor_set.change_state(executor, state, started_at)
 
     def endpoint_list_received(self, now: float) -> None:
-        """Finish an update of the endpoint list, after all its changes were applied."""
+        """Finish an update by the discovery service, after all its changes were applied."""
         self.endpoint_polling.consecutive_failures = 0
+        self.endpoints_updated(now)
+
+    def endpoints_updated(self, now: float) -> None:
+        """Finish an update that the discovery service did not send, after all its changes were applied."""
         ready = self.executor_set.apply_list()
         if ready is not None:  # else the next periodic update measures it
             self.slow_start.measure_capacity(now, ready)
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -328,6 +328,22 @@
     assert WatchEndpoints(True) in DispatcherHarness(settings={"discovery": "push"}).advance_to(1000.0)
 
 
+def test_another_process_or_an_operator_is_no_answer_of_the_discovery_service():
+    """Guards against handovers and DETACH ending the backoff towards a service that does not answer."""
+    p = DispatcherHarness()
+    began = p.now
+    p.now += 1.0
+    p.dispatcher.report_endpoint_list_failure()
+    p.dispatcher.report_endpoint_list_failure()
+    entry = EndpointEntry("e7", ("127.0.0.1", 8), "a", "m", 0, EndpointState.DRAINING, 0.0, 1.0)
+    p.dispatcher.restore_endpoint_list(p.dispatcher.version, [entry], False)
+    assert p.dispatcher.detach_executor("e0")
+    assert p.dispatcher.policy.consecutive_failures == 2
+    assert not p.dispatcher.is_awaiting_endpoint_list(began)
+    p.update_list(("e8", EndpointState.READY), version=2)
+    assert p.dispatcher.policy.consecutive_failures == 0
+
+
 def test_request_of_an_unknown_class_is_refused():
     assert DispatcherHarness().submit("nobody's") is None
 
