Hot restart: the successor hears what discovery tells its predecessor

Change: the predecessor passes each update on (message `list`: version, discovery, complete, entries) right behind its state, in order; the successor takes one that is newer than its list and of the service that it uses. It counts as no answer of the service. A process of an earlier version passes over the message, as over any kind it does not know; a malformed one ends what the roles share, as others do.

--- a/firwalk/net/restart_messages.py
+++ b/firwalk/net/restart_messages.py
@@ -137,6 +137,33 @@
     return state.get("out")
 
 
+class EndpointListUpdate:
+    """An update of the endpoint list that the predecessor has received since it sent its state."""
+
+    __slots__ = ("endpoint_list", "is_complete")
+
+    def __init__(self, endpoint_list: EndpointListState, is_complete: bool) -> None:
+        self.endpoint_list = endpoint_list
+        self.is_complete = is_complete
+
+    def to_wire(self) -> WireObject:
+        """Return the message as a JSON object."""
+        return {
+            "list": {
+                "version": self.endpoint_list.version,
+                "discovery": self.endpoint_list.discovery,
+                "complete": self.is_complete,
+                "entries": self.endpoint_list.entries,
+            }
+        }
+
+    @classmethod
+    def from_wire(cls, wire: Mapping[str, Any]) -> EndpointListUpdate:
+        """Decode the JSON object. Raises MalformedMessage."""
+        update = wire["list"]
+        return cls(decode_endpoint_list(update), bool(update["complete"]))
+
+
 class TakeOver:
     """The successor asks the predecessor to stop accepting."""
 
@@ -316,6 +343,7 @@
     Hello
     | Refusal
     | NodeState
+    | EndpointListUpdate
     | TakeOver
     | ListenerReleased
     | ClientHandover
@@ -330,6 +358,7 @@
 DECODERS: dict[str, Callable[[Mapping[str, Any]], Message]] = {
     "state": NodeState.from_wire,
     "hello": Hello.from_wire,
+    "list": EndpointListUpdate.from_wire,
     "busy": Refusal.from_wire,
     "take": TakeOver.from_wire,
     "link": IdleConnectionHandover.from_wire,
--- a/firwalk/net/restart_predecessor.py
+++ b/firwalk/net/restart_predecessor.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Callable
 from time import monotonic
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from firwalk.dispatcher.request_handover import export_request
 from firwalk.net.control_channel import ChannelClosed, ControlChannel, RendezvousSocket
@@ -17,6 +17,7 @@
     ClientHandover,
     DescriptorsHeld,
     EndpointListState,
+    EndpointListUpdate,
     Hello,
     IdleConnectionHandover,
     ListenerReleased,
@@ -30,6 +31,7 @@
 from firwalk.observability.log import log_exception, log_external
 
 if TYPE_CHECKING:
+    from firwalk.dispatcher.endpoint_list import EndpointFields
     from firwalk.net.client_connection import ClientConnection
 
 HAND_OVER_INTERVAL_S = 0.01
@@ -78,6 +80,7 @@
         self._continues_requests = hello.continues_requests
         log_external("another process of this node has come")
         channel.send(self._node_state().to_wire(), *self.context.service.shared())
+        self.context.dispatcher.endpoint_list_observer = self._forward_endpoint_list
         self.context.update_limits()
         while True:
             wire, _ = await channel.receive()
@@ -89,13 +92,18 @@
 
     def _node_state(self) -> NodeState:
         dispatcher = self.context.dispatcher
-        endpoint_list = EndpointListState(
-            dispatcher.version,
-            self.context.service.config["discovery"],
-            list(dispatcher.endpoints.values()),
-        )
+        endpoint_list = self._endpoint_list_state(dispatcher.version, list(dispatcher.endpoints.values()))
         return NodeState.from_parts(endpoint_list, dispatcher.maintenance.state())
 
+    def _endpoint_list_state(self, version: int, entries: list[tuple[Any, ...]]) -> EndpointListState:
+        return EndpointListState(version, self.context.service.config["discovery"], entries)
+
+    def _forward_endpoint_list(self, version: int, is_complete: bool, entries: list[EndpointFields]) -> None:
+        """Send an update to the successor, whose own calls of the discovery service may have to wait."""
+        if self.channel is not None and self.channel.is_open:
+            endpoint_list = self._endpoint_list_state(version, [tuple(entry) for entry in entries])
+            self.channel.send(EndpointListUpdate(endpoint_list, is_complete).to_wire())
+
     def _release_listener(self, channel: ControlChannel) -> None:
         """Stop accepting, and start to hand connections over."""
         if self.rendezvous is not None:
@@ -188,6 +196,7 @@
         """Serve alone again after the successor has exited before this process."""
         service = self.context.service
         self.channel = None
+        self.context.dispatcher.endpoint_list_observer = None
         service.clients.hand_over_client = None
         service.clients.is_shutting_down = service.is_stopping()
         self.context.update_limits()
--- a/firwalk/net/restart_successor.py
+++ b/firwalk/net/restart_successor.py
@@ -19,6 +19,7 @@
     TEXT_ENCODING,
     ClientHandover,
     DescriptorsHeld,
+    EndpointListUpdate,
     Hello,
     IdleConnectionHandover,
     ListenerReleased,
@@ -139,6 +140,18 @@
         except (MalformedMessage, KeyError, TypeError, ValueError, IndexError) as problem:
             log_external(f"begun without the list of the process before: {problem!r}")
 
+    def _update_endpoint_list(self, update: EndpointListUpdate) -> None:
+        """Apply an update that the predecessor has received; versions of another service don't compare."""
+        endpoint_list = update.endpoint_list
+        dispatcher = self.context.dispatcher
+        is_same_service = endpoint_list.discovery == self.context.service.config["discovery"]
+        if not is_same_service or endpoint_list.version <= dispatcher.version:
+            return
+        try:
+            dispatcher.restore_endpoint_list(endpoint_list.version, endpoint_list.entries, update.is_complete)
+        except (KeyError, TypeError, ValueError, IndexError) as problem:
+            log_external(f"an update of the list by the process before is not used: {problem!r}")
+
     async def take_over(self) -> None:
         """Tell the predecessor to stop accepting, and wait until it has.
 
@@ -184,6 +197,8 @@
                 self._resume_request(message, *descriptors)
             case ListenerReleased():
                 self._listener_released.set()
+            case EndpointListUpdate():
+                self._update_endpoint_list(message)
             case DescriptorsHeld():
                 self.predecessor_descriptors = message.count
                 self.context.update_limits()
--- a/tests/golden/test_golden_processes.py
+++ b/tests/golden/test_golden_processes.py
@@ -242,6 +242,29 @@
     assert dispatcher.executors["e1"].state is EndpointState.DRAINING
 
 
+@pytest.mark.parametrize(
+    ("discovery", "version", "is_used"),
+    [("127.0.0.1:7000", 5, True), ("127.0.0.1:7000", 4, False), ("127.0.0.1:7001", 5, False)],
+)
+def test_update_is_learned(discovery, version, is_used):
+    """An update that the process before has received counts here too: a newer one of the same service."""
+    dispatcher = new_desk(Clock(1000.0))
+    draining = ["e1", ["127.0.0.1", 9001], "a", "m", 0, int(EndpointState.DRAINING), 0.0, 2.0]
+    wire = {"list": {"version": version, "discovery": discovery, "complete": False, "entries": [draining]}}
+    message = restart_messages.decode(wire)
+    assert message.to_wire()["list"]["entries"] == [
+        ("e1", ("127.0.0.1", 9001), "a", "m", 0, EndpointState.DRAINING, 0.0, 2.0)
+    ]
+    new_succession(dispatcher).as_successor._handle(None, message, [])
+    assert dispatcher.version == (5 if is_used else 4)
+    expected = EndpointState.DRAINING if is_used else EndpointState.READY
+    assert dispatcher.executors["e1"].state is expected
+    assert dispatcher.executors["e0"].state is EndpointState.READY
+    for malformed in ([["e1"]], ["e1"], None):
+        with pytest.raises(restart_messages.MalformedMessage):
+            restart_messages.decode({"list": wire["list"] | {"entries": malformed}})
+
+
 def test_task_is_said(monkeypatch):
     """The whole line: the task, when it was told, and its bytes as Latin-1 text."""
     monkeypatch.setattr(restart_predecessor, "monotonic", lambda: 1234.5)
@@ -274,6 +297,10 @@
     [
         ({"take": True}, b'{"take":true,"files":0}\n'),
         ({"yours": True}, b'{"yours":true,"files":0}\n'),
+        (
+            {"list": {"version": 5, "discovery": "127.0.0.1:7000", "complete": False, "entries": []}},
+            b'{"list":{"version":5,"discovery":"127.0.0.1:7000","complete":false,"entries":[]},"files":0}\n',
+        ),
         ({"holds": 40}, b'{"holds":40,"files":0}\n'),
         ({"reload": True}, b'{"reload":true,"files":0}\n'),
         ({"done": 3, "known": True}, b'{"done":3,"known":true,"files":0}\n'),
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -11,7 +11,7 @@
 
 import orjson
 import pytest
-from helpers import OFFERINGS, World, free_port, post, read_message
+from helpers import OFFERINGS, World, address_of, free_port, post, read_message
 from test_service import play, silent, slowly
 
 from firwalk.dispatcher.maintenance import Maintenance
@@ -309,16 +309,26 @@
 
 
 class ZonesWorld(World):
-    """A world whose executors are in two zones."""
+    """A world whose executors are in two zones, and whose discovery service has a second address."""
+
+    async def __aenter__(self):
+        self.second_lists = await asyncio.start_server(self._list, "127.0.0.1", 0)
+        return await super().__aenter__()
+
+    async def __aexit__(self, *problem):
+        await super().__aexit__(*problem)
+        self.second_lists.close()
 
     def entry(self, number, address=None, lifecycle="active"):
         return super().entry(number, address, lifecycle) | {"zone": EXECUTOR_ZONES[number]}
 
 
-def test_keyed_requests_stay_in_their_zone_at_executors_known_from_handed_over_requests():
+@pytest.mark.parametrize("has_moved", [False, True])
+def test_keyed_requests_stay_in_their_zone_at_executors_that_join_during_a_hot_restart(has_moved):
     """Guards against keyed requests that ran in two zones, at executors that a successor had not listed.
 
-    They join while the successor waits for a slow list, and are known to it first from requests in progress.
+    They join while the successor waits for a slow list. It knows them first from requests in progress where the
+    discovery service has moved, else from the updates that its predecessor passes on.
     """
     zones_of_keys = {}
 
@@ -339,7 +349,8 @@
         await world.until(lambda: world.watches)
         predecessor_watch = world.watches[-1]
         world.list_late = SLOW_LIST_S
-        successor = await NodeProcess(world).start()
+        changes = {"discovery": address_of(world.second_lists)} if has_moved else {}
+        successor = await NodeProcess(world, **changes).start()
         await world.logs("has come")
         world.watches.append(predecessor_watch)
         await world.tell(world.entry(1), world.entry(2))
@@ -388,6 +399,39 @@
     asyncio.run(run())
 
 
+def test_a_successor_sends_nothing_to_an_executor_whose_drain_only_its_predecessor_was_told_of():
+    """Guards against requests past the drain grace, after an upgrade beside a slow discovery service."""
+
+    async def slow_answer(executor, writer, name):
+        await asyncio.sleep(0.2)
+        await executor.lines(writer, name, "done")
+
+    async def scenario(world):
+        await world.until(lambda: world.watches)
+        predecessor_watch = world.watches[-1]
+        world.list_late = SLOW_LIST_S
+        successor = await NodeProcess(world).start()
+        await world.logs("has come")
+        world.watches.append(predecessor_watch)
+        await world.tell(world.entry(1, lifecycle="leaving"))
+        await successor.ready()
+        await stop_first_process(world)
+        requests = [world.ask(post(name=f"t{n}")) for n in range(10)]
+        answers = await asyncio.gather(*requests)
+        assert len(world.watches) == 2, "the successor has no list of its own yet"
+        await successor.end()
+        assert [answer[0] for answer in answers] == [200] * 10
+        assert (len(world.executors[0].got), len(world.executors[1].got)) == (10, 0)
+
+    play(
+        scenario,
+        slow_answer,
+        slow_answer,
+        managed=True,
+        settings={"specifics": {}, "load-report": {"how": "off"}},
+    )
+
+
 def test_a_successor_without_the_capability_receives_no_requests():
     async def scenario(world):
         connection = await world.connect()
