--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -327,8 +327,8 @@
 def test_keyed_requests_stay_in_their_zone_at_executors_that_join_during_a_hot_restart(has_moved):
     """Guards against keyed requests that ran in two zones, at executors that a successor had not listed.
 
-    They join while the successor waits for a slow list. It knows them first from requests in progress where the
-    discovery service has moved, else from the updates that its predecessor passes on.
+    They join while the successor waits for a slow list. Where the discovery service has moved, it knows them
+    first from requests in progress, else from the updates that its predecessor passes on.
     """
     zones_of_keys = {}
 
