Handover: a test of the place of an attempt over two handovers

Need: the postmortem's table of paths names a request that goes over twice; no test had a process in between that does not list the executor.

--- a/tests/test_deduplication.py
+++ b/tests/test_deduplication.py
@@ -123,6 +123,18 @@
     assert only_elsewhere.lose(hand_over(predecessor, only_elsewhere, pending)) is None
 
 
+@pytest.mark.parametrize("scope, elsewhere", [("zone", {"zone": "b"}), ("cell", {"cell": 2})])
+def test_an_attempt_keeps_its_scope_over_two_handovers(scope, elsewhere):
+    """Guards against a process in between, which has not listed the executor, losing the place."""
+    first = Node(scope, entry("e0"))
+    second = Node(scope, entry("e9"))
+    third = Node(scope, entry("e1"), entry("e2", **elsewhere))
+    only_elsewhere = Node(scope, entry("e2", **elsewhere))
+    pending = hand_over(first, second, first.order())
+    assert third.lose(hand_over(second, third, pending)) == "e1"
+    assert only_elsewhere.lose(hand_over(second, only_elsewhere, pending)) is None
+
+
 @pytest.mark.parametrize("scope", ["zone", "cell"])
 def test_an_attempt_whose_scope_the_predecessor_does_not_tell_forbids_a_retry(scope):
     """Guards against a guess where a predecessor of an earlier version sends no zone and cell."""
