Hot restart: only updates of the service in use are passed on, labelled by their source

Found on reading the change once more: after a SIGHUP that moves discovery the previous watch stays in use until the new service has sent a list. Its updates would have crossed with the new service's address, and a version of the other numbering that the successor then takes for newer than all that comes.

Change: the client of discovery, which knows whose update it is, hands on those of the current address (`Discovery.on_update`), in place of the dispatcher, which doesn't.

--- a/firwalk/dispatcher/dispatcher.py
+++ b/firwalk/dispatcher/dispatcher.py
@@ -52,8 +52,6 @@
         self.endpoint_list = EndpointList(
             self.policy, self.zones, self.machine_types, self.close_idle_connections
         )
-        # Called with each update of the discovery service: version, whether it is complete, entries.
-        self.endpoint_list_observer: Callable[[int, bool, list[EndpointFields]], None] | None = None
         self.executors = self.endpoint_list.executors
         self.maintenance = self.endpoint_list.maintenance
         if settings.get("discovery") != "ask":
@@ -332,11 +330,8 @@
     ) -> None:
         """Apply an update of the list; a complete one removes executors that it does not name."""
         now = self.clock()
-        entries = list(entries)
         if self.endpoint_list.apply(now, version, is_complete, entries):
             self._finish_event(now)
-            if self.endpoint_list_observer is not None:
-                self.endpoint_list_observer(version, is_complete, entries)
 
     def restore_endpoint_list(
         self, version: int, entries: Iterable[EndpointFields], is_complete: bool = True
--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -37,6 +37,8 @@
         # Of the previous service, until the current one has sent a list.
         self.previous_watch_task: asyncio.Task[None] | None = None
         self.has_received_list = True  # from the service at the current address
+        # Called with the updates of the service at the current address.
+        self.on_update: Callable[[listing.Update], None] | None = None
 
     def watch(self, is_on: bool) -> None:
         """Open the watch unless it is open already, or close it."""
@@ -75,6 +77,8 @@
             if self.previous_watch_task is not None:
                 self.previous_watch_task.cancel()
         self.dispatcher.report_endpoint_list(*update)
+        if address == self.address and self.on_update is not None:
+            self.on_update(update)
 
     async def _call(self, is_watch: bool) -> None:
         """Make one call, and report the end of a watch, or of a poll without a list, to the dispatcher."""
--- a/firwalk/net/restart_context.py
+++ b/firwalk/net/restart_context.py
@@ -14,6 +14,7 @@
     from firwalk.dispatcher.dispatcher import Dispatcher
     from firwalk.net.budget import Budget
     from firwalk.net.clients import Clients
+    from firwalk.net.discovery import Discovery
     from firwalk.net.executors import Executors
 
 # The successor gets one in this many of the node's descriptors until it takes over.
@@ -26,6 +27,7 @@
 
     config: dict[str, Any]
     dispatcher: Dispatcher
+    discovery: Discovery
     clients: Clients
     executors: Executors
     budget: Budget
--- a/firwalk/net/restart_predecessor.py
+++ b/firwalk/net/restart_predecessor.py
@@ -31,8 +31,8 @@
 from firwalk.observability.log import log_exception, log_external
 
 if TYPE_CHECKING:
-    from firwalk.dispatcher.endpoint_list import EndpointFields
     from firwalk.net.client_connection import ClientConnection
+    from firwalk.net.listing import Update
 
 HAND_OVER_INTERVAL_S = 0.01
 # The predecessor keeps this many descriptors besides one for each client's request.
@@ -80,7 +80,7 @@
         self._continues_requests = hello.continues_requests
         log_external("another process of this node has come")
         channel.send(self._node_state().to_wire(), *self.context.service.shared())
-        self.context.dispatcher.endpoint_list_observer = self._forward_endpoint_list
+        self.context.service.discovery.on_update = self._forward_update
         self.context.update_limits()
         while True:
             wire, _ = await channel.receive()
@@ -98,11 +98,13 @@
     def _endpoint_list_state(self, version: int, entries: list[tuple[Any, ...]]) -> EndpointListState:
         return EndpointListState(version, self.context.service.config["discovery"], entries)
 
-    def _forward_endpoint_list(self, version: int, is_complete: bool, entries: list[EndpointFields]) -> None:
+    def _forward_update(self, update: Update) -> None:
         """Send an update to the successor, whose own calls of the discovery service may have to wait."""
         if self.channel is not None and self.channel.is_open:
-            endpoint_list = self._endpoint_list_state(version, [tuple(entry) for entry in entries])
-            self.channel.send(EndpointListUpdate(endpoint_list, is_complete).to_wire())
+            endpoint_list = self._endpoint_list_state(
+                update.version, [tuple(entry) for entry in update.entries]
+            )
+            self.channel.send(EndpointListUpdate(endpoint_list, update.is_complete).to_wire())
 
     def _release_listener(self, channel: ControlChannel) -> None:
         """Stop accepting, and start to hand connections over."""
@@ -196,7 +198,7 @@
         """Serve alone again after the successor has exited before this process."""
         service = self.context.service
         self.channel = None
-        self.context.dispatcher.endpoint_list_observer = None
+        service.discovery.on_update = None
         service.clients.hand_over_client = None
         service.clients.is_shutting_down = service.is_stopping()
         self.context.update_limits()
--- a/tests/golden/test_golden_processes.py
+++ b/tests/golden/test_golden_processes.py
@@ -99,6 +99,7 @@
     service = SimpleNamespace(
         config={"listen": "127.0.0.1:8000", "discovery": "127.0.0.1:7000"},
         dispatcher=dispatcher,
+        discovery=SimpleNamespace(on_update=None),
         has_management=False,
         files=64,
         limit=lambda descriptors, part: None,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,7 @@
 import pytest
 from helpers import address_of, read_message
 
-from firwalk.net import discovery
+from firwalk.net import discovery, listing
 from firwalk.net.address import parse_address
 from firwalk.net.buffers import Buffers
 from firwalk.net.discovery import Discovery
@@ -225,3 +225,26 @@
         assert not w.dispatcher.updates
 
     run_call(respond, scenario, monkeypatch, watch=False)
+
+
+def test_updates_of_a_previous_service_are_not_passed_on():
+    """Guards against versions of a service that was left being taken for those of the current one.
+
+    After a move the previous watch stays in use until the new service has sent a list.
+    """
+
+    async def run():
+        first, second = ("127.0.0.1", 9), ("127.0.0.1", 10)
+        dispatcher = RecordingDispatcher()
+        client = Discovery(dispatcher, Buffers(), first)
+        passed_on = []
+        client.on_update = passed_on.append
+        client._receive_update(first, listing.Update(50, True, []))
+        client.move(second)
+        client._receive_update(first, listing.Update(51, False, []))
+        client._receive_update(second, listing.Update(3, True, []))
+        client.watch(False)
+        assert [version for version, _ in dispatcher.updates] == [50, 51, 3]
+        assert [update.version for update in passed_on] == [50, 3]
+
+    asyncio.run(run())
