Sticky routing: keys are kept by their hash, whatever their length

Cause: up to 4,096 keys were kept as they came, and a key may have 16 KB: a client under ever new names made the process keep 64 MB. Only the hash of a key decides on its executors. Change: the table has the hashes.

--- a/firwalk/policy/sticky_executors.py
+++ b/firwalk/policy/sticky_executors.py
@@ -24,24 +24,25 @@
 
     def __init__(self, executor_set: ExecutorSet) -> None:
         self.executor_set = executor_set
-        self.keys: dict[bytes, tuple[int, tuple[Executor, ...]]] = {}  # `list_count` when hashed, executors
+        # By the hash of the key, which may be long: `list_count` when hashed, and the executors.
+        self.keys: dict[int, tuple[int, tuple[Executor, ...]]] = {}
         self.repeat_rate = INITIAL_REPEAT_RATE
 
     def executors_for(self, key: bytes) -> tuple[Executor, ...]:
         """Return the sticky executors of a key; none while few keys repeat."""
         list_count = self.executor_set.list_count
-        cached_list_count, executors = self.keys.pop(key, (0, ()))
+        key_hash = crc32(key)
+        cached_list_count, executors = self.keys.pop(key_hash, (0, ()))
         self.repeat_rate += REPEAT_SMOOTHING * (bool(executors) - self.repeat_rate)
         if cached_list_count != list_count:
-            executors = self._hash_key(key)
-        self.keys[key] = list_count, executors
+            executors = self._choose(key_hash)
+        self.keys[key_hash] = list_count, executors
         if len(self.keys) > MAX_KEYS:
             del self.keys[next(iter(self.keys))]  # the least recently used
         return executors if self.repeat_rate > MIN_REPEAT_RATE else ()
 
-    def _hash_key(self, key: bytes) -> tuple[Executor, ...]:
+    def _choose(self, key_hash: int) -> tuple[Executor, ...]:
         candidates = self.executor_set.candidates
-        key_hash = crc32(key)
         if candidates.is_large:
             return candidates.successors(key_hash, EXECUTORS_PER_KEY)
         ready = sorted(
