Timers: those of a finished request are cancelled, and keep nothing alive

Cause: a timer could not be cancelled, so that each request was kept with its attempts, record and client until its deadline had passed, whatever number of requests came meanwhile. The dispatcher cancels a request's timers when its last action has been taken.

--- a/firwalk/dispatcher/dispatcher.py
+++ b/firwalk/dispatcher/dispatcher.py
@@ -89,6 +89,7 @@
         """Wait for the next action of the request; return None if there will be no more."""
         while not pending.actions:
             if pending.is_finished():
+                self._cancel_timers(pending)
                 return None
             pending.waiter = get_running_loop().create_future()
             await pending.waiter
--- a/firwalk/dispatcher/pending_request.py
+++ b/firwalk/dispatcher/pending_request.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from firwalk.dispatcher.actions import Action
+from firwalk.dispatcher.timers import Timer
 from firwalk.observability.events import FailureReason
 from firwalk.observability.monitor import RequestRecord
 
@@ -41,6 +42,7 @@
         self.record: RequestRecord | None = None
         self.failure_reason = FailureReason.NO_EXECUTOR
         self.has_client_left: Callable[[], bool] = lambda: False
+        self.timers: list[Timer] = []
 
     def wake(self) -> None:
         """Resume the task that waits for the next action."""
--- a/firwalk/dispatcher/policy_host.py
+++ b/firwalk/dispatcher/policy_host.py
@@ -104,8 +104,18 @@
             self.wake()
 
     def set_timer(self, when: float, act: TimerCallback, about: Any) -> None:
-        """Call `act(now, about)` at `when` or shortly after."""
-        self.timers.add(when, act, about)
+        """Call `act(now, about)` at `when` or shortly after; timers of a request end with it."""
+        timer = self.timers.add(when, act, about)
+        if isinstance(about, Attempt):
+            about.request.handle.timers.append(timer)
+        elif isinstance(about, PendingRequest):
+            about.timers.append(timer)
+
+    def _cancel_timers(self, pending: PendingRequest) -> None:
+        """Cancel the timers of a finished request, which would keep it in memory until its deadline."""
+        for timer in pending.timers:
+            self.timers.cancel(timer)
+        pending.timers.clear()
 
     # -- requests and attempts -----------------------------------------------------------------
 
