Clients' input is charged before it is kept, read ahead to its end, and parsed in turns

Callers saw: processes killed over their memory limit; late or lost answers beside floods; a retry 0.4 s after its client had closed behind unread bytes.

Cause, three of one class: what a client sends was counted and served as bytes that had arrived, not as what it makes the process keep and do. A head's limit counted the bytes of its fields, not the two objects and the table entry of each; the parser library kept an element without an end (a header value, a trailer) before it called us; a body in parts of two bytes was kept as its parts. One read could hold hundreds of messages and was parsed in one step, by each of hundreds of clients in one iteration of the loop. Behind a full queue nothing was read, so that the end of a client stood behind what it had sent.

Change: - limits/memory.py: one pool for input and answers; a message is charged with its objects before its bytes are fed; large messages leave room for small ones, input leaves room for answers. - net/http.py: only the needed fields are kept, 128 fields at most, elements of 16 KB at most, bodies in one buffer. - net/client_input.py: the socket is read ahead of the parser up to 64 KB; before each message and attempt it is read to its end, and the client has left if that end is there. Who has sent more than that has further messages rejected (503, `overrun`), in their order. - net/turns.py, limits/fair_share.py: a client with a backlog, or over its share of processor time, waits for a turn; one turn of half a millisecond in each iteration of the loop. - an idle connection keeps neither its last request nor a read buffer. - rejected connections discard what still comes without copying it, ever more seldom. - a message counts as an immediate retry if it was read after the rejection, not if it was parsed after it: a batch is one retry.

--- a/firwalk/dispatcher/dispatcher.py
+++ b/firwalk/dispatcher/dispatcher.py
@@ -225,7 +225,7 @@
         if pending.has_client_left():
             self.report_client_left(pending)
             return False
-        return True
+        return not pending.is_client_overrun()
 
     def report_started(self, pending: PendingRequest, number: int) -> None:
         """Record that the executor has started an attempt."""
--- a/firwalk/dispatcher/pending_request.py
+++ b/firwalk/dispatcher/pending_request.py
@@ -42,6 +42,8 @@
         self.record: RequestRecord | None = None
         self.failure_reason = FailureReason.NO_EXECUTOR
         self.has_client_left: Callable[[], bool] = lambda: False
+        # Whether the client has sent more than is read, so that it is not known whether it has left.
+        self.is_client_overrun: Callable[[], bool] = lambda: False
         self.timers: list[Timer] = []
 
     def wake(self) -> None:
--- a/firwalk/net/budget.py
+++ b/firwalk/net/budget.py
@@ -1,17 +1,18 @@
-"""Limits on file descriptors and memory: admission, eviction and reservation.
+"""Limits on file descriptors and memory: admission and eviction of connections, and the memory pool.
 
 Connections are counted, not files. When a client or an executor needs a connection at the limit, an idle one
 is evicted. If none is idle, a client is admitted on a spare descriptor, where its request is answered 503;
 without a spare one, no client is admitted until a descriptor is free. An attempt waits for a descriptor for
 at most the connect timeout and then ends as not sent. Health checks are limited further, so that they leave
-descriptors for clients and attempts. Request bodies share a fixed part of the memory, counted as their bytes
-arrive; a client whose body exceeds it is answered 503.
+descriptors for clients and attempts. What peers send shares a part of the memory (`firwalk.limits.memory`),
+counted before it is kept; a client whose message does not fit is answered 503.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+from firwalk.limits.memory import MemoryPool
 from firwalk.observability.log import check_invariant
 
 BASE_DESCRIPTORS = 20  # the listener, discovery, peers, event loop and standard streams use these
@@ -22,9 +23,7 @@
 HEALTH_CHECK_SHARE = 0.75  # health checks open no connection once this fraction is in use
 BASE_MEMORY_BYTES = 20e6  # the process uses this much memory without any request
 MIN_REQUEST_MEMORY_SHARE = 0.1  # requests may use at least this fraction of the memory limit
-# Bodies may use this fraction of the request memory, from their first byte to the end of the request.
-BODY_SHARE = 0.4
-BODY_COPIES = 2  # memory holds the body itself and the encoded attempt
+POOL_SHARE = 0.4  # messages may use this fraction of the request memory
 CLIENT_MEMORY_SHARE = 0.4  # connections without bodies may use this fraction of the request memory
 CLIENT_CONNECTION_BYTES = (
     24000  # a connection uses this much for its buffer, reader, parser and request state
@@ -40,14 +39,14 @@
 
 
 class Budget:
-    """Counts connections and body bytes against the limits of the process."""
+    """Counts connections and the memory of messages against the limits of the process."""
 
     def __init__(self, descriptors: int, memory_bytes: int, reserved: int = 0) -> None:
         self.reserved = reserved  # descriptors for other uses
         self.clients = 0  # not counting those on spare descriptors
         self.executors = 0
         self.spare = 0
-        self.body_bytes = 0
+        self.memory = MemoryPool(0)
         # Each closes an idle connection and returns whether there was one; the argument selects clients on
         # spare descriptors.
         self.evict_client: Callable[[bool], bool] = _evict_no_client
@@ -64,7 +63,7 @@
             int(self.max_connections * CLIENT_SHARE),
             int(memory * CLIENT_MEMORY_SHARE / CLIENT_CONNECTION_BYTES),
         )
-        self.max_body_bytes = int(memory * BODY_SHARE / BODY_COPIES)
+        self.memory.set_limit(int(memory * POOL_SHARE))
 
     def limit_to_current(self, additional: int) -> None:
         """Limit connections to those open now and `additional` more, for clients or executors."""
@@ -132,15 +131,3 @@
         """Count the end of a connection to an executor."""
         self.executors -= 1
         check_invariant(self.executors >= 0, "executor connections are counted correctly")
-
-    def reserve_memory(self, size_bytes: int) -> bool:
-        """Reserve memory for a part of a body; return False if none is available."""
-        if self.body_bytes + size_bytes > self.max_body_bytes:
-            return False
-        self.body_bytes += size_bytes
-        return True
-
-    def release_memory(self, size_bytes: int) -> None:
-        """Release reserved memory."""
-        self.body_bytes -= size_bytes
-        check_invariant(self.body_bytes >= 0, "body memory is counted correctly")
--- a/firwalk/net/client_connection.py
+++ b/firwalk/net/client_connection.py
@@ -9,8 +9,11 @@
 from time import monotonic
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
+from firwalk.limits.fair_share import TURN_S
+from firwalk.limits.memory import MemoryCharge, MemoryUse
 from firwalk.net import http
-from firwalk.net.socket_io import has_hung_up, receive_into
+from firwalk.net.client_input import ClientInput
+from firwalk.net.socket_io import has_hung_up, wait_readable
 from firwalk.observability.events import CloseReason
 from firwalk.observability.log import check_invariant, log_exception, log_external
 
@@ -19,37 +22,29 @@
     from firwalk.net.budget import Budget
     from firwalk.net.buffers import Buffers
     from firwalk.net.stalls import StallDetector
+    from firwalk.net.turns import Turns
 
 WRITE_TIMEOUT_S = 20.0  # a response must be written within this time
 LINGER_S = 1.0  # a client has this long to read the last response before its connection closes
 TIMEOUT_LINGER_S = 0.25  # a client whose message timed out has this long to read the response
-LINGER_INTERVAL_S = 0.02  # a pause between reads that discard bytes limits the CPU time spent on them
+LINGER_INTERVAL_S = 0.02  # a pause between reads that discard bytes; doubled after each of them
+DISCARDED_BYTES_PER_READ = 65536
 EVICTABLE_AFTER_S = 0.1  # a connection without a request may be evicted after this time without a message
 IMMEDIATE_RETRY_S = 0.01  # a message this soon after an error response shows that the client did not wait
 MAX_QUEUED_MESSAGES = 32  # this many are read ahead, so that their deadlines count from their arrival
 DISCONNECT_CHECK_INTERVAL_S = 0.03  # a client whose bytes are not read is checked for a disconnect this often
 WRITE_CHECK_INTERVAL_S = 0.02  # the end of a response in progress is checked this often
+MESSAGE_WORK_S = 0.0004  # processor time charged for serving a message
+MAX_REJECTIONS_PER_WRITE = 32
 
 
 class ClientMessage:
     """A complete HTTP message of a client."""
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "received_at", "target")
+    __slots__ = ("received_at", "request")
 
-    def __init__(
-        self,
-        method: bytes,
-        target: bytes,
-        headers: http.Headers,
-        body: bytes,
-        keep_alive: bool,
-        received_at: float,
-    ) -> None:
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.keep_alive = keep_alive
+    def __init__(self, request: http.ParsedRequest, received_at: float) -> None:
+        self.request = request
         self.received_at = received_at  # by the kernel; this process may have read it later
 
 
@@ -75,20 +70,24 @@
         self.clients = clients
         self.sock = sock
         self.is_spare = is_spare
-        self.parser = http.RequestParser(
-            self._enqueue, clients.budget.reserve_memory, clients.budget.release_memory
-        )
+        self.parser = http.RequestParser(self._enqueue, clients.budget.memory)
+        self.input = ClientInput(sock, clients.buffers, clients.budget.memory)
+        self.account = clients.turns.new_account()
         self.queue: deque[ClientMessage] = deque()
+        self.rejected_count = 0  # messages behind the queue that are answered 503 after it
         self.queue_shrunk: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.is_backlogged = False  # the client has sent more than the slice that was parsed last
         self.is_busy = False  # a message is being served
         self.has_sent_message = False
         self.has_sent_request = False  # one that the dispatcher has accepted
         self.pending: PendingRequest | None = None
-        self.last_request: ClientRequest | None = None  # the last one that the dispatcher has accepted
+        self.last_request: ClientRequest | None = None  # the one in work that the dispatcher has accepted
+        self.last_request_id = b""
         self.writer: asyncio.Task[None] | None = None  # the task that is writing a response, if any
         self.active_at = monotonic()
         self.is_closing = False
         self.has_ended = False  # the reader has ended
+        self.read_at = self.active_at  # when the bytes that are being parsed were read
         # Bytes that arrived before admission may have waited since then; None once they are read.
         self.accepted_at: float | None = None if self._is_fully_read() else accepted_at
         self.rejection_status = 0  # written by the reader before it ends the connection; 0: none
@@ -102,65 +101,118 @@
     # -- reading -------------------------------------------------------------------------------------------
 
     async def _read(self) -> None:
-        buffer = self.clients.buffers.acquire()
-        view = memoryview(buffer)
         try:
-            while count := await receive_into(self.sock, buffer):
-                if not self.parser.is_partial and self.has_sent_message:
-                    self.active_at = monotonic()
-                self.parser.feed(view[:count])
-                self.accepted_at = None
-                self._serve_next()
-                if self.parser.expects_continue and not self.is_busy:  # not before an earlier response
-                    self.parser.expects_continue = False
-                    await asyncio.get_running_loop().sock_sendall(self.sock, http.CONTINUE_RESPONSE)
-                while len(self.queue) >= MAX_QUEUED_MESSAGES:  # the rest stays in the receive buffer
-                    if not await self._wait_for_queue():
-                        return
+            while await self._receive():
+                await self._parse_turn()
         except OSError:
             pass
         except asyncio.CancelledError:
             if self.is_closing or not self.rejection_status:
                 raise
             self.reader.uncancel()  # `reject` has cancelled it
-            await self._write_rejection(self.rejection_status, buffer)
+            await self._write_rejection(self.rejection_status)
         except http.Malformed as error:
-            await self._handle_malformed(error, buffer)
+            await self._handle_malformed(error)
         except Exception as error:
             log_exception("reading from a client", error)
+
+    async def _receive(self) -> bool:
+        """Wait until there are bytes to parse and room in the queue; return False at the client's end."""
+        while True:
+            if not self.input.has_unparsed():
+                await wait_readable(self.sock)
+                if not self.parser.is_partial and self.has_sent_message:
+                    self.active_at = monotonic()
+            self.input.receive()
+            if self.input.has_ended:
+                return False
+            if self._may_parse():
+                return True
+            if self.input.has_unparsed() and not await self._wait_for_queue():
+                return False
+
+    async def _parse_turn(self) -> None:
+        """Parse bytes for a turn of the connection, and serve what they complete."""
+        await self.clients.turns.take(self.account, self.is_backlogged)
+        began_at = monotonic()
+        try:
+            self._parse_slice()
+            while self._may_parse() and monotonic() - began_at < TURN_S:
+                self._parse_slice()
         finally:
-            view.release()
-            self.clients.buffers.release(buffer)
+            now = monotonic()
+            self.account.charge(now, now - began_at)
+        self.is_backlogged = self.input.has_unparsed()
+        self.accepted_at = None
+        if not self.input.has_unparsed() or len(self.queue) >= MAX_QUEUED_MESSAGES:
+            self._serve_next()
+        if self.parser.expects_continue and not self.is_busy:  # not before an earlier response
+            self.parser.expects_continue = False
+            await asyncio.get_running_loop().sock_sendall(self.sock, http.CONTINUE_RESPONSE)
+
+    def _may_parse(self) -> bool:
+        """Return whether there are bytes to parse, and room for messages.
+
+        Behind a full queue, messages wait unparsed, or are rejected if there are too many of them.
+        """
+        has_room = len(self.queue) < MAX_QUEUED_MESSAGES or self.input.is_overrun
+        return self.input.has_unparsed() and has_room
+
+    def _parse_slice(self) -> None:
+        part = self.input.next_slice()
+        self.read_at = part.read_at
+        self.parser.feed(part.data)
 
     async def _wait_for_queue(self) -> bool:
-        """Wait until the queue shrinks; return False if the client disconnects, which no read would show."""
+        """Wait until the queue shrinks; return False if the client has left."""
         self.queue_shrunk = asyncio.get_running_loop().create_future()
-        while not self.queue_shrunk.done():
+        while not self.queue_shrunk.done() and not self.input.is_overrun:
             await asyncio.wait([self.queue_shrunk], timeout=DISCONNECT_CHECK_INTERVAL_S)
-            if has_hung_up(self.sock):
+            self.input.refresh()
+            if self.input.has_ended:
                 return False
         return True
 
-    def _enqueue(
-        self, method: bytes, target: bytes, headers: http.Headers, body: bytes, keep_alive: bool
-    ) -> None:
+    def _enqueue(self, request: http.ParsedRequest) -> None:
         """Queue a message; it is served only once the remaining bytes of the read have parsed as valid."""
-        now = monotonic()
-        is_immediate_retry = now - self.rejected_at < IMMEDIATE_RETRY_S
+        if len(self.queue) >= MAX_QUEUED_MESSAGES and self.input.is_overrun or self.rejected_count:
+            request.charge.release()
+            self.rejected_count += 1
+            return
+        is_immediate_retry = 0.0 <= self.read_at - self.rejected_at < IMMEDIATE_RETRY_S
         self.immediate_retries = self.immediate_retries + 1 if is_immediate_retry else 0
-        received_at = now - self.clients.stalls.unread_time_s(now, self.sock)
+        received_at = self.read_at - self.clients.stalls.unread_time_s(self.read_at, self.sock)
         if self.accepted_at is not None:
             received_at = min(received_at, self.accepted_at)
-        self.queue.append(ClientMessage(method, target, headers, body, keep_alive, received_at))
+        self.queue.append(ClientMessage(request, received_at))
 
     def _serve_next(self) -> None:
-        if self.queue and not self.is_busy:
-            self.is_busy = self.has_sent_message = True
+        if self.is_busy or not (self.queue or self.rejected_count):
+            return
+        self.is_busy = self.has_sent_message = True
+        self.account.charge(monotonic(), MESSAGE_WORK_S)
+        if self.queue:
             self.clients.spawn(self.clients.requests.serve(self, self.queue.popleft()))
-            if not self.queue_shrunk.done():
-                self.queue_shrunk.set_result(None)
+        else:
+            self.clients.spawn(self._answer_rejected())
+        if not self.queue_shrunk.done():
+            self.queue_shrunk.set_result(None)
+
+    async def _answer_rejected(self) -> None:
+        """Answer messages that were read behind a full queue; none of them was begun."""
+        await self.clients.turns.take(self.account, is_backlogged=True)
+        count = min(self.rejected_count, MAX_REJECTIONS_PER_WRITE)
+        self.rejected_count -= count
+        self.clients.requests.record_overrun(count)
+        if not self.has_ended:
+            await self._write(count * http.encode_response(http.SERVICE_UNAVAILABLE))
+        self.is_busy = False
+        self.active_at = self.rejected_at = monotonic()
+        self.clients.mark_idle(self)
+        if not self.has_ended:
+            self._continue_serving()
 
-    async def _handle_malformed(self, error: http.Malformed, buffer: bytearray) -> None:
+    async def _handle_malformed(self, error: http.Malformed) -> None:
         """End the connection, since the boundary between messages is no longer known.
 
         The request in work is cancelled too, since its length may have been wrong. If only memory is short,
@@ -169,8 +221,10 @@
         """
         self.clients.malformed += 1
         log_external(f"a client's bytes: {error}")
+        self.parser.discard()
+        self.input.discard()
         if error.status == http.SERVICE_UNAVAILABLE:
-            self.parser.discard_body()
+            self._serve_next()
             while self.is_busy or self.queue:
                 await asyncio.sleep(DISCONNECT_CHECK_INTERVAL_S)
                 if has_hung_up(self.sock):
@@ -181,35 +235,49 @@
         self._drop_requests()
         while self.is_busy:  # a response is being written
             await asyncio.sleep(WRITE_CHECK_INTERVAL_S)
-        await self._write_rejection(error.status, buffer)
+        await self._write_rejection(error.status)
 
     def _drop_requests(self) -> None:
         """Drop the queue and cancel the request in work."""
         while self.queue:
-            self.clients.budget.release_memory(len(self.queue.popleft().body))
-        self.parser.discard_body()
+            self.queue.popleft().request.charge.release()
+        self.rejected_count = 0
+        self.parser.discard()
+        self.input.discard()
         pending = self.pending
         self.pending = None
         if pending is not None:
             self.is_busy = False
             self.clients.dispatcher.report_client_left(pending)
 
-    async def _write_rejection(self, status: int, buffer: bytearray) -> None:
+    async def _write_rejection(self, status: int) -> None:
         """Write an error response, and discard further bytes briefly.
 
         Closing a socket with unread bytes resets the connection, and the response could be lost.
         """
-        loop = asyncio.get_running_loop()
         linger_s = TIMEOUT_LINGER_S if status == http.REQUEST_TIMEOUT else LINGER_S
         try:
             async with asyncio.timeout(linger_s):
-                await loop.sock_sendall(self.sock, http.encode_response(status, keep_alive=False))
+                response = http.encode_response(status, keep_alive=False)
+                await asyncio.get_running_loop().sock_sendall(self.sock, response)
                 self.sock.shutdown(socket.SHUT_WR)
-                while await loop.sock_recv_into(self.sock, buffer):
-                    await asyncio.sleep(LINGER_INTERVAL_S)
+                await self._discard_received()
         except (OSError, TimeoutError):
             pass
 
+    async def _discard_received(self) -> None:
+        """Discard received bytes until the client closes the connection. Raises OSError if it is reset."""
+        interval_s = LINGER_INTERVAL_S
+        while True:
+            await asyncio.sleep(interval_s)
+            interval_s *= 2
+            try:
+                # The kernel copies nothing (tcp(7), MSG_TRUNC).
+                if not self.sock.recv(DISCARDED_BYTES_PER_READ, socket.MSG_TRUNC | socket.MSG_DONTWAIT):
+                    return
+            except BlockingIOError:
+                pass
+
     def _on_reader_done(self, _: asyncio.Task[None]) -> None:
         """Close or hand over the socket.
 
@@ -233,7 +301,8 @@
         check_invariant(self.is_busy, "a response belongs to a message")
         client_keeps_alive = keep_alive  # what the client asked for, whether or not this process closes
         # Queued messages have been read and must be answered too.
-        keep_alive = keep_alive and not self.clients.is_draining or bool(self.queue)
+        has_unanswered = bool(self.queue or self.rejected_count or self.input.has_unparsed())
+        keep_alive = keep_alive and not self.clients.is_draining or has_unanswered
         if 400 <= status < 500 and self.queue and not self.has_ended:
             if self.clients.requests.are_all_invalid(self.queue):
                 self.is_busy = False
@@ -242,7 +311,8 @@
                 return
         if not self.has_ended:
             response = http.encode_response(status, body, keep_alive, retry_after_s)
-            keep_alive = await self._write(response) and keep_alive
+            del body  # a client that does not read keeps one copy only
+            keep_alive = await self._write_counted(response, keep_alive) and keep_alive
         self.is_busy = False
         self.active_at = monotonic()
         self.clients.mark_idle(self)
@@ -250,17 +320,35 @@
             self.rejected_at = self.active_at
         if self.has_ended:
             return
-        if self.queue:
-            self._serve_next()
-        elif keep_alive or self.rejection_status:  # the reader writes a rejection
-            # Not left to a later sweep, which would never find a client idle that sends without a pause.
-            self.clients.hand_over_if_idle(self)
+        if keep_alive or self.rejection_status or self.queue or self.rejected_count:
+            self._continue_serving()
+        elif self.input.has_unparsed():
+            pass  # read during the write: the reader parses it, and its messages are answered
         elif self._is_fully_read():
             self.close(CloseReason.STOPPING if client_keeps_alive else CloseReason.LAST_ANSWER)
         elif not client_keeps_alive:
             await self._linger()
         # Otherwise more bytes arrived during the write: they are read, and their messages answered.
 
+    def _continue_serving(self) -> None:
+        """Serve the next message, or hand the connection over if there is none."""
+        if self.queue or self.rejected_count:
+            self._serve_next()
+        else:
+            # Not left to a later sweep, which would never find a client idle that sends without a pause.
+            self.clients.hand_over_if_idle(self)
+
+    async def _write_counted(self, response: bytes, keep_alive: bool) -> bool:
+        """Write a response and count its memory; without room for it, write that the request failed."""
+        charge = MemoryCharge(self.clients.budget.memory, MemoryUse.RESPONSE)
+        if not charge.grow(len(response)):
+            log_external("a response does not fit into the memory")
+            response = http.encode_response(http.INTERNAL_SERVER_ERROR, keep_alive=keep_alive)
+        try:
+            return await self._write(response)
+        finally:
+            charge.release()
+
     async def _write(self, response: bytes) -> bool:
         """Write a response; return whether it was written completely and in time."""
         try:
@@ -321,25 +409,39 @@
 
     def has_unanswered_message(self) -> bool:
         """Return whether a complete message has no response yet and is not handed over to another process."""
-        return (self.is_busy or bool(self.queue)) and self.on_socket_released is None
+        has_message = self.is_busy or bool(self.queue) or bool(self.rejected_count)
+        return has_message and self.on_socket_released is None
+
+    def has_client_left(self) -> bool:
+        """Read what the client has sent; return whether it has left."""
+        self.input.refresh()
+        return self.input.has_ended
 
     def request_id(self) -> str:
         """Return the id of the last request; an empty string if there was none."""
-        return self.last_request.request_id.decode("latin-1") if self.last_request is not None else ""
+        return self.last_request_id.decode("latin-1")
 
     def is_between_messages(self) -> bool:
         """Return whether no message is in work, queued or partly read; the socket may have unread bytes."""
-        return not (
-            self.is_busy or self.is_closing or self.parser.is_partial or self.rejection_status or self.queue
-        )
+        return not (self._is_in_use() or self.queue or self.rejected_count)
 
     def is_idle(self) -> bool:
         """Return whether no message is in work or partly read, and the socket has no unread bytes."""
-        is_in_use = self.is_busy or self.is_closing or self.parser.is_partial or self.rejection_status
-        return not is_in_use and self._is_fully_read()
+        return not self._is_in_use() and self._is_fully_read()
+
+    def _is_in_use(self) -> bool:
+        return bool(
+            self.is_busy
+            or self.is_closing
+            or self.parser.is_partial
+            or self.rejection_status
+            or self.input.has_unparsed()
+        )
 
     def _is_fully_read(self) -> bool:
-        """Return whether the socket has no unread bytes, which a close would lose."""
+        """Return whether no bytes are unread, which a close would lose."""
+        if self.input.has_unparsed():
+            return False
         try:
             return not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
@@ -363,7 +465,13 @@
     def can_hand_over_request(self) -> bool:
         """Return whether its request may be handed over: nothing further is read and no response begun."""
         return self.pending is not None and not (
-            self.has_ended or self.is_closing or self.rejection_status or self.parser.is_partial or self.queue
+            self.has_ended
+            or self.is_closing
+            or self.rejection_status
+            or self.parser.is_partial
+            or self.queue
+            or self.rejected_count
+            or self.input.has_unparsed()
         )
 
 
@@ -378,6 +486,9 @@
         def are_all_invalid(self, messages: Iterable[ClientMessage]) -> bool:
             """Return whether each message can only be answered with a client error."""
 
+        def record_overrun(self, count: int) -> None:
+            """Record messages that are rejected since the client has sent too many at once."""
+
     class ConnectionOwner(Protocol):
         """Interface of the set of connections that a connection belongs to."""
 
@@ -385,6 +496,7 @@
         budget: Budget
         buffers: Buffers
         stalls: StallDetector
+        turns: Turns
         is_draining: bool
         malformed: int
 
--- a/firwalk/net/client_requests.py
+++ b/firwalk/net/client_requests.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
-from functools import partial
 from time import monotonic
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -16,9 +15,9 @@
     RejectRequest,
     SendAttempt,
 )
+from firwalk.limits.memory import MemoryCharge, MemoryUse
 from firwalk.net import fields, http
 from firwalk.net.client_connection import EVICTABLE_AFTER_S, ClientRequest
-from firwalk.net.socket_io import has_hung_up
 from firwalk.observability.events import CloseReason, Event, FailureReason
 from firwalk.observability.log import log_exception, log_external
 
@@ -27,6 +26,7 @@
     from firwalk.net.budget import Budget
     from firwalk.net.client_connection import ClientConnection, ClientMessage
     from firwalk.net.executors import Executors
+    from firwalk.net.turns import Turns
     from firwalk.observability.monitor import Monitor
 
 HEALTH_TARGET = b"/_health"
@@ -51,35 +51,41 @@
         self.request_ids: dict[bytes, None] = {}  # ids of the requests in work
 
     async def serve(self, connection: ClientConnection, message: ClientMessage) -> None:
-        """Serve a message, and release the memory of its body."""
+        """Serve a message in the connection's turn, and release its memory."""
         try:
             if connection.immediate_retries > MAX_IMMEDIATE_RETRIES and not self.clients.is_draining:
                 await asyncio.sleep(IMMEDIATE_RETRY_DELAY_S)
+            await self.clients.turns.take(connection.account, bool(connection.queue))
             if connection.rejection_status:  # the connection was rejected during the delay
                 connection.is_busy = False
                 return
-            if message.method == b"POST":
-                await self._serve_request(connection, message)
-            elif message.method != b"GET":
-                await connection.answer(http.METHOD_NOT_ALLOWED, b"", message.keep_alive)
-            elif message.target != HEALTH_TARGET:
-                await connection.answer(http.NOT_FOUND, b"", message.keep_alive)
-            else:
-                status = http.SERVICE_UNAVAILABLE if self.clients.is_shutting_down else http.OK
-                await connection.answer(status, b"", message.keep_alive)
+            await self._serve_message(connection, message)
         except Exception as error:
             log_exception("serving a client", error)
             connection.close(CloseReason.FAILURE)
         finally:
-            self.clients.budget.release_memory(len(message.body))
+            message.request.charge.release()
+
+    async def _serve_message(self, connection: ClientConnection, message: ClientMessage) -> None:
+        request = message.request
+        if request.method == b"POST":
+            await self._serve_request(connection, message)
+        elif request.method != b"GET":
+            await connection.answer(http.METHOD_NOT_ALLOWED, b"", request.keep_alive)
+        elif request.target != HEALTH_TARGET:
+            await connection.answer(http.NOT_FOUND, b"", request.keep_alive)
+        else:
+            status = http.SERVICE_UNAVAILABLE if self.clients.is_shutting_down else http.OK
+            await connection.answer(status, b"", request.keep_alive)
 
     async def resume(
         self, connection: ClientConnection, pending: PendingRequest, request: ClientRequest
     ) -> None:
         """Continue a request that another process of this node handed over."""
-        size_bytes = len(request.body)
+        charge = MemoryCharge(self.clients.budget.memory, MemoryUse.RESPONSE)
+        charge.grow(http.BODY_COPIES * len(request.body) + http.MESSAGE_OBJECT_BYTES)
         self.request_ids[request.request_id] = None
-        has_memory = self.clients.budget.reserve_memory(size_bytes)
+        self._watch_client(connection, pending)
         try:
             await self._execute_actions(connection, pending, request)
         except Exception as error:
@@ -87,18 +93,19 @@
             connection.close(CloseReason.FAILURE)
         finally:
             del self.request_ids[request.request_id]
-            self.clients.budget.release_memory(size_bytes if has_memory else 0)
+            charge.release()
 
     def are_all_invalid(self, messages: Iterable[ClientMessage]) -> bool:
         """Return whether each message can only be answered with a client error."""
         return not any(self._is_valid(message) for message in messages)
 
     def _is_valid(self, message: ClientMessage) -> bool:
-        if message.method == b"GET" and message.target == HEALTH_TARGET:
+        request = message.request
+        if request.method == b"GET" and request.target == HEALTH_TARGET:
             return True
         try:
-            return message.method == b"POST" and self.dispatcher.has_request_class(
-                fields.read(message.target, message.headers)[1].request_class
+            return request.method == b"POST" and self.dispatcher.has_request_class(
+                fields.read(request.target, request.headers)[1].request_class
             )
         except fields.Unreadable:
             return False
@@ -106,9 +113,9 @@
     # -- requests ------------------------------------------------------------------------------------------
 
     async def _serve_request(self, connection: ClientConnection, message: ClientMessage) -> None:
-        keep_alive = message.keep_alive
+        keep_alive = message.request.keep_alive
         try:
-            request_id, head = fields.read(message.target, message.headers)
+            request_id, head = fields.read(message.request.target, message.request.headers)
         except fields.Unreadable:
             self._record_rejection(b"", http.BAD_REQUEST, FailureReason.BAD_REQUEST)
             await connection.answer(http.BAD_REQUEST, b"", keep_alive)
@@ -123,6 +130,24 @@
             self._record_rejection(request_id, http.CONFLICT, FailureReason.DUPLICATE_ID)
             await connection.answer(http.CONFLICT, b"", keep_alive)
             return
+        if connection.has_client_left():
+            connection.is_busy = False
+            connection.close(CloseReason.PEER_LEFT)
+            return
+        if connection.input.is_overrun:
+            self._record_rejection(request_id, http.SERVICE_UNAVAILABLE, FailureReason.OVERRUN)
+            await connection.answer(http.SERVICE_UNAVAILABLE, b"", keep_alive)
+            return
+        await self._dispatch(connection, message, request_id, head)
+
+    async def _dispatch(
+        self,
+        connection: ClientConnection,
+        message: ClientMessage,
+        request_id: bytes,
+        head: fields.RequestHead,
+    ) -> None:
+        """Pass a request to the dispatcher, and carry out its actions."""
         pending = self.dispatcher.report_request(
             head.request_class,
             head.tenant,
@@ -136,22 +161,36 @@
             key=head.routing_key,
             request_id=request_id.decode("latin-1"),
         )
+        keep_alive = message.request.keep_alive
         if pending is None:
             await self._reject_class(connection, request_id, head.request_class, keep_alive)
             return
-        request = ClientRequest(request_id, message.target, message.headers, message.body, keep_alive)
+        parsed = message.request
+        request = ClientRequest(request_id, parsed.target, parsed.headers, parsed.body, keep_alive)
         connection.pending = pending
         connection.last_request = request
+        connection.last_request_id = request_id
         connection.has_sent_request = True
         self.request_ids[request_id] = None
-        pending.has_client_left = partial(has_hung_up, connection.sock)
-        if connection.has_ended:
-            self.dispatcher.report_client_left(pending)
+        self._watch_client(connection, pending)
         try:
             await self._execute_actions(connection, pending, request)
         finally:
+            if connection.last_request is request:
+                connection.last_request = None  # idle connections keep no request
             del self.request_ids[request_id]
 
+    @staticmethod
+    def _watch_client(connection: ClientConnection, pending: PendingRequest) -> None:
+        """Let the dispatcher see whether the client has left before each attempt."""
+        pending.has_client_left = connection.has_client_left
+        pending.is_client_overrun = lambda: connection.input.is_overrun
+
+    def record_overrun(self, count: int) -> None:
+        """Record messages that are rejected since the client has sent too many at once."""
+        for _ in range(count):
+            self._record_rejection(b"", http.SERVICE_UNAVAILABLE, FailureReason.OVERRUN)
+
     async def _wait_for_descriptor(self, connection: ClientConnection) -> bool:
         """Wait for an ordinary descriptor; return False on a timeout or if the client has disconnected."""
         end = monotonic() + DESCRIPTOR_TIMEOUT_S
@@ -266,6 +305,7 @@
         """Interface of the set of all client connections that is used to serve a message."""
 
         budget: Budget
+        turns: Turns
         is_shutting_down: bool
         is_draining: bool
 
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -17,6 +17,7 @@
 from firwalk.net.errors import Backoff, is_connection_error
 from firwalk.net.socket_io import wait_readable
 from firwalk.net.stalls import StallDetector
+from firwalk.net.turns import Turns
 from firwalk.observability.events import CloseReason, Event, EventLog
 from firwalk.observability.log import log_external
 from firwalk.observability.monitor import Monitor, Rule
@@ -48,6 +49,7 @@
         budget: Budget,
         buffers: Buffers,
         monitor: Monitor | None = None,
+        turns: Turns | None = None,
     ) -> None:
         self.monitor = monitor or Monitor(EventLog(), monotonic)
         self.dispatcher = dispatcher
@@ -68,6 +70,7 @@
         self.hand_over_client: Callable[[bool, socket.socket], None] | None = None
         self.accepted_at = monotonic()
         self.stalls = StallDetector()
+        self.turns = turns or Turns()
         self.unadmitted: socket.socket | None = None  # accepted, but waiting for a free descriptor
         budget.evict_client = self.evict
 
@@ -150,6 +153,7 @@
         connection.is_busy = True
         connection.pending = pending
         connection.last_request = request
+        connection.last_request_id = request.request_id
         self.spawn(self.requests.resume(connection, pending, request))
 
     # -- eviction ---------------------------------------------------------------------------------
@@ -210,6 +214,8 @@
         is_ending = connection.is_closing or connection.rejection_status
         if connection.is_busy or is_ending or inactive_s < READ_TIMEOUT_S:
             return
+        if connection.input.has_unparsed():  # the message waits for its turn, not for its client
+            return
         if connection.parser.is_partial:
             connection.reject_malformed(http.REQUEST_TIMEOUT, "incomplete message timed out")
         elif (not connection.has_sent_request or inactive_s > IDLE_TIMEOUT_S) and connection.is_idle():
--- a/firwalk/net/http.py
+++ b/firwalk/net/http.py
@@ -12,6 +12,8 @@
     HttpResponseParser,
 )
 
+from firwalk.limits.memory import MemoryCharge, MemoryPool, MemoryUse
+
 Headers = dict[bytes, bytes]  # names are in lower case
 
 OK = 200
@@ -43,7 +45,12 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_BODY_BYTES = 65536
 MAX_HEAD_BYTES = 16384
+MAX_FIELDS = 128  # of the header and trailer sections of a message together
+# The parser library keeps an element of a message, such as a header value, until it is complete.
+MAX_ELEMENT_BYTES = MAX_HEAD_BYTES
 MAX_LINE_BYTES = 1 << 22  # the full endpoint list of a large fleet is a single line of a streamed body
+MESSAGE_OBJECT_BYTES = 2048  # the objects of a message take this much memory beside its bytes
+BODY_COPIES = 2  # memory holds the body itself and the encoded attempt
 LENGTH_HEADERS = (b"content-length", b"transfer-encoding")
 SINGLETON_HEADERS = frozenset(
     (
@@ -58,6 +65,9 @@
         b"x-extras",
     )
 )
+EXPECT_HEADER = b"expect"
+REQUEST_HEADERS = SINGLETON_HEADERS | {EXPECT_HEADER}  # others are checked, but not kept
+RESPONSE_HEADERS = frozenset((b"x-load", b"x-not-run"))
 
 
 class Malformed(Exception):
@@ -69,15 +79,23 @@
 
 
 class _MessageParser:
-    """Base of both parsers: collects the headers of the current message and enforces size limits."""
+    """Base of both parsers: collects the needed headers of the current message and enforces size limits.
+
+    The limits count the bytes that the parser library holds as well: it reports an element of a message, such
+    as a header value, only when the element is complete.
+    """
 
     parser: HttpRequestParser | HttpResponseParser
+    kept_headers: frozenset[bytes]
 
     def __init__(self) -> None:
         self.head_size = 0
+        self.field_count = 0
         self.headers: Headers = {}
         self.body_size = 0
         self.error: Malformed | None = None
+        self.element_bytes = 0  # fed since the library last reported an element
+        self.has_reported = False  # the library has reported an element of the bytes being fed
 
     def _fail(self, status: int, message: str) -> None:
         self.error = Malformed(status, message)
@@ -86,18 +104,30 @@
     def on_message_begin(self) -> None:
         """Reset the state for the next message. Called by httptools."""
         self.head_size = 0
+        self.field_count = 0
         self.headers = {}
         self.body_size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header and check the size of all. Called by httptools."""
+        """Check the size and number of all headers, and keep the needed ones. Called by httptools."""
+        self.has_reported = True
         self.head_size += len(name) + len(value)
+        self.field_count += 1
         if self.head_size > MAX_HEAD_BYTES:
             self._fail(HEADERS_TOO_LARGE, "header section exceeds the size limit")
-        self.headers[name.lower()] = value.strip(b" \t")  # optional whitespace is not part of the value
+        if self.field_count > MAX_FIELDS:
+            self._fail(HEADERS_TOO_LARGE, "too many header fields")
+        name = name.lower()
+        if name in self.kept_headers:
+            self.headers[name] = value.strip(b" \t")  # optional whitespace is not part of the value
+
+    def on_chunk_header(self) -> None:
+        """Note the progress of a chunked body. Called by httptools."""
+        self.has_reported = True
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parse the next bytes and invoke the callbacks for what they complete. Raise Malformed."""
+        self.has_reported = False
         try:
             self.parser.feed_data(data)
         except HttpParserUpgrade as error:
@@ -106,48 +136,87 @@
             raise (self.error or error.__context__ or error) from None
         except HttpParserError as error:
             raise self.error or Malformed(BAD_REQUEST, f"not HTTP: {error}") from error
+        self.element_bytes = len(data) if self.has_reported else self.element_bytes + len(data)
+        if self.element_bytes > MAX_ELEMENT_BYTES:
+            raise Malformed(HEADERS_TOO_LARGE, "part of a message exceeds the size limit")
 
 
-class RequestParser(_MessageParser):
-    """Parses requests of a client.
+class ParsedRequest:
+    """A complete request of a client, and the memory charged for it."""
 
-    `on_request(method, target, headers, body, keep_alive)` is called for each complete request. Memory for a
-    body is reserved with `reserve_memory` as its bytes arrive. `discard_body` releases that of an incomplete
-    request; the receiver of a complete request releases that of its body.
-    """
+    __slots__ = ("body", "charge", "headers", "keep_alive", "method", "target")
 
     def __init__(
         self,
-        on_request: Callable[[bytes, bytes, Headers, bytes, bool], None],
-        reserve_memory: Callable[[int], bool],
-        release_memory: Callable[[int], None],
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        keep_alive: bool,
+        charge: MemoryCharge,
     ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.keep_alive = keep_alive
+        self.charge = charge
+
+
+class RequestParser(_MessageParser):
+    """Parses requests of a client.
+
+    `on_request` is called for each complete request; its receiver releases the charge. The memory of a
+    request is charged before its bytes are fed to the parser library. `discard` releases that of an
+    incomplete request.
+    """
+
+    kept_headers = REQUEST_HEADERS
+
+    def __init__(self, on_request: Callable[[ParsedRequest], None], memory: MemoryPool) -> None:
         super().__init__()
         self.on_request = on_request
-        self.reserve_memory = reserve_memory
-        self.release_memory = release_memory
+        self.memory = memory
+        self.charge = MemoryCharge(memory, MemoryUse.INPUT)
         self.target = b""
-        self.body_parts: list[bytes] = []
+        self.body = bytearray()
         self.is_partial = False  # a request has begun and is not complete
         self.is_in_head = False
         self.expects_continue = False  # the client sends the body only after a 100 response
         self.parser: HttpRequestParser = HttpRequestParser(self)
 
+    def feed(self, data: bytes | memoryview) -> None:
+        """Charge the memory of the next bytes and parse them. Raise Malformed."""
+        if self.is_partial and (self.is_in_head or not self.has_reported):
+            self._charge(len(data))  # the library keeps what it does not report
+        super().feed(data)
+
+    def _charge(self, size_bytes: int) -> None:
+        if not self.charge.grow(size_bytes):
+            self._fail(SERVICE_UNAVAILABLE, "bodies fill their share of the memory")
+
     def on_message_begin(self) -> None:
         """Reset the state for the next request. Called by httptools."""
         super().on_message_begin()
         self.target = b""
-        self.body_parts = []
+        self.body = bytearray()
         self.is_partial = True
         self.is_in_head = True
+        self.charge.release()
+        self._charge(MESSAGE_OBJECT_BYTES)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header or trailer. Called by httptools.
 
-        Trailers count towards the size limit but do not change the headers.
+        Trailers count towards the limits but do not change the headers. A second length header, even with
+        underscores for hyphens, would allow request smuggling.
         """
-        if name.lower() in SINGLETON_HEADERS and name.lower() in self.headers and self.is_in_head:
-            self._fail(BAD_REQUEST, "duplicate header that may occur only once")
+        lowered = name.lower()
+        if self.is_in_head:
+            if lowered in SINGLETON_HEADERS and lowered in self.headers:
+                self._fail(BAD_REQUEST, "duplicate header that may occur only once")
+            if lowered not in LENGTH_HEADERS and lowered.replace(b"_", b"-") in LENGTH_HEADERS:
+                self._fail(BAD_REQUEST, "conflicting body length headers")
         head = self.headers
         if not self.is_in_head:
             self.headers = {}
@@ -155,26 +224,25 @@
         self.headers = head
 
     def on_headers_complete(self) -> None:
-        """Check the body length and transfer coding. Called by httptools.
-
-        Two length headers, even with underscores for hyphens, would allow request smuggling.
-        """
+        """Check the body length and transfer coding. Called by httptools."""
+        self.has_reported = True
         self.is_in_head = False
-        lengths = [name for name in self.headers if name.replace(b"_", b"-") in LENGTH_HEADERS]
-        if len(lengths) > 1 or lengths and lengths[0] not in LENGTH_HEADERS:
+        if all(name in self.headers for name in LENGTH_HEADERS):
             self._fail(BAD_REQUEST, "conflicting body length headers")
         if self.headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             self._fail(BAD_REQUEST, "unsupported transfer coding")
         if int(self.headers.get(b"content-length", 0)) > MAX_BODY_BYTES:
             self._fail(CONTENT_TOO_LARGE, "body exceeds the size limit")
-        self.expects_continue = self.headers.get(b"expect", b"").lower() == b"100-continue" and (
+        self.expects_continue = self.headers.get(EXPECT_HEADER, b"").lower() == b"100-continue" and (
             self.parser.get_http_version() != "1.0"
         )
 
-    def discard_body(self) -> None:
-        """Drop the body of an incomplete request and release its memory."""
-        self.release_memory(sum(map(len, self.body_parts)))
-        self.body_parts = []
+    def discard(self) -> None:
+        """Drop what is kept of an incomplete request and release its memory."""
+        self.target = b""
+        self.headers = {}
+        self.body = bytearray()
+        self.charge.release()
 
     def on_url(self, part: bytes) -> None:
         """Append a part of the request target. Called by httptools."""
@@ -184,22 +252,25 @@
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body. Called by httptools."""
+        self.has_reported = True
         self.expects_continue = False
         self.body_size += len(part)
         if self.body_size > MAX_BODY_BYTES:
             self._fail(CONTENT_TOO_LARGE, "body exceeds the size limit")
-        if not self.reserve_memory(len(part)):
-            self._fail(SERVICE_UNAVAILABLE, "bodies fill their share of the memory")
-        self.body_parts.append(part)
+        self._charge(BODY_COPIES * len(part))
+        self.body += part
 
     def on_message_complete(self) -> None:
         """Report the complete request. Called by httptools."""
+        self.has_reported = True
         self.is_partial = False
         self.expects_continue = False
-        body = b"".join(self.body_parts)
-        self.body_parts = []
-        parser = self.parser
-        self.on_request(parser.get_method(), self.target, self.headers, body, parser.should_keep_alive())
+        method = self.parser.get_method()
+        keep_alive = self.parser.should_keep_alive()
+        request = ParsedRequest(method, self.target, self.headers, bytes(self.body), keep_alive, self.charge)
+        self.charge = MemoryCharge(self.memory, MemoryUse.INPUT)
+        self.discard()
+        self.on_request(request)
 
 
 def _ignore_blank_line() -> None:
@@ -210,45 +281,79 @@
     """Parses responses of executors and of the discovery service, whose bodies are streams of lines.
 
     Reports the status and headers, each line as it arrives, and the end. Blank lines have a callback of their
-    own.
+    own. A line may have `max_line_bytes`; with a charge, its memory is counted while it is incomplete.
     """
 
+    kept_headers = RESPONSE_HEADERS
+
     def __init__(
         self,
         on_head: Callable[[int, Headers], None],
         on_line: Callable[[bytes], None],
         on_end: Callable[[bool], None],
         on_blank_line: Callable[[], None] = _ignore_blank_line,
+        max_line_bytes: int = MAX_LINE_BYTES,
+        charge: MemoryCharge | None = None,
     ) -> None:
         super().__init__()
         self.on_head = on_head
         self.on_line = on_line
         self.on_end = on_end
         self.on_blank_line = on_blank_line
-        self.partial_line = b""
+        self.max_line_bytes = max_line_bytes
+        self.charge = charge
+        self.partial_line = bytearray()
         self.parser: HttpResponseParser = HttpResponseParser(self)
 
     def on_headers_complete(self) -> None:
         """Report the status and headers. Called by httptools."""
-        self.partial_line = b""
+        self.has_reported = True
+        self._reset_line()
         self.on_head(self.parser.get_status_code(), self.headers)
 
     def on_body(self, part: bytes) -> None:
         """Report each line that is complete. Called by httptools."""
-        *lines, self.partial_line = (self.partial_line + part).split(b"\n")
+        self.has_reported = True
+        if b"\n" not in part:
+            self._append(part)
+            return
+        first, *lines = part.split(b"\n")
+        self._append(first)
+        self._report_line()
+        rest = lines.pop()
         for line in lines:
-            if line.strip():
-                self.on_line(line)
-            else:
-                self.on_blank_line()
-        if len(self.partial_line) > MAX_LINE_BYTES:
+            self._append(line)
+            self._report_line()
+        self._append(rest)
+
+    def _append(self, part: bytes) -> None:
+        """Keep a part of a line, after its memory is counted."""
+        if len(self.partial_line) + len(part) > self.max_line_bytes:
             self._fail(BAD_REQUEST, "a line over the limit")
+        if self.charge is not None and not self.charge.grow(len(part)):
+            self._fail(SERVICE_UNAVAILABLE, "responses fill their share of the memory")
+        self.partial_line += part
+
+    def _report_line(self) -> None:
+        line = bytes(self.partial_line)
+        self._reset_line()
+        if line.strip():
+            self.on_line(line)
+        else:
+            self.on_blank_line()
+
+    def _reset_line(self) -> None:
+        self.partial_line = bytearray()
+        if self.charge is not None:
+            self.charge.release()
 
     def on_message_complete(self) -> None:
         """Report the last line, if any, and the end of the response. Called by httptools."""
-        if self.partial_line.strip():
-            self.on_line(self.partial_line)
-        self.partial_line = b""
+        self.has_reported = True
+        line = bytes(self.partial_line)
+        self._reset_line()
+        if line.strip():
+            self.on_line(line)
         self.on_end(self.parser.should_keep_alive())
 
 
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -35,6 +35,7 @@
 from firwalk.net.peers import Peers
 from firwalk.net.single_process import SingleProcess
 from firwalk.net.timer_scheduler import TimerScheduler
+from firwalk.net.turns import Turns
 from firwalk.observability.events import Event, ProcessState
 from firwalk.observability.log import log_exception, log_external, log_internal
 from firwalk.stop_plan import Deadlines
@@ -101,9 +102,10 @@
         self.management = Management(caller_count, self._run_command)
         self.budget = Budget(self.files, self.memory, caller_count + self.has_management)
         self.buffers = Buffers()
+        self.turns = Turns()
         self.executors = self._new_executors(settings.get("limits", {}))
         self.clients = Clients(
-            self.dispatcher, self.executors, self.budget, self.buffers, self.dispatcher.monitor
+            self.dispatcher, self.executors, self.budget, self.buffers, self.dispatcher.monitor, self.turns
         )
         self.discovery = discovery.Discovery(
             self.dispatcher, self.buffers, parse_address(config["discovery"])
--- a/firwalk/observability/events.py
+++ b/firwalk/observability/events.py
@@ -68,6 +68,7 @@
     NO_DESCRIPTOR = "no_descriptor"
     BAD_REQUEST = "bad_request"
     DUPLICATE_ID = "duplicate_id"
+    OVERRUN = "overrun"
 
 
 class ProcessState(EventName):
--- a/tests/golden/test_golden_stored.py
+++ b/tests/golden/test_golden_stored.py
@@ -327,6 +327,7 @@
             "no_descriptor",
             "bad_request",
             "duplicate_id",
+            "overrun",
         ],
         ["serving", "reloaded", "stopping", "draining", "final", "stopped"],
     ]
