Executors and discovery: what they send is bounded and counted, and takes turns

Callers saw: a process at 243 MB while discovery sent updates of many tiny values; requests and health checks that waited for seconds beside executors that sent a line in tiny chunks, and beside a list that grew without an end.

Cause: the limits of a line and of an update counted bytes (4 MB each), whatever number of executors sent one and whatever objects came of it; lines were put together again with each part; a load report had no limit at all. Executors that had left the list were kept for good, and so were entries of executors never seen.

Change: - executors' lines: 388 KB (a result of 64 KB, each byte escaped), in the pool of responses; results of 64 KB, load reports of 16 KB at most; the connection ends and the attempt may have run. - updates: 131,072 values at most, names of 256 characters, 64 attempts to decode one on several lines; parsed in slices, in turns. - 8,192 executors are known at most: those that have left are forgotten first, unless in use or in maintenance; what does not fit is left out, with a log line. - parsers drop what they hold when their connection ends. - a follower keeps 32 confirmed plans.

--- a/firwalk/cluster/plan_follower.py
+++ b/firwalk/cluster/plan_follower.py
@@ -21,6 +21,7 @@
 from firwalk.cluster.random_source import RandomSource
 
 MAX_PENDING_REPORTS = 32  # The sending times of this many unanswered reports are kept.
+MAX_CONFIRMED_PLANS = 32  # The newest ones are kept.
 # Reports are spaced by the report interval times a random factor from the minimum up to minimum plus range.
 REPORT_JITTER_MIN = 0.9
 REPORT_JITTER_RANGE = 0.2
@@ -173,6 +174,8 @@
             self.confirm(now, since)
         elif stamp > self.stamp:
             self.confirmed_at[stamp] = max(since, self.confirmed_at.get(stamp, 0.0))
+            if len(self.confirmed_at) > MAX_CONFIRMED_PLANS:
+                del self.confirmed_at[min(self.confirmed_at)]
             self._take_if_complete(now)
 
     def on_piece(self, now: float, piece: Piece) -> None:
--- a/firwalk/dispatcher/dispatcher.py
+++ b/firwalk/dispatcher/dispatcher.py
@@ -278,14 +278,18 @@
 
     def report_idle_connections(self, endpoint: Endpoint, count: int) -> None:
         """Record the number of idle connections to the executor."""
-        self.policy.idle_connections_counted(self.executors[endpoint.name], count)
+        executor = self.executors.get(endpoint.name)
+        if executor is not None:
+            self.policy.idle_connections_counted(executor, count)
 
     def report_health_check(
         self, endpoint: Endpoint, outcome: Outcome, duration_s: float, load: object
     ) -> None:
         """Record the outcome of a health check after `duration_s` seconds, with its load report."""
         now = self.clock()
-        executor = self.executors[endpoint.name]
+        executor = self.executors.get(endpoint.name)
+        if executor is None:  # it has left the list
+            return
         if self.health_observer is not None:
             is_unreachable = outcome not in (Outcome.COMPLETED, Outcome.AT_CAPACITY)
             zone = executor.zone.number
--- a/firwalk/dispatcher/endpoint_list.py
+++ b/firwalk/dispatcher/endpoint_list.py
@@ -16,6 +16,8 @@
 from firwalk.policy.interface import EndpointState
 from firwalk.policy.policy import Executor, Policy
 
+MAX_EXECUTORS = 8192  # of these, removed ones are forgotten first; others are not added
+
 
 class EndpointEntry(NamedTuple):
     """The entry of an executor. Processes of a node exchange entries with the fields in this order."""
@@ -58,6 +60,7 @@
         self.maintenance = Maintenance()
         self.version = 0
         self.received_at = 0.0
+        self.left_out_count = 0  # of the current update: not added, since too many are known
 
     def apply(self, now: float, version: int, is_complete: bool, entries: Iterable[EndpointFields]) -> bool:
         """Apply an update by the discovery service; return False if it is older than the list and ignored.
@@ -85,10 +88,14 @@
         previous_entries = self.entries
         if is_complete:
             self.entries = {}
+        self.left_out_count = 0
         listed_names = set()
         for fields in entries:
             name = fields[0]
             listed_names.add(name)
+            if not self._may_keep(fields):
+                self.entries.pop(name, None)
+                continue
             entry = previous_entries.get(name)
             if entry == fields:  # of thousands of entries only a few change
                 self.entries[name] = entry
@@ -99,8 +106,41 @@
         if is_complete:
             self._remove_unlisted(now, listed_names)
         self.version = version
+        if self.left_out_count:
+            self.policy.host.log_line(
+                f"{self.left_out_count} executors of the list are left out: {MAX_EXECUTORS} are known already"
+            )
         return True
 
+    def _may_keep(self, fields: EndpointFields) -> bool:
+        """Return whether an entry concerns a known executor, or one that can be added."""
+        if fields[0] in self.executors:
+            return True
+        if EndpointEntry._make(fields).state is EndpointState.REMOVED:
+            return False
+        if len(self.executors) >= MAX_EXECUTORS and not self.left_out_count:
+            self._forget_removed()
+        if len(self.executors) >= MAX_EXECUTORS:
+            self.left_out_count += 1
+            return False
+        return True
+
+    def _forget_removed(self) -> None:
+        """Forget executors that have left the list, unless this node still uses them."""
+        forgotten = {
+            name: executor
+            for name, executor in self.executors.items()
+            if executor.state is EndpointState.REMOVED
+            and not (executor.in_flight_slots or executor.idle_connections)
+            and name not in self.maintenance.detached
+        }
+        for name, executor in forgotten.items():
+            del self.executors[name]
+            self.entries.pop(name, None)
+            self.index.remove(name.encode(), executor)
+            self.maintenance.forget(name)
+        self.policy.forget_executors(list(forgotten.values()))
+
     def apply_maintenance(self, now: float, executor: Executor) -> bool:
         """Reapply the last listed state of a detached or attached executor; return whether there is one."""
         name = executor.handle.name
--- a/firwalk/dispatcher/failure_gossip.py
+++ b/firwalk/dispatcher/failure_gossip.py
@@ -25,6 +25,12 @@
         checksum = executor_checksum(name)
         self.by_checksum[checksum] = None if checksum in self.by_checksum else executor
 
+    def remove(self, name: bytes, executor: ExecutorT) -> None:
+        """Remove an executor; gossip with a checksum that it shared stays ambiguous."""
+        checksum = executor_checksum(name)
+        if self.by_checksum.get(checksum) is executor:
+            del self.by_checksum[checksum]
+
     def find(self, content: bytes) -> ExecutorT | None:
         """Return the executor that received gossip names; None if it names none or is ambiguous."""
         return self.by_checksum.get(content)
--- a/firwalk/dispatcher/maintenance.py
+++ b/firwalk/dispatcher/maintenance.py
@@ -42,6 +42,11 @@
         # The executor was restarted while detached: it must begin a slow start even if the list lags behind.
         return ListedState(state, max(started_at, self.attached.get(name, 0.0)))
 
+    def forget(self, name: str) -> None:
+        """Forget an executor that is not detached and has left the list."""
+        self.last_listed.pop(name, None)
+        self.attached.pop(name, None)
+
     def state(self) -> dict[str, dict[str, float]]:
         """Return the state to hand over to another process of this node."""
         return {DETACHED_KEY: dict(self.detached), ATTACHED_KEY: dict(self.attached)}
--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -9,10 +9,12 @@
 import orjson
 
 from firwalk.dispatcher.dispatcher import Dispatcher
+from firwalk.limits.fair_share import WorkAccount
 from firwalk.net import http, listing
 from firwalk.net.address import host_header, new_socket
 from firwalk.net.buffers import Buffers
 from firwalk.net.socket_io import connect
+from firwalk.net.turns import Turns
 from firwalk.observability.log import log_exception, log_external
 
 # An update counts as known to this node after six seconds, even if a call failed before. Two sequences must
@@ -23,13 +25,22 @@
 # The time starts with the request; the service answers a queued call 503 after two seconds.
 FIRST_LIST_TIMEOUT_S = 2.2
 MAX_UPDATE_BYTES = 1 << 22  # all lines of an update count together
+MAX_DECODE_ATTEMPTS = 64  # of an update on several lines, each of which might be the last
+SLICE_BYTES = 1024  # parsed at a time, so that the process does other work between slices
 
 
 class Discovery:
     """Watches and polls the endpoint list and reports its updates to the dispatcher."""
 
-    def __init__(self, dispatcher: Dispatcher, buffers: Buffers, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        buffers: Buffers,
+        address: tuple[str, int],
+        turns: Turns | None = None,
+    ) -> None:
         self.dispatcher = dispatcher
+        self.turns = turns or Turns()
         self.buffers = buffers
         self.address = address
         self.watch_task: asyncio.Task[None] | None = None
@@ -107,13 +118,14 @@
         sock = new_socket(address)
         buffer = self.buffers.acquire()
         view = memoryview(buffer)
+        parser = http.ResponseParser(
+            response.begin, response.receive_line, response.end, response.receive_blank_line
+        )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await connect(sock, address)
-            parser = http.ResponseParser(
-                response.begin, response.receive_line, response.end, response.receive_blank_line
-            )
             response.start_deadline()
+            account = self.turns.new_account()
             async with asyncio.timeout(response.remaining_s()):
                 await loop.sock_sendall(sock, http.encode_request(b"GET", target, [host_header(address)]))
             while not response.has_ended:
@@ -121,12 +133,22 @@
                     count = await loop.sock_recv_into(sock, buffer)
                 if not count:
                     return
-                parser.feed(view[:count])
+                await self._parse(parser, view[:count], account)
         finally:
+            parser.discard()  # not left to the garbage collector
             view.release()
             self.buffers.release(buffer)
             sock.close()
 
+    async def _parse(self, parser: http.ResponseParser, data: memoryview, account: WorkAccount) -> None:
+        """Parse received bytes, in turns with others if they cause much work. Raise http.Malformed."""
+        for start in range(0, len(data), SLICE_BYTES):
+            await self.turns.take(account)
+            began_at = monotonic()
+            parser.feed(data[start : start + SLICE_BYTES])
+            now = monotonic()
+            account.charge(now, now - began_at)
+
 
 class _Response:
     """The response to one call: assembles its updates and keeps its deadline.
@@ -142,7 +164,8 @@
         self.update_count = 0
         self.has_ended = False
         self.deadline = 0.0
-        self.partial_update = b""
+        self.partial_update = bytearray()
+        self.decode_attempts = 0
 
     def start_deadline(self) -> None:
         """Start the deadline of the first list, before the request is written."""
@@ -165,19 +188,23 @@
         if self.status != 200:
             return
         is_first = not self.partial_update
-        self.partial_update += line + b"\n"
-        if len(self.partial_update) > MAX_UPDATE_BYTES:
+        if len(self.partial_update) + len(line) >= MAX_UPDATE_BYTES:
             raise http.Malformed(400, "update exceeds the size limit")
+        self.partial_update += line
+        self.partial_update += b"\n"
         # To avoid parsing after every line, only a single line or one with a closing brace is tried.
         if not is_first and not line.rstrip().endswith(b"}"):
             return
         try:
-            update = orjson.loads(self.partial_update)
+            update = listing.decode(self.partial_update)
         except orjson.JSONDecodeError as error:
-            if error.pos >= len(self.partial_update.rstrip()):
+            self.decode_attempts += 1
+            is_incomplete = error.pos >= len(self.partial_update.rstrip())
+            if is_incomplete and self.decode_attempts < MAX_DECODE_ATTEMPTS:
                 return  # an indented update that is not complete yet
             raise http.Malformed(400, f"not a list of executors: {error}") from error
-        self.partial_update = b""
+        self.partial_update = bytearray()
+        self.decode_attempts = 0
         self.receive_update(listing.read(update))
         self.update_count += 1
         self._extend_deadline()
--- a/firwalk/net/executor_connection.py
+++ b/firwalk/net/executor_connection.py
@@ -13,13 +13,17 @@
 from time import monotonic
 
 from firwalk.dispatcher.endpoint import Endpoint
+from firwalk.limits.memory import MemoryCharge, MemoryPool, MemoryUse
 from firwalk.net import http
 from firwalk.net.buffers import Buffers
-from firwalk.net.socket_io import receive_into
+from firwalk.net.socket_io import wait_readable
+from firwalk.net.turns import Turns
 from firwalk.observability.events import CloseReason, Event, EventLog
 from firwalk.observability.log import log_exception, log_external
 
 MAX_TRANSFERABLE_BYTES = 8192  # a request with a longer partial response is not handed over
+# A result of the longest body, each byte of it escaped in JSON, fits in a line.
+MAX_RESPONSE_LINE_BYTES = 6 * http.MAX_BODY_BYTES + 4096
 
 
 class Call:
@@ -53,6 +57,8 @@
 
     buffers: Buffers
     events: EventLog
+    memory: MemoryPool
+    turns: Turns
 
     def put_back(self, connection: ExecutorConnection) -> None:
         """Take back a connection whose response is complete, for another call."""
@@ -90,7 +96,15 @@
         self.response_bytes = b""  # received of the current response
         self.on_socket_released: Callable[[socket.socket], None] | None = None  # called at the reader's end
         self.close_reason = CloseReason.PEER_LEFT  # unless this process closes it
-        self.parser = http.ResponseParser(self._begin_response, self._receive_line, self._end_response)
+        self.charge = MemoryCharge(owner.memory, MemoryUse.RESPONSE)
+        self.account = owner.turns.new_account()
+        self.parser = http.ResponseParser(
+            self._begin_response,
+            self._receive_line,
+            self._end_response,
+            max_line_bytes=MAX_RESPONSE_LINE_BYTES,
+            charge=self.charge,
+        )
         self.reader = asyncio.get_running_loop().create_task(self._read())
         self.reader.add_done_callback(self._on_reader_done)
 
@@ -133,18 +147,32 @@
     # -- reading -----------------------------------------------------------------------------------------
 
     async def _read(self) -> None:
-        buffer = self.owner.buffers.acquire()
-        view = memoryview(buffer)
         try:
-            while count := await receive_into(self.sock, buffer):
-                self.receive(view[:count])
+            while await self._read_once():
+                await self.owner.turns.take(self.account)
         except OSError:
             pass
         except http.Malformed as error:
             log_external(f"executor {self.endpoint.name}: {error}")
         except Exception as error:
             log_exception("reading from an executor", error)
+
+    async def _read_once(self) -> bool:
+        """Wait for bytes, read and parse them; return False at the end. Raises OSError and http.Malformed."""
+        await wait_readable(self.sock)
+        buffer = self.owner.buffers.acquire()
+        view = memoryview(buffer)
+        began_at = monotonic()
+        try:
+            count = self.sock.recv_into(buffer)
+            if count:
+                self.receive(view[:count])
+            return bool(count)
+        except BlockingIOError:
+            return True
         finally:
+            now = monotonic()
+            self.account.charge(now, now - began_at)
             view.release()
             self.owner.buffers.release(buffer)
 
@@ -200,6 +228,9 @@
             self.sock.close()
         else:
             self.on_socket_released(self.sock)
+        # Not left to the garbage collector: the connection and its parser refer to each other.
+        self.parser.discard()
+        self.response_bytes = b""
         self.owner.remove(self, was_closed_by_peer and call is None)
         # Once the last byte may have been sent, the request may have run.
         self.broke_uncommitted = (
--- a/firwalk/net/executor_pool.py
+++ b/firwalk/net/executor_pool.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from time import monotonic
 
 from firwalk.dispatcher.dispatcher import Dispatcher
@@ -15,6 +15,7 @@
 from firwalk.net.buffers import Buffers
 from firwalk.net.executor_connection import ConnectionOwner, ExecutorConnection
 from firwalk.net.socket_io import connect
+from firwalk.net.turns import Turns
 from firwalk.observability.events import CloseReason, EventLog
 
 DESCRIPTOR_POLL_INTERVAL_S = 0.01
@@ -57,11 +58,14 @@
         connect_timeout_s: float,
         idle_timeout_s: float,
         events: EventLog | None = None,
+        turns: Turns | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.budget = budget
         self.buffers = buffers
         self.events = events or EventLog()
+        self.memory = budget.memory
+        self.turns = turns or Turns()
         self.connect_timeout_s = connect_timeout_s
         self.idle_timeout_s = idle_timeout_s * IDLE_TIMEOUT_FRACTION
         self.connections: dict[ExecutorConnection, None] = {}
@@ -213,6 +217,15 @@
             while idle and idle[0].idle_since < expired:
                 idle.pop(0).close(CloseReason.IDLE)
 
+    def forget_removed(self) -> None:
+        """Drop what is kept of executors that the dispatcher has forgotten."""
+        known = self.dispatcher.executors
+        if max(len(self.idle), len(self.round_trips_s), len(self.closed_early_at)) <= len(known):
+            return
+        self.idle = {endpoint: idle for endpoint, idle in self.idle.items() if idle}
+        self.round_trips_s = _select_known(self.round_trips_s, known)
+        self.closed_early_at = _select_known(self.closed_early_at, known)
+
     # -- hot restart -------------------------------------------------------------------------------------
 
     def hand_over_idle(self, send: Callable[[str, float, float | None, socket.socket], None]) -> None:
@@ -248,6 +261,10 @@
         connection.idle_since = min(idle_since, connection.idle_since)
 
 
+def _select_known(times: dict[Endpoint, float], known: Mapping[str, object]) -> dict[Endpoint, float]:
+    return {endpoint: time_s for endpoint, time_s in times.items() if endpoint.name in known}
+
+
 def _bind_idle_handover(
     send: Callable[[str, float, float | None, socket.socket], None],
     executor: str,
--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -22,6 +22,7 @@
 from firwalk.net.buffers import Buffers
 from firwalk.net.executor_connection import Call, ExecutorConnection
 from firwalk.net.executor_pool import MAX_ROUND_TRIP_S, ConnectionPool, DescriptorShortage
+from firwalk.net.turns import Turns
 from firwalk.observability.events import CloseReason, EventLog
 from firwalk.observability.log import check_invariant, log_external
 from firwalk.policy.interface import Outcome
@@ -32,6 +33,7 @@
 MAX_WRITE_S = 0.1  # writing may take this long, since the message states the time left at its first byte
 MAX_NEW_CONNECTIONS = 2  # when this many break during an attempt, its executor counts as unreachable
 RESPONSE_END_TIMEOUT_S = 2.0  # a response must end within this time after the outcome of its attempt
+MAX_LOAD_REPORT_BYTES = 16384
 RETRYABLE_STATUSES = (408, 425, 429)  # a retry may succeed, since the cause may have been temporary
 
 Json = Any  # values are decoded JSON that is not validated yet
@@ -144,7 +146,9 @@
         self.status = status
 
     def receive_line(self, line: bytes) -> None:
-        """Append a line of the load report."""
+        """Append a line of the load report. Raise http.Malformed if it is too long."""
+        if len(self.load_report) + len(line) > MAX_LOAD_REPORT_BYTES:
+            raise http.Malformed(http.BAD_REQUEST, "load report exceeds the size limit")
         self.load_report += line
 
     def complete_response(self) -> None:
@@ -170,9 +174,12 @@
     if result is None:
         raise http.Malformed(400, "final response line without a result")
     try:
-        return result.encode() if isinstance(result, str) else orjson.dumps(result)
+        body: bytes = result.encode() if isinstance(result, str) else orjson.dumps(result)
     except (TypeError, UnicodeEncodeError) as error:
         raise http.Malformed(400, f"result cannot be encoded: {error}") from error
+    if len(body) > http.MAX_BODY_BYTES:
+        raise http.Malformed(400, "result exceeds the size limit")
+    return body
 
 
 def _read_load(text: bytes | None) -> Json:
@@ -194,9 +201,12 @@
         connect_timeout_s: float,
         idle_timeout_s: float,
         events: EventLog | None = None,
+        turns: Turns | None = None,
     ) -> None:
         self.dispatcher = dispatcher
-        self.pool = ConnectionPool(dispatcher, budget, buffers, connect_timeout_s, idle_timeout_s, events)
+        self.pool = ConnectionPool(
+            dispatcher, budget, buffers, connect_timeout_s, idle_timeout_s, events, turns
+        )
         self.attempts: dict[tuple[PendingRequest, int], AttemptCall] = {}  # without an outcome
         self.health_checks: dict[Endpoint, asyncio.Task[None]] = {}
 
@@ -207,6 +217,7 @@
     def sweep(self) -> None:
         """Close connections that have been idle for too long or whose responses do not end."""
         self.pool.close_expired()
+        self.pool.forget_removed()
         for connection in list(self.pool.connections):
             call = connection.call
             if isinstance(call, AttemptCall) and call.has_ended:
--- a/firwalk/net/http.py
+++ b/firwalk/net/http.py
@@ -239,6 +239,7 @@
 
     def discard(self) -> None:
         """Drop what is kept of an incomplete request and release its memory."""
+        self.error = None
         self.target = b""
         self.headers = {}
         self.body = bytearray()
@@ -342,6 +343,12 @@
         else:
             self.on_blank_line()
 
+    def discard(self) -> None:
+        """Drop what is kept of an incomplete response and release its memory."""
+        self._reset_line()
+        self.headers = {}
+        self.error = None
+
     def _reset_line(self) -> None:
         self.partial_line = bytearray()
         if self.charge is not None:
--- a/firwalk/net/listing.py
+++ b/firwalk/net/listing.py
@@ -24,6 +24,8 @@
     "left": EndpointState.REMOVED,
 }
 MAX_CACHED_ADDRESSES = 8192
+MAX_NAME_LENGTH = 256
+MAX_VALUES = 1 << 17  # of a list of all executors of the largest fleet, four times over
 MAX_CELL = 1 << 31
 MAX_STARTED_MS = 1e14  # later times, after the year 5138, count as unknown
 MIN_WEIGHT = 1.0
@@ -47,7 +49,7 @@
 def read(text: bytes | Json) -> Update:
     """Parse an update from JSON bytes or a decoded JSON value. Raise http.Malformed."""
     try:
-        update: Json = orjson.loads(text) if isinstance(text, bytes) else text
+        update: Json = decode(text) if isinstance(text, bytes) else text
         version = int(update["generation"])
         is_complete = bool(update.get("reset"))
         instances = update["instances"]
@@ -58,6 +60,16 @@
     return Update(version, is_complete, _read_entries(instances))
 
 
+def decode(text: bytes | bytearray) -> Json:
+    """Decode JSON with a limited number of values, which take more memory than their text.
+
+    Raise orjson.JSONDecodeError, and http.Malformed for too many values.
+    """
+    if text.count(b",") + text.count(b"[") + text.count(b"{") > MAX_VALUES:
+        raise http.Malformed(http.BAD_REQUEST, "an update with too many values")
+    return orjson.loads(text)
+
+
 def _read_entries(instances: list[object]) -> list[EndpointEntry]:
     entries = []
     errors = []
@@ -78,7 +90,7 @@
         raise Unreadable(f"{instance!r:.60} is not an object")
     name = instance.get("instanceId")
     address = instance.get("hostPort")
-    if not isinstance(name, str) or not name:
+    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_LENGTH:
         raise Unreadable(f"instanceId: {name!r:.60}")
     if not isinstance(address, str):
         raise Unreadable(f"{name:.60}: hostPort: {address!r:.60}")
@@ -100,7 +112,7 @@
 
 
 def _read_name(value: object) -> str:
-    return value if isinstance(value, str) else ""
+    return value if isinstance(value, str) and len(value) <= MAX_NAME_LENGTH else ""
 
 
 def _read_cell(value: object) -> int:
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -108,7 +108,7 @@
             self.dispatcher, self.executors, self.budget, self.buffers, self.dispatcher.monitor, self.turns
         )
         self.discovery = discovery.Discovery(
-            self.dispatcher, self.buffers, parse_address(config["discovery"])
+            self.dispatcher, self.buffers, parse_address(config["discovery"]), self.turns
         )
         self.peers = self._new_peers()
         self._apply_known_list()
@@ -130,6 +130,7 @@
             limits.get("connect-timeout-us", DEFAULT_CONNECT_TIMEOUT_US) * MICRO,
             limits.get("idle-close-us", DEFAULT_IDLE_CLOSE_US) * MICRO,
             self.dispatcher.events,
+            self.turns,
         )
 
     def _new_peers(self) -> Peers:
--- a/firwalk/net/socket_io.py
+++ b/firwalk/net/socket_io.py
@@ -24,16 +24,6 @@
         loop.remove_reader(sock)
 
 
-async def receive_into(sock: socket.socket, buffer: bytearray) -> int:
-    """Wait for bytes and read them in one step; return their count, 0 at the end. Raises OSError."""
-    while True:
-        await wait_readable(sock)
-        try:
-            return sock.recv_into(buffer)
-        except BlockingIOError:
-            pass
-
-
 async def connect(sock: socket.socket, address: tuple[str, int]) -> None:
     """Connect to a numeric address. Raises OSError.
 
--- a/firwalk/policy/candidates.py
+++ b/firwalk/policy/candidates.py
@@ -45,6 +45,15 @@
         """Add an executor that is not ready yet."""
         insort(self.hash_ring, (executor.name_hash, len(self.hash_ring), executor))
 
+    def remove(self, executors: dict[Executor, None]) -> None:
+        """Remove executors that are not ready."""
+        self.hash_ring = [entry for entry in self.hash_ring if entry[2] not in executors]
+        for executor in executors:
+            self.active.pop(executor, None)
+            self.warming_up.pop(executor, None)
+            if self.changed.pop(executor, False):
+                self.has_moved = True  # it was ready: the lists of ready executors must be rebuilt
+
     def record_change(self, executor: Executor, was_ready: bool) -> None:
         """Record a state change until the update of the endpoint list is complete."""
         self.changed.setdefault(executor, was_ready)
--- a/firwalk/policy/executor_set.py
+++ b/firwalk/policy/executor_set.py
@@ -54,6 +54,14 @@
         self.candidates.add(executor)
         return executor
 
+    def remove(self, executors: list[Executor]) -> None:
+        """Remove executors that are not ready."""
+        removed = dict.fromkeys(executors)
+        self.executors = [executor for executor in self.executors if executor not in removed]
+        for zone in self.zones.values():
+            zone.unreachable = [executor for executor in zone.unreachable if executor not in removed]
+        self.candidates.remove(removed)
+
     def _machine_type_speed(self, machine_type: int) -> SpeedEstimate:
         known_speeds = [
             estimate.speed for estimate in self.machine_type_speeds.values() if estimate.sample_count
--- a/firwalk/policy/policy.py
+++ b/firwalk/policy/policy.py
@@ -86,6 +86,10 @@
         """Add an executor that is not ready yet; `UNKNOWN_NUMBER` stands for what is not known of it."""
         return self.executor_set.add(handle, machine_type, zone, cell, size, name_hash)
 
+    def forget_executors(self, executors: list[Executor]) -> None:
+        """Forget removed executors without an attempt in flight."""
+        self.executor_set.remove(executors)
+
     def executor_listed(
         self, executor: Executor, machine_type: int, zone: int, cell: int, size: float
     ) -> None:
