Request ids: one life each, also after the client has left

Cause: an id was known only while its request was in work at this process. When a client leaves, its attempts are cancelled and the request ends, but an executor that has taken the last byte may run it all the same.

Change: limits/request_ids.py remembers an id whose request may have taken effect that may not be repeated, or that has ended without its answer; the same id is told 409 then. An id of a request that has never run may come again, and so may one of an idempotent request that has its answer.

--- a/firwalk/dispatcher/dispatcher.py
+++ b/firwalk/dispatcher/dispatcher.py
@@ -147,6 +147,7 @@
     def report_client_left(self, pending: PendingRequest, reason: str = "client_left") -> None:
         """Withdraw a request whose client has disconnected, and cancel its attempts in flight."""
         now = self.clock()
+        pending.is_withdrawn = True
         if pending.record is not None:
             self.monitor.released(pending.record, reason)
         self.policy.request_withdrawn(now, pending.request)
--- a/firwalk/dispatcher/pending_request.py
+++ b/firwalk/dispatcher/pending_request.py
@@ -11,6 +11,7 @@
 from firwalk.dispatcher.timers import Timer
 from firwalk.observability.events import FailureReason
 from firwalk.observability.monitor import RequestRecord
+from firwalk.policy.enums import Idempotency
 
 if TYPE_CHECKING:
     from firwalk.cluster.quota_accounting import Charge
@@ -44,6 +45,7 @@
         self.has_client_left: Callable[[], bool] = lambda: False
         # Whether the client has sent more than is read, so that it is not known whether it has left.
         self.is_client_overrun: Callable[[], bool] = lambda: False
+        self.is_withdrawn = False  # the client has left, or another process continues the request
         self.timers: list[Timer] = []
 
     def wake(self) -> None:
@@ -63,6 +65,16 @@
         earlier = self.request.attempts[:number]
         return "hedge" if any(attempt.is_in_flight for attempt in earlier) else "retry"
 
+    def may_repeat_effect(self) -> bool:
+        """Return whether another request with the same id could repeat an effect of this one.
+
+        An idempotent request that has its answer may be repeated; without an answer it may still be running.
+        """
+        request = self.request
+        if not any(attempt.may_have_run and attempt.number in self.committed for attempt in request.attempts):
+            return False
+        return self.is_withdrawn or request.request_class.idempotency is not Idempotency.IDEMPOTENT
+
     def is_finished(self) -> bool:
         """Return whether the request has its final answer and no attempt in flight."""
         return not self.request.is_open and not self.request.in_flight
--- a/firwalk/net/client_requests.py
+++ b/firwalk/net/client_requests.py
@@ -16,6 +16,7 @@
     SendAttempt,
 )
 from firwalk.limits.memory import MemoryCharge, MemoryUse
+from firwalk.limits.request_ids import RequestIds
 from firwalk.net import fields, http
 from firwalk.net.client_connection import EVICTABLE_AFTER_S, ClientRequest
 from firwalk.observability.events import CloseReason, Event, FailureReason
@@ -48,7 +49,7 @@
         self.dispatcher = dispatcher
         self.executors = executors
         self.monitor = monitor
-        self.request_ids: dict[bytes, None] = {}  # ids of the requests in work
+        self.request_ids = RequestIds()
 
     async def serve(self, connection: ClientConnection, message: ClientMessage) -> None:
         """Serve a message in the connection's turn, and release its memory."""
@@ -84,7 +85,7 @@
         """Continue a request that another process of this node handed over."""
         charge = MemoryCharge(self.clients.budget.memory, MemoryUse.RESPONSE)
         charge.grow(http.BODY_COPIES * len(request.body) + http.MESSAGE_OBJECT_BYTES)
-        self.request_ids[request.request_id] = None
+        self.request_ids.resume(request.request_id)
         self._watch_client(connection, pending)
         try:
             await self._execute_actions(connection, pending, request)
@@ -92,7 +93,7 @@
             log_exception("serving a request that was handed over", error)
             connection.close(CloseReason.FAILURE)
         finally:
-            del self.request_ids[request.request_id]
+            self._end_request(pending, request.request_id)
             charge.release()
 
     def are_all_invalid(self, messages: Iterable[ClientMessage]) -> bool:
@@ -126,7 +127,7 @@
             self._record_rejection(request_id, http.SERVICE_UNAVAILABLE, FailureReason.NO_DESCRIPTOR)
             await connection.answer(http.SERVICE_UNAVAILABLE, b"", False)
             return
-        if request_id in self.request_ids:  # executors identify a request by its id
+        if self.request_ids.is_used(request_id):  # executors identify a request by its id
             self._record_rejection(request_id, http.CONFLICT, FailureReason.DUPLICATE_ID)
             await connection.answer(http.CONFLICT, b"", keep_alive)
             return
@@ -171,14 +172,14 @@
         connection.last_request = request
         connection.last_request_id = request_id
         connection.has_sent_request = True
-        self.request_ids[request_id] = None
+        self.request_ids.begin(request_id)
         self._watch_client(connection, pending)
         try:
             await self._execute_actions(connection, pending, request)
         finally:
             if connection.last_request is request:
                 connection.last_request = None  # idle connections keep no request
-            del self.request_ids[request_id]
+            self._end_request(pending, request_id)
 
     @staticmethod
     def _watch_client(connection: ClientConnection, pending: PendingRequest) -> None:
@@ -186,6 +187,10 @@
         pending.has_client_left = connection.has_client_left
         pending.is_client_overrun = lambda: connection.input.is_overrun
 
+    def _end_request(self, pending: PendingRequest, request_id: bytes) -> None:
+        """Record the end of a request; its id stays used if it could repeat an effect."""
+        self.request_ids.end(request_id, monotonic(), is_reusable=not pending.may_repeat_effect())
+
     def record_overrun(self, count: int) -> None:
         """Record messages that are rejected since the client has sent too many at once."""
         for _ in range(count):
