Hot restart: an id has one life across both processes

Cause: each process knew the ids of its own requests in work only.

Change: before the old process releases the listener it sends the fingerprints of all ids that it has used; from then on the new one decides. A hello says `ids` beside `task`, so that a process of an earlier version is neither sent ids nor asked; the golden test of the hello has that word more.

--- a/firwalk/net/client_requests.py
+++ b/firwalk/net/client_requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from time import monotonic
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -131,6 +131,11 @@
             self._record_rejection(request_id, http.CONFLICT, FailureReason.DUPLICATE_ID)
             await connection.answer(http.CONFLICT, b"", keep_alive)
             return
+        claim = self.clients.claim_request_id
+        if claim is not None and not await claim(request_id):
+            self._record_rejection(request_id, http.SERVICE_UNAVAILABLE, FailureReason.DUPLICATE_ID)
+            await connection.answer(http.SERVICE_UNAVAILABLE, b"", keep_alive)
+            return
         if connection.has_client_left():
             connection.is_busy = False
             connection.close(CloseReason.PEER_LEFT)
@@ -311,6 +316,7 @@
 
         budget: Budget
         turns: Turns
+        claim_request_id: Callable[[bytes], Awaitable[bool]] | None
         is_shutting_down: bool
         is_draining: bool
 
--- a/firwalk/net/clients.py
+++ b/firwalk/net/clients.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from functools import partial
 from itertools import islice
@@ -68,6 +68,8 @@
         # Hands a connection over to another process of this node, if there is one. Arguments: whether the
         # client has sent a request, and the socket.
         self.hand_over_client: Callable[[bool, socket.socket], None] | None = None
+        # Asks the successor in a hot restart whether an id may be used; None without a successor.
+        self.claim_request_id: Callable[[bytes], Awaitable[bool]] | None = None
         self.accepted_at = monotonic()
         self.stalls = StallDetector()
         self.turns = turns or Turns()
--- a/firwalk/net/restart_messages.py
+++ b/firwalk/net/restart_messages.py
@@ -17,6 +17,8 @@
 PROTOCOL_VERSION = 1
 # In a hello, this value states that the sender continues requests in progress.
 REQUEST_HANDOVER_CAPABILITY = "task"
+# In a hello, this value states that the sender keeps the request ids of its predecessor.
+REQUEST_IDS_CAPABILITY = "ids"
 # Maps each byte of a request to one character of a JSON string.
 TEXT_ENCODING = "latin-1"
 
@@ -39,25 +41,37 @@
 class Hello:
     """First message of a new process, which asks to take over."""
 
-    __slots__ = ("version", "continues_requests")
+    __slots__ = ("version", "continues_requests", "keeps_request_ids")
 
-    def __init__(self, version: object = PROTOCOL_VERSION, continues_requests: bool = True) -> None:
+    def __init__(
+        self,
+        version: object = PROTOCOL_VERSION,
+        continues_requests: bool = True,
+        keeps_request_ids: bool = True,
+    ) -> None:
         self.version = version
         self.continues_requests = continues_requests
+        self.keeps_request_ids = keeps_request_ids
 
     def to_wire(self) -> WireObject:
         """Return the message as a JSON object."""
-        return {
-            "hello": self.version,
-            "takes": [REQUEST_HANDOVER_CAPABILITY] if self.continues_requests else [],
-        }
+        capabilities = []
+        if self.continues_requests:
+            capabilities.append(REQUEST_HANDOVER_CAPABILITY)
+        if self.keeps_request_ids:
+            capabilities.append(REQUEST_IDS_CAPABILITY)
+        return {"hello": self.version, "takes": capabilities}
 
     @classmethod
     def from_wire(cls, wire: Mapping[str, Any]) -> Hello:
         """Decode the JSON object."""
         capabilities = wire.get("takes")
+        if not isinstance(capabilities, list):
+            capabilities = []
         return cls(
-            wire["hello"], isinstance(capabilities, list) and REQUEST_HANDOVER_CAPABILITY in capabilities
+            wire["hello"],
+            REQUEST_HANDOVER_CAPABILITY in capabilities,
+            REQUEST_IDS_CAPABILITY in capabilities,
         )
 
 
@@ -286,6 +300,62 @@
         return cls(int(wire["holds"]))
 
 
+class UsedRequestIds:
+    """Fingerprints of request ids that the predecessor has used; sent before it releases the listener."""
+
+    __slots__ = ("fingerprints",)
+
+    def __init__(self, fingerprints: list[int]) -> None:
+        self.fingerprints = fingerprints
+
+    def to_wire(self) -> WireObject:
+        """Return the message as a JSON object."""
+        return {"ids": self.fingerprints}
+
+    @classmethod
+    def from_wire(cls, wire: Mapping[str, Any]) -> UsedRequestIds:
+        """Decode the JSON object."""
+        return cls([int(fingerprint) for fingerprint in wire["ids"]])
+
+
+class RequestIdClaim:
+    """The predecessor asks for an id that a client has sent to it after the successor has taken over."""
+
+    __slots__ = ("fingerprint", "number")
+
+    def __init__(self, fingerprint: int, number: object = None) -> None:
+        self.fingerprint = fingerprint
+        self.number = number  # of the request; the channel sets it
+
+    def to_wire(self) -> WireObject:
+        """Return the message as a JSON object, to which the channel adds the number."""
+        return {"claim": self.fingerprint}
+
+    @classmethod
+    def from_wire(cls, wire: Mapping[str, Any]) -> RequestIdClaim:
+        """Decode the JSON object."""
+        return cls(int(wire["claim"]), wire["number"])
+
+
+class RequestIdReply:
+    """Answer to a RequestIdClaim: whether the id was unused, and is the predecessor's now."""
+
+    __slots__ = ("number", "is_granted")
+
+    def __init__(self, number: object, is_granted: bool) -> None:
+        self.number = number
+        self.is_granted = is_granted
+
+    def to_wire(self) -> WireObject:
+        """Return the message as a JSON object."""
+        return {"claimed": self.number, "granted": self.is_granted}
+
+    @classmethod
+    def from_wire(cls, wire: Mapping[str, Any]) -> RequestIdReply:
+        """Decode the JSON object."""
+        return cls(wire["claimed"], bool(wire["granted"]))
+
+
 class Reload:
     """Request to read the configuration again."""
 
@@ -350,6 +420,9 @@
     | IdleConnectionHandover
     | RequestHandover
     | DescriptorsHeld
+    | UsedRequestIds
+    | RequestIdClaim
+    | RequestIdReply
     | Reload
     | MaintenanceCall
     | MaintenanceReply
@@ -366,6 +439,9 @@
     "task": RequestHandover.from_wire,
     "yours": ListenerReleased.from_wire,
     "holds": DescriptorsHeld.from_wire,
+    "ids": UsedRequestIds.from_wire,
+    "claim": RequestIdClaim.from_wire,
+    "claimed": RequestIdReply.from_wire,
     "reload": Reload.from_wire,
     "out": MaintenanceCall.from_wire,
     "done": MaintenanceReply.from_wire,
--- a/firwalk/net/restart_predecessor.py
+++ b/firwalk/net/restart_predecessor.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from firwalk.dispatcher.request_handover import export_request
+from firwalk.limits.request_ids import fingerprint
 from firwalk.net.control_channel import ChannelClosed, ControlChannel, RendezvousSocket
 from firwalk.net.restart_context import RestartContext
 from firwalk.net.restart_messages import (
@@ -24,7 +25,10 @@
     NodeState,
     Refusal,
     RequestHandover,
+    RequestIdClaim,
+    RequestIdReply,
     TakeOver,
+    UsedRequestIds,
     decode,
 )
 from firwalk.observability.events import CloseReason
@@ -38,6 +42,7 @@
 # The predecessor keeps this many descriptors besides one for each client's request.
 SPARE_DESCRIPTORS = 4
 PROCESS_DESCRIPTORS = "/proc/self/fd"
+REQUEST_IDS_PER_MESSAGE = 4096
 
 
 class PredecessorRole:
@@ -52,6 +57,7 @@
         self.handed_over_request_count = 0
         self.is_closed = False
         self._continues_requests = False  # whether the successor does
+        self._keeps_request_ids = False  # whether the successor does
         self._reported_descriptors = -1  # the count last sent to the successor
 
     async def attend(self, channel: ControlChannel) -> None:
@@ -78,6 +84,7 @@
         """Send the node's state, and handle the successor's messages. Raises ChannelClosed at its end."""
         self.channel = channel
         self._continues_requests = hello.continues_requests
+        self._keeps_request_ids = hello.keeps_request_ids
         log_external("another process of this node has come")
         channel.send(self._node_state().to_wire(), *self.context.service.shared())
         self.context.service.discovery.on_update = self._forward_update
@@ -87,6 +94,8 @@
             message = decode(wire)
             if isinstance(message, TakeOver):
                 self._release_listener(channel)
+            elif isinstance(message, RequestIdReply):
+                channel.resolve(message.number, message.is_granted)
             else:
                 self.context.handle_operator_message(channel, message)
 
@@ -118,12 +127,26 @@
         service = self.context.service
         service.clients.hand_over_client = hand_over_client
         unadmitted = service.stop_accepting()
+        if self._keeps_request_ids:
+            self._hand_over_request_ids(channel)
         channel.send(ListenerReleased().to_wire())
         for sock in unadmitted:
             hand_over_client(False, sock)
         log_external("another process of this node serves from now on; this one finishes what it has taken")
         self.context.spawn(self._hand_over(channel))
 
+    def _hand_over_request_ids(self, channel: ControlChannel) -> None:
+        """Send the ids used so far; from here on the successor decides who may use an id."""
+        fingerprints = self.context.service.clients.requests.request_ids.fingerprints()
+        for start in range(0, len(fingerprints), REQUEST_IDS_PER_MESSAGE):
+            part = fingerprints[start : start + REQUEST_IDS_PER_MESSAGE]
+            channel.send(UsedRequestIds(part).to_wire())
+
+        async def claim(request_id: bytes) -> bool:
+            return await channel.request(RequestIdClaim(fingerprint(request_id)).to_wire())
+
+        self.context.service.clients.claim_request_id = claim
+
     async def _hand_over(self, channel: ControlChannel) -> None:
         """Hand over connections of clients and executors, with unread bytes and requests in progress."""
         self._reported_descriptors = -1
@@ -200,6 +223,7 @@
         self.channel = None
         service.discovery.on_update = None
         service.clients.hand_over_client = None
+        service.clients.claim_request_id = None
         service.clients.is_shutting_down = service.is_stopping()
         self.context.update_limits()
         if self.has_handed_over:
--- a/firwalk/net/restart_successor.py
+++ b/firwalk/net/restart_successor.py
@@ -28,7 +28,10 @@
     NodeState,
     Refusal,
     RequestHandover,
+    RequestIdClaim,
+    RequestIdReply,
     TakeOver,
+    UsedRequestIds,
     decode,
     decode_endpoint_list,
     decode_maintenance,
@@ -195,6 +198,11 @@
                 self.context.service.clients.adopt(descriptors[0], message.has_sent_request)
             case RequestHandover():
                 self._resume_request(message, *descriptors)
+            case UsedRequestIds():
+                request_ids = self.context.service.clients.requests.request_ids
+                request_ids.remember_all(message.fingerprints, monotonic())
+            case RequestIdClaim():
+                self._answer_claim(channel, message)
             case ListenerReleased():
                 self._listener_released.set()
             case EndpointListUpdate():
@@ -205,6 +213,14 @@
             case _:
                 self.context.handle_operator_message(channel, message)
 
+    def _answer_claim(self, channel: ControlChannel, claim: RequestIdClaim) -> None:
+        """Grant an id to the predecessor unless a request has used it in either process."""
+        request_ids = self.context.service.clients.requests.request_ids
+        is_granted = not request_ids.is_fingerprint_used(claim.fingerprint)
+        if is_granted:
+            request_ids.remember(claim.fingerprint, monotonic())
+        channel.send(RequestIdReply(claim.number, is_granted).to_wire())
+
     def _adopt_idle_connection(self, message: IdleConnectionHandover, sock: socket.socket) -> None:
         executor = self.context.dispatcher.executors.get(message.executor)
         if executor is None:
--- a/tests/golden/test_golden_processes.py
+++ b/tests/golden/test_golden_processes.py
@@ -376,7 +376,7 @@
         ours, theirs = socket.socketpair()
         meeting = SimpleNamespace(connect=lambda: control_channel.ControlChannel(ours))
         work = asyncio.create_task(restart_successor.connect_to_predecessor(meeting))
-        assert await read_lines(theirs, 1) == b'{"hello":1,"takes":["task"],"files":0}\n'
+        assert await read_lines(theirs, 1) == b'{"hello":1,"takes":["task","ids"],"files":0}\n'
         theirs.sendall(b'{"state":{"version":4},"files":0}\n')
         line, state, files, hung = await work
         assert (state, files, hung) == ({"version": 4}, [], False)
