Turns: eight in each iteration of the loop; requests cost less, ids follow the memory

A message parsed late had its arrival told too early, as the kernel's time was taken off the time of the read. The memory of ids did not follow the memory limit.

Change: a message that is served in the turn in which it was read takes no second one; eight turns an iteration; timers are compared as tuples; complete lines of an answer are not copied; one read buffer for all. A message has arrived at the earlier of its read and what the kernel tells now. Ids: 6% of the memory limit at most (51,428 a generation at 192 MB). The counts at the end and at SIGUSR1 have the memory of messages and the turns waited for.

--- a/firwalk/dispatcher/timers.py
+++ b/firwalk/dispatcher/timers.py
@@ -15,23 +15,18 @@
 class Timer:
     """A timer that calls `callback(now, argument)` when it expires, unless it is cancelled."""
 
-    __slots__ = ("argument", "callback", "sequence_number", "when")
+    __slots__ = ("argument", "callback")
 
-    def __init__(self, when: float, sequence_number: int, callback: TimerCallback, argument: Any) -> None:
-        self.when = when
-        self.sequence_number = sequence_number
+    def __init__(self, callback: TimerCallback, argument: Any) -> None:
         self.callback: TimerCallback | None = callback
         self.argument = argument
 
-    def __lt__(self, other: Timer) -> bool:
-        return (self.when, self.sequence_number) < (other.when, other.sequence_number)
-
 
 class TimerQueue:
     """Timers ordered by expiry; timers of the same expiry are ordered by insertion."""
 
     def __init__(self) -> None:
-        self._heap: list[Timer] = []
+        self._heap: list[tuple[float, int, Timer]] = []
         self._last_sequence_number = 0
         self._cancelled_count = 0
 
@@ -41,8 +36,8 @@
     def add(self, when: float, callback: TimerCallback, argument: Any) -> Timer:
         """Add a timer and return it."""
         self._last_sequence_number += 1
-        timer = Timer(when, self._last_sequence_number, callback, argument)
-        heappush(self._heap, timer)
+        timer = Timer(callback, argument)
+        heappush(self._heap, (when, self._last_sequence_number, timer))
         return timer
 
     def cancel(self, timer: Timer) -> None:
@@ -52,21 +47,21 @@
         timer.callback = timer.argument = None
         self._cancelled_count += 1
         if self._cancelled_count > max(MIN_CANCELLED_TO_REMOVE, len(self._heap) // 2):
-            self._heap = [pending for pending in self._heap if pending.callback is not None]
+            self._heap = [entry for entry in self._heap if entry[2].callback is not None]
             heapify(self._heap)
             self._cancelled_count = 0
 
     def next_due_at(self) -> float:
         """Return the expiry of the next timer; infinity if there is none."""
-        while self._heap and self._heap[0].callback is None:
+        while self._heap and self._heap[0][2].callback is None:
             heappop(self._heap)
             self._cancelled_count -= 1
-        return self._heap[0].when if self._heap else inf
+        return self._heap[0][0] if self._heap else inf
 
     def pop(self) -> tuple[TimerCallback, Any]:
         """Remove and return the next timer; raise IndexError if there is none."""
         self.next_due_at()  # removes cancelled timers
-        timer = heappop(self._heap)
+        _, _, timer = heappop(self._heap)
         callback, argument = timer.callback, timer.argument
         timer.callback = timer.argument = None
         assert callback is not None, "cancelled timers are removed"
--- a/firwalk/limits/fair_share.py
+++ b/firwalk/limits/fair_share.py
@@ -1,8 +1,8 @@
 """Shares of the processor between connections: those that cause more work than others wait for turns.
 
 A connection without a backlog that stays within its token bucket of processor time is served at once, as if
-it were alone. The others wait in a queue and get turns in their order of arrival, one turn in each iteration
-of the event loop. This is round robin (J. Nagle, "On Packet Switches with Infinite Storage", RFC 970) with
+it were alone. The others wait in a queue and get turns in their order of arrival, some in each iteration of
+the event loop. This is round robin (J. Nagle, "On Packet Switches with Infinite Storage", RFC 970) with
 priority for sparse flows (T. Hoeiland-Joergensen et al., "The Flow Queue CoDel Packet Scheduler", RFC 8290).
 The work of a turn is bounded by its callers, so that an iteration of the loop stays short however many peers
 send at full speed. Times are seconds on the caller's clock.
@@ -15,6 +15,7 @@
 
 REFILL_SHARE = 0.01  # a connection may use this fraction of a processor without waiting for turns
 BURST_S = 0.004
+TURNS_PER_ITERATION = 8  # of the event loop
 TURN_S = 0.0005  # a turn ends after the first piece of work that exceeds this time
 
 Waiter = TypeVar("Waiter")
--- a/firwalk/limits/memory.py
+++ b/firwalk/limits/memory.py
@@ -65,6 +65,13 @@
         self.response_bytes -= size_bytes * (use is MemoryUse.RESPONSE)
         check_invariant(0 <= self.response_bytes <= self.used_bytes, "memory is released at most once")
 
+    def summary(self) -> str:
+        """Return the counts as one line of text."""
+        return (
+            f"{self.used_bytes} bytes, {self.peak_bytes} at most, limit {self.limit_bytes}, "
+            f"refused {self.refused_count}"
+        )
+
 
 class MemoryCharge:
     """The bytes charged for one message, from its first byte until nothing of it is kept."""
--- a/firwalk/limits/request_ids.py
+++ b/firwalk/limits/request_ids.py
@@ -2,8 +2,8 @@
 
 An executor identifies a request by its id. An id whose request may have taken effect is remembered beyond
 the end of the request, so that the same id cannot run again. Ids are remembered in two generations, of which
-the older one is forgotten when the newer one is full or old enough: memory is bounded, and the most recent
-`GENERATION_SIZE` ids are always known. Times are seconds on the caller's clock.
+the older one is forgotten when the newer one is full or old enough: memory is bounded, and as many of the
+most recent ids as a generation holds are always known. Times are seconds on the caller's clock.
 """
 
 from __future__ import annotations
@@ -12,7 +12,9 @@
 from hashlib import blake2b
 
 GENERATION_S = 300.0
-GENERATION_SIZE = 65536
+MAX_GENERATION_SIZE = 65536
+MEMORY_SHARE = 0.06  # both generations may use this fraction of the memory limit
+REMEMBERED_ID_BYTES = 112
 FINGERPRINT_BYTES = 8
 
 
@@ -21,10 +23,16 @@
     return int.from_bytes(blake2b(request_id, digest_size=FINGERPRINT_BYTES).digest())
 
 
+def generation_size(memory_bytes: int) -> int:
+    """Return how many ids a generation holds in a process with this memory limit."""
+    return min(int(memory_bytes * MEMORY_SHARE / (2 * REMEMBERED_ID_BYTES)), MAX_GENERATION_SIZE)
+
+
 class RequestIds:
     """Ids in work, and ids of earlier requests that may have taken effect."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_generation_size: int = MAX_GENERATION_SIZE) -> None:
+        self._max_generation_size = max_generation_size
         self._in_work: dict[bytes, None] = {}
         self._recent: set[int] = set()
         self._older: set[int] = set()
@@ -61,7 +69,7 @@
     def remember(self, key: int, now: float) -> None:
         """Remember the fingerprint of an id."""
         is_old = now - self._generation_began_at > GENERATION_S
-        if is_old or len(self._recent) >= GENERATION_SIZE:
+        if is_old or len(self._recent) >= self._max_generation_size:
             self._older = self._recent
             self._recent = set()
             self._generation_began_at = now
--- a/firwalk/net/budget.py
+++ b/firwalk/net/budget.py
@@ -55,6 +55,7 @@
         self.executors = 0
         self.spare = 0
         self.memory = MemoryPool(0)
+        self.memory_bytes = memory_bytes  # of the node; a process may have a part of it for some time
         # Each closes an idle connection and returns whether there was one.
         self.evict_client: EvictClient = _evict_no_client
         self.evict_executor: Callable[[], bool] = _evict_no_executor
--- a/firwalk/net/buffers.py
+++ b/firwalk/net/buffers.py
@@ -8,9 +8,13 @@
 
 
 class Buffers:
-    """Reuses read buffers, to avoid an allocation for each connection."""
+    """Reuses read buffers, to avoid an allocation for each connection.
+
+    `scratch` is for reads whose bytes are parsed or copied before anything else runs.
+    """
 
     def __init__(self) -> None:
+        self.scratch = memoryview(bytearray(BUFFER_BYTES))
         self.free: list[bytearray] = []
         self.in_use = 0
 
--- a/firwalk/net/client_connection.py
+++ b/firwalk/net/client_connection.py
@@ -136,7 +136,8 @@
 
     async def _parse_turn(self) -> None:
         """Parse bytes for a turn of the connection, and serve what they complete."""
-        await self.clients.turns.take(self.account, self.is_backlogged)
+        if self.clients.turns.must_wait(self.account, self.is_backlogged):
+            await self.clients.turns.take(self.account, self.is_backlogged)
         began_at = monotonic()
         try:
             self._parse_slice()
@@ -148,7 +149,7 @@
         self.is_backlogged = self.input.has_unparsed()
         self.accepted_at = None
         if not self.input.has_unparsed() or len(self.queue) >= MAX_QUEUED_MESSAGES:
-            self._serve_next()
+            self._serve_next(is_in_turn=True)
         if self.parser.expects_continue and not self.is_busy:  # not before an earlier response
             self.parser.expects_continue = False
             await asyncio.get_running_loop().sock_sendall(self.sock, http.CONTINUE_RESPONSE)
@@ -188,18 +189,20 @@
             return
         is_immediate_retry = 0.0 <= self.read_at - self.rejected_at < IMMEDIATE_RETRY_S
         self.immediate_retries = self.immediate_retries + 1 if is_immediate_retry else 0
-        received_at = self.read_at - self.clients.stalls.unread_time_s(self.read_at, self.sock)
+        now = monotonic()
+        received_at = min(self.read_at, now - self.clients.stalls.unread_time_s(now, self.sock))
         if self.accepted_at is not None:
             received_at = min(received_at, self.accepted_at)
         self.queue.append(ClientMessage(request, received_at))
 
-    def _serve_next(self) -> None:
+    def _serve_next(self, is_in_turn: bool = False) -> None:
+        """Serve the next message, if none is being served: at once in the turn in which it was read."""
         if self.is_busy or not (self.queue or self.rejected_count):
             return
         self.is_busy = self.has_sent_message = True
         self.account.charge(monotonic(), MESSAGE_WORK_S)
         if self.queue:
-            self.clients.spawn(self.clients.requests.serve(self, self.queue.popleft()))
+            self.clients.spawn(self.clients.requests.serve(self, self.queue.popleft(), is_in_turn))
         else:
             self.clients.spawn(self._answer_rejected())
         if not self.queue_shrunk.done():
@@ -507,7 +510,7 @@
     class MessageHandler(Protocol):
         """Serves the messages of connections."""
 
-        async def serve(self, connection: ClientConnection, message: ClientMessage) -> None:
+        async def serve(self, connection: ClientConnection, message: ClientMessage, is_in_turn: bool) -> None:
             """Serve a message up to its response."""
 
         def are_all_invalid(self, messages: Iterable[ClientMessage]) -> bool:
--- a/firwalk/net/client_input.py
+++ b/firwalk/net/client_input.py
@@ -69,25 +69,25 @@
         if self._chunks and has_hung_up(self._sock):
             self.has_ended = True
             return
-        buffer = self._buffers.acquire()
-        view = memoryview(buffer)
+        self._receive_all(stops_at_short_read=True)
+
+    def _receive_all(self, stops_at_short_read: bool) -> None:
+        """Read up to the limit, and until nothing is left; a short read shows that nothing was left then."""
+        buffer = self._buffers.scratch
         try:
             while not self.has_ended:
                 if self.is_full() or not self._has_memory(len(buffer)):
                     self.is_overrun = True
                     return
                 count = self._sock.recv_into(buffer)
-                self._keep(view[:count])
-                if count < len(buffer):
+                self._keep(buffer[:count])
+                if stops_at_short_read and count < len(buffer):
                     break
             self.is_overrun = False
         except BlockingIOError:
             self.is_overrun = False
         except (OSError, ValueError):  # reset by the client, or closed by this process
             self.has_ended = True
-        finally:
-            view.release()
-            self._buffers.release(buffer)
 
     def _has_memory(self, size_bytes: int) -> bool:
         """Charge the memory of a read; the first one is part of the memory of a connection."""
@@ -122,9 +122,10 @@
 
     def refresh(self) -> bool:
         """Read what the socket has; return whether it is certain that the client has not left."""
-        self.receive()
-        if not self.has_ended and has_hung_up(self._sock):
+        if self._chunks and has_hung_up(self._sock):
             self.has_ended = True
+        else:
+            self._receive_all(stops_at_short_read=False)
         return not (self.has_ended or self.is_overrun)
 
     def discard(self) -> None:
--- a/firwalk/net/client_requests.py
+++ b/firwalk/net/client_requests.py
@@ -16,7 +16,7 @@
     SendAttempt,
 )
 from firwalk.limits.memory import MemoryCharge, MemoryUse
-from firwalk.limits.request_ids import RequestIds
+from firwalk.limits.request_ids import RequestIds, generation_size
 from firwalk.net import fields, http
 from firwalk.net.client_connection import EVICTABLE_AFTER_S, ClientRequest
 from firwalk.observability.events import CloseReason, Event, FailureReason
@@ -48,28 +48,31 @@
         self.dispatcher = dispatcher
         self.executors = executors
         self.monitor = monitor
-        self.request_ids = RequestIds()
+        self.request_ids = RequestIds(generation_size(clients.budget.memory_bytes))
 
-    async def serve(self, connection: ClientConnection, message: ClientMessage) -> None:
+    async def serve(self, connection: ClientConnection, message: ClientMessage, is_in_turn: bool) -> None:
         """Serve a message in the connection's turn, and release its memory."""
         try:
             if connection.immediate_retries > MAX_IMMEDIATE_RETRIES and not self.clients.is_draining:
                 await asyncio.sleep(IMMEDIATE_RETRY_DELAY_S)
-            await connection.take_turn(is_backlogged=bool(connection.queue))
+            if not is_in_turn:
+                await connection.take_turn(is_backlogged=bool(connection.queue))
             if connection.rejection_status:  # the connection was rejected during the delay
                 connection.is_busy = False
                 return
-            await self._serve_message(connection, message)
+            await self._serve_message(connection, message, is_in_turn)
         except Exception as error:
             log_exception("serving a client", error)
             connection.close(CloseReason.FAILURE)
         finally:
             message.request.charge.release()
 
-    async def _serve_message(self, connection: ClientConnection, message: ClientMessage) -> None:
+    async def _serve_message(
+        self, connection: ClientConnection, message: ClientMessage, is_in_turn: bool
+    ) -> None:
         request = message.request
         if request.method == b"POST":
-            await self._serve_request(connection, message)
+            await self._serve_request(connection, message, is_in_turn)
         elif request.method != b"GET":
             await connection.answer(http.METHOD_NOT_ALLOWED, b"", request.keep_alive)
         elif request.target != HEALTH_TARGET:
@@ -112,7 +115,9 @@
 
     # -- requests ------------------------------------------------------------------------------------------
 
-    async def _serve_request(self, connection: ClientConnection, message: ClientMessage) -> None:
+    async def _serve_request(
+        self, connection: ClientConnection, message: ClientMessage, is_just_read: bool
+    ) -> None:
         keep_alive = message.request.keep_alive
         try:
             request_id, head = fields.read(message.request.target, message.request.headers)
@@ -135,7 +140,7 @@
             self._record_rejection(request_id, http.SERVICE_UNAVAILABLE, FailureReason.DUPLICATE_ID)
             await connection.answer(http.SERVICE_UNAVAILABLE, b"", keep_alive)
             return
-        if connection.has_client_left():
+        if not is_just_read and connection.has_client_left():
             connection.is_busy = False
             connection.close(CloseReason.PEER_LEFT)
             return
--- a/firwalk/net/executor_connection.py
+++ b/firwalk/net/executor_connection.py
@@ -148,8 +148,11 @@
 
     async def _read(self) -> None:
         try:
-            while await self._read_once():
-                await self.owner.turns.take(self.account)
+            await wait_readable(self.sock)
+            while self._read_once():
+                if self.owner.turns.must_wait(self.account):
+                    await self.owner.turns.take(self.account)
+                await wait_readable(self.sock)
         except OSError:
             pass
         except http.Malformed as error:
@@ -157,24 +160,20 @@
         except Exception as error:
             log_exception("reading from an executor", error)
 
-    async def _read_once(self) -> bool:
-        """Wait for bytes, read and parse them; return False at the end. Raises OSError and http.Malformed."""
-        await wait_readable(self.sock)
-        buffer = self.owner.buffers.acquire()
-        view = memoryview(buffer)
+    def _read_once(self) -> bool:
+        """Read and parse what has arrived; return False at the end. Raises OSError and http.Malformed."""
+        buffer = self.owner.buffers.scratch
         began_at = monotonic()
         try:
             count = self.sock.recv_into(buffer)
             if count:
-                self.receive(view[:count])
+                self.receive(buffer[:count])
             return bool(count)
         except BlockingIOError:
             return True
         finally:
             now = monotonic()
             self.account.charge(now, now - began_at)
-            view.release()
-            self.owner.buffers.release(buffer)
 
     def receive(self, data: memoryview) -> None:
         """Parse bytes of a response, and keep them for a hand-over of the call to another process."""
--- a/firwalk/net/http.py
+++ b/firwalk/net/http.py
@@ -315,19 +315,17 @@
     def on_body(self, part: bytes) -> None:
         """Report each line that is complete. Called by httptools."""
         self.has_reported = True
-        if b"\n" not in part:
-            self._append(part)
-            return
-        first, *lines = part.split(b"\n")
-        self._append(first)
-        self._report_line()
-        rest = lines.pop()
+        *lines, rest = part.split(b"\n")
         for line in lines:
-            self._append(line)
-            self._report_line()
-        self._append(rest)
-
-    def _append(self, part: bytes) -> None:
+            if self.partial_line:
+                self._keep(line)
+                line = bytes(self.partial_line)
+                self._reset_line()
+            self._report_line(line)
+        if rest:
+            self._keep(rest)
+
+    def _keep(self, part: bytes) -> None:
         """Keep a part of a line, after its memory is counted."""
         if len(self.partial_line) + len(part) > self.max_line_bytes:
             self._fail(BAD_REQUEST, "a line over the limit")
@@ -335,9 +333,7 @@
             self._fail(SERVICE_UNAVAILABLE, "responses fill their share of the memory")
         self.partial_line += part
 
-    def _report_line(self) -> None:
-        line = bytes(self.partial_line)
-        self._reset_line()
+    def _report_line(self, line: bytes) -> None:
         if line.strip():
             self.on_line(line)
         else:
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -419,6 +419,8 @@
     def log_counts(self) -> None:
         """Log the counts of events by reason and the number of violated invariants."""
         log_internal(f"counts: {self.dispatcher.events.summary()}")
+        log_internal(f"memory of messages: {self.budget.memory.summary()}")
+        log_internal(f"turns waited for: {self.turns.waited_count}")
         log_internal(f"rules seen broken: {sum(self.dispatcher.monitor.violations.values())}")
 
     # -- shutdown ------------------------------------------------------------------------------------------
--- a/firwalk/net/turns.py
+++ b/firwalk/net/turns.py
@@ -1,11 +1,11 @@
-"""Turns of connections on the event loop: one turn of a busy connection in each iteration."""
+"""Turns of connections on the event loop: some turns of busy connections in each iteration."""
 
 from __future__ import annotations
 
 import asyncio
 from time import monotonic
 
-from firwalk.limits.fair_share import TurnQueue, WorkAccount
+from firwalk.limits.fair_share import TURNS_PER_ITERATION, TurnQueue, WorkAccount
 
 
 class Turns:
@@ -20,9 +20,14 @@
         """Return the account of a new connection."""
         return WorkAccount(monotonic())
 
+    @staticmethod
+    def must_wait(account: WorkAccount, is_backlogged: bool = False) -> bool:
+        """Return whether the connection has a backlog or is over its share."""
+        return is_backlogged or not account.has_tokens(monotonic())
+
     async def take(self, account: WorkAccount, is_backlogged: bool = False) -> None:
         """Wait for a turn, unless the connection is within its share and has no backlog."""
-        if not is_backlogged and account.has_tokens(monotonic()):
+        if not self.must_wait(account, is_backlogged):
             return
         loop = asyncio.get_running_loop()
         turn: asyncio.Future[None] = loop.create_future()
@@ -34,11 +39,12 @@
         await turn
 
     def _grant(self) -> None:
-        """Give the next connection its turn; those whose task was cancelled are passed over."""
-        turn = self._queue.next()
-        while turn is not None and turn.done():
-            turn = self._queue.next()
-        self._is_scheduled = turn is not None
-        if turn is not None:
-            turn.set_result(None)
+        """Give the next connections their turns; those whose task was cancelled are passed over."""
+        granted_count = 0
+        while granted_count < TURNS_PER_ITERATION and (turn := self._queue.next()) is not None:
+            if not turn.done():
+                turn.set_result(None)
+                granted_count += 1
+        self._is_scheduled = len(self._queue) > 0
+        if self._is_scheduled:
             asyncio.get_running_loop().call_soon(self._grant)
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -1,11 +1,12 @@
 """The life of a request id: one request only, remembered within bounds, and across two processes."""
 
+import tracemalloc
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from firwalk.limits import request_ids
-from firwalk.limits.request_ids import GENERATION_S, RequestIds, fingerprint
+from firwalk.limits.request_ids import GENERATION_S, RequestIds, fingerprint, generation_size
 
 ids = st.integers(0, 12).map(lambda number: b"id%d" % number)
 
@@ -25,9 +26,8 @@
 
 
 # Guards against memory that grows with each request, and against ids that are forgotten under a flood.
-def test_memory_of_ids_is_bounded_and_the_most_recent_ones_are_known(monkeypatch):
-    monkeypatch.setattr(request_ids, "GENERATION_SIZE", 100)
-    used = RequestIds()
+def test_memory_of_ids_is_bounded_and_the_most_recent_ones_are_known():
+    used = RequestIds(max_generation_size=100)
     for number in range(1000):
         assert used.begin(b"%d" % number)
         used.end(b"%d" % number, 1.0, is_reusable=False)
@@ -36,6 +36,18 @@
             assert used.is_used(b"%d" % recent)
 
 
+def test_the_memory_of_ids_follows_the_memory_limit():
+    count = generation_size(32_000_000)
+    tracemalloc.start()
+    used = RequestIds(count)
+    for number in range(2 * count):
+        used.remember(fingerprint(b"%d" % number), 1.0)
+    kept_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(used.fingerprints()) == 2 * count and kept_bytes < 0.08 * 32_000_000
+    assert generation_size(192_000_000) > 40_000
+
+
 def test_ids_are_forgotten_after_two_generations_of_time():
     used = RequestIds()
     used.remember(fingerprint(b"a"), GENERATION_S + 1.0)
