Immediate retries: a batch is one, and only its first message is delayed

Cause: each message of a batch counted as an immediate retry and was held back for 0.25 s, one after the other.

Change: a batch read after a rejection counts once, and its first message alone is delayed.

--- a/firwalk/net/client_connection.py
+++ b/firwalk/net/client_connection.py
@@ -31,6 +31,7 @@
 DISCARDED_BYTES_PER_READ = 65536
 EVICTABLE_AFTER_S = 0.1  # a connection without a request may be evicted after this time without a message
 IDLE_EVICTABLE_AFTER_S = 1.0  # one that has had a response may be evicted after this time without a message
+MAX_IMMEDIATE_RETRIES = 2  # after this many in a row, each is delayed to keep CPU time for other clients
 IMMEDIATE_RETRY_S = 0.01  # a message this soon after an error response shows that the client did not wait
 MAX_QUEUED_MESSAGES = 32  # this many are read ahead, so that their deadlines count from their arrival
 DISCONNECT_CHECK_INTERVAL_S = 0.03  # a client whose bytes are not read is checked for a disconnect this often
@@ -42,11 +43,13 @@
 class ClientMessage:
     """A complete HTTP message of a client."""
 
-    __slots__ = ("received_at", "request")
+    __slots__ = ("is_delayed", "is_in_turn", "received_at", "request")
 
-    def __init__(self, request: http.ParsedRequest, received_at: float) -> None:
+    def __init__(self, request: http.ParsedRequest, received_at: float, is_delayed: bool) -> None:
         self.request = request
         self.received_at = received_at  # by the kernel; this process may have read it later
+        self.is_delayed = is_delayed  # its client repeats rejected messages without a pause
+        self.is_in_turn = False  # it is served in the turn in which it was read
 
 
 class ClientRequest(NamedTuple):
@@ -95,7 +98,8 @@
         self.accepted_at: float | None = None if self._is_fully_read() else accepted_at
         self.rejection_status = 0  # written by the reader before it ends the connection; 0: none
         self.rejected_at = 0.0
-        self.immediate_retries = 0  # consecutive ones
+        self.immediate_retries = 0  # consecutive ones; a batch of messages is one
+        self.retried_rejection_at = 0.0  # the rejection that the last of them followed
         self.on_socket_released: Callable[[socket.socket], None] | None = None  # called at the reader's end
         self.close_reason = CloseReason.PEER_LEFT  # unless this process ends the connection
         self.reader = asyncio.get_running_loop().create_task(self._read())
@@ -187,13 +191,25 @@
             request.charge.release()
             self.rejected_count += 1
             return
-        is_immediate_retry = 0.0 <= self.read_at - self.rejected_at < IMMEDIATE_RETRY_S
-        self.immediate_retries = self.immediate_retries + 1 if is_immediate_retry else 0
         now = monotonic()
         received_at = min(self.read_at, now - self.clients.stalls.unread_time_s(now, self.sock))
         if self.accepted_at is not None:
             received_at = min(received_at, self.accepted_at)
-        self.queue.append(ClientMessage(request, received_at))
+        self.queue.append(ClientMessage(request, received_at, self._is_delayed()))
+
+    def _is_delayed(self) -> bool:
+        """Count an immediate retry of the client; return whether the message read now is delayed for it.
+
+        Of a batch only the first message is: the delay is for the client, and each message has a deadline.
+        """
+        if not 0.0 <= self.read_at - self.rejected_at < IMMEDIATE_RETRY_S:
+            self.immediate_retries = 0
+            return False
+        if self.retried_rejection_at == self.rejected_at:
+            return False
+        self.retried_rejection_at = self.rejected_at
+        self.immediate_retries += 1
+        return self.immediate_retries > MAX_IMMEDIATE_RETRIES
 
     def _serve_next(self, is_in_turn: bool = False) -> None:
         """Serve the next message, if none is being served: at once in the turn in which it was read."""
@@ -202,7 +218,9 @@
         self.is_busy = self.has_sent_message = True
         self.account.charge(monotonic(), MESSAGE_WORK_S)
         if self.queue:
-            self.clients.spawn(self.clients.requests.serve(self, self.queue.popleft(), is_in_turn))
+            message = self.queue.popleft()
+            message.is_in_turn = is_in_turn
+            self.clients.spawn(self.clients.requests.serve(self, message))
         else:
             self.clients.spawn(self._answer_rejected())
         if not self.queue_shrunk.done():
@@ -510,7 +528,7 @@
     class MessageHandler(Protocol):
         """Serves the messages of connections."""
 
-        async def serve(self, connection: ClientConnection, message: ClientMessage, is_in_turn: bool) -> None:
+        async def serve(self, connection: ClientConnection, message: ClientMessage) -> None:
             """Serve a message up to its response."""
 
         def are_all_invalid(self, messages: Iterable[ClientMessage]) -> bool:
--- a/firwalk/net/client_requests.py
+++ b/firwalk/net/client_requests.py
@@ -31,7 +31,6 @@
 
 HEALTH_TARGET = b"/_health"
 DEFAULT_HOST = b"backend.local"
-MAX_IMMEDIATE_RETRIES = 2  # after this many in a row, each is delayed to keep CPU time for other clients
 IMMEDIATE_RETRY_DELAY_S = 0.25
 DESCRIPTOR_TIMEOUT_S = 2 * EVICTABLE_AFTER_S  # by then, connections without a request can be evicted
 DESCRIPTOR_INTERVAL_S = 0.01
@@ -50,29 +49,27 @@
         self.monitor = monitor
         self.request_ids = RequestIds(generation_size(clients.budget.memory_bytes))
 
-    async def serve(self, connection: ClientConnection, message: ClientMessage, is_in_turn: bool) -> None:
+    async def serve(self, connection: ClientConnection, message: ClientMessage) -> None:
         """Serve a message in the connection's turn, and release its memory."""
         try:
-            if connection.immediate_retries > MAX_IMMEDIATE_RETRIES and not self.clients.is_draining:
+            if message.is_delayed and not self.clients.is_draining:
                 await asyncio.sleep(IMMEDIATE_RETRY_DELAY_S)
-            if not is_in_turn:
+            if not message.is_in_turn:
                 await connection.take_turn(is_backlogged=bool(connection.queue))
             if connection.rejection_status:  # the connection was rejected during the delay
                 connection.is_busy = False
                 return
-            await self._serve_message(connection, message, is_in_turn)
+            await self._serve_message(connection, message)
         except Exception as error:
             log_exception("serving a client", error)
             connection.close(CloseReason.FAILURE)
         finally:
             message.request.charge.release()
 
-    async def _serve_message(
-        self, connection: ClientConnection, message: ClientMessage, is_in_turn: bool
-    ) -> None:
+    async def _serve_message(self, connection: ClientConnection, message: ClientMessage) -> None:
         request = message.request
         if request.method == b"POST":
-            await self._serve_request(connection, message, is_in_turn)
+            await self._serve_request(connection, message)
         elif request.method != b"GET":
             await connection.answer(http.METHOD_NOT_ALLOWED, b"", request.keep_alive)
         elif request.target != HEALTH_TARGET:
@@ -115,9 +112,7 @@
 
     # -- requests ------------------------------------------------------------------------------------------
 
-    async def _serve_request(
-        self, connection: ClientConnection, message: ClientMessage, is_just_read: bool
-    ) -> None:
+    async def _serve_request(self, connection: ClientConnection, message: ClientMessage) -> None:
         keep_alive = message.request.keep_alive
         try:
             request_id, head = fields.read(message.request.target, message.request.headers)
@@ -140,7 +135,7 @@
             self._record_rejection(request_id, http.SERVICE_UNAVAILABLE, FailureReason.DUPLICATE_ID)
             await connection.answer(http.SERVICE_UNAVAILABLE, b"", keep_alive)
             return
-        if not is_just_read and connection.has_client_left():
+        if not message.is_in_turn and connection.has_client_left():
             connection.is_busy = False
             connection.close(CloseReason.PEER_LEFT)
             return
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -114,6 +114,21 @@
     play(scenario)
 
 
+# Guards against a batch whose messages are held back one after the other, until their deadlines are over.
+def test_a_rejected_batch_that_is_sent_again_at_once_is_delayed_once():
+    async def scenario(w):
+        reader, writer = await w.connect()
+        for batch in range(6):
+            began = time.monotonic()
+            writer.write(b"".join(post(name=f"t{batch}x{n}", X_Deadline="500m") for n in range(12)))
+            assert await read_statuses(reader, 12) == [503] * 12
+            assert time.monotonic() - began < 0.5 + 0.5
+            assert batch < 3 or time.monotonic() - began > 0.2  # a client that does not pause is delayed
+        writer.close()
+
+    play(scenario, gone=(0,))
+
+
 def test_memory_shortage_does_not_cancel_the_request_in_work():
     """A 503 in place of the response to a running request would tell the client that a retry is safe."""
 
