Clients: whether one has sent too much is looked at anew before its message is begun

Cause: a message that is served in the turn in which it was read was told 503 by what the read before the parse had found, although the rest had been read since. Change: an overrun is looked at again, as for a message that waited. Result: the tests of departures, endings, limits and of one hostile client pass; no case was seen.

--- a/firwalk/net/client_requests.py
+++ b/firwalk/net/client_requests.py
@@ -135,7 +135,8 @@
             self._record_rejection(request_id, http.SERVICE_UNAVAILABLE, FailureReason.DUPLICATE_ID)
             await connection.answer(http.SERVICE_UNAVAILABLE, b"", keep_alive)
             return
-        if not message.is_in_turn and connection.has_client_left():
+        is_just_read = message.is_in_turn and not connection.input.is_overrun
+        if not is_just_read and connection.has_client_left():
             connection.is_busy = False
             connection.close(CloseReason.PEER_LEFT)
             return
