--- a/tests/soak/faulty.py
+++ b/tests/soak/faulty.py
@@ -77,7 +77,7 @@
 
     client_requests.RequestHandler._serve_request = task
     dispatcher.Dispatcher.report_client_left = lambda self, pending, reason="": None
-    client_connection.has_hung_up = client_requests.has_hung_up = lambda sock: False
+    client_connection.ClientConnection.has_client_left = lambda self: False
 
 
 def extends_deadlines():
