Executors: one account of work for each, debts count, long turns come one at a time

A debt was forgiven beyond one burst of 4 ms, whatever a turn had taken.

Change: all connections to an executor share an account; debts count up to 0.1 s; after an iteration of over 10 ms one turn is granted in the next, not eight.

--- a/firwalk/limits/fair_share.py
+++ b/firwalk/limits/fair_share.py
@@ -15,7 +15,9 @@
 
 REFILL_SHARE = 0.01  # a connection may use this fraction of a processor without waiting for turns
 BURST_S = 0.004
-TURNS_PER_ITERATION = 8  # of the event loop
+MAX_DEBT_S = 0.1  # a connection that has caused more work than that is forgiven the rest
+TURNS_PER_ITERATION = 8  # of the event loop, but one after an iteration of `LONG_ITERATION_S`
+LONG_ITERATION_S = 0.01
 TURN_S = 0.0005  # a turn ends after the first piece of work that exceeds this time
 
 Waiter = TypeVar("Waiter")
@@ -31,9 +33,9 @@
         self._refilled_at = now
 
     def charge(self, now: float, work_s: float) -> None:
-        """Record processor time that the connection has caused. The debt is limited to one burst."""
+        """Record processor time that the connection has caused."""
         self._refill(now)
-        self._tokens_s = max(self._tokens_s - work_s, -BURST_S)
+        self._tokens_s = max(self._tokens_s - work_s, -MAX_DEBT_S)
 
     def has_tokens(self, now: float) -> bool:
         """Return whether the connection is within its share."""
--- a/firwalk/net/executor_connection.py
+++ b/firwalk/net/executor_connection.py
@@ -13,6 +13,7 @@
 from time import monotonic
 
 from firwalk.dispatcher.endpoint import Endpoint
+from firwalk.limits.fair_share import WorkAccount
 from firwalk.limits.memory import MemoryCharge, MemoryPool, MemoryUse
 from firwalk.net import http
 from firwalk.net.buffers import Buffers
@@ -60,6 +61,10 @@
     memory: MemoryPool
     turns: Turns
 
+    def account_of(self, endpoint: Endpoint) -> WorkAccount:
+        """Return the account of the processor time that an executor's responses have caused."""
+        raise NotImplementedError
+
     def put_back(self, connection: ExecutorConnection) -> None:
         """Take back a connection whose response is complete, for another call."""
         raise NotImplementedError
@@ -97,7 +102,7 @@
         self.on_socket_released: Callable[[socket.socket], None] | None = None  # called at the reader's end
         self.close_reason = CloseReason.PEER_LEFT  # unless this process closes it
         self.charge = MemoryCharge(owner.memory, MemoryUse.RESPONSE)
-        self.account = owner.turns.new_account()
+        self.account = owner.account_of(endpoint)
         self.parser = http.ResponseParser(
             self._begin_response,
             self._receive_line,
--- a/firwalk/net/executor_pool.py
+++ b/firwalk/net/executor_pool.py
@@ -10,6 +10,7 @@
 
 from firwalk.dispatcher.dispatcher import Dispatcher
 from firwalk.dispatcher.endpoint import Endpoint
+from firwalk.limits.fair_share import WorkAccount
 from firwalk.net.address import new_socket
 from firwalk.net.budget import Budget
 from firwalk.net.buffers import Buffers
@@ -66,6 +67,7 @@
         self.events = events or EventLog()
         self.memory = budget.memory
         self.turns = turns or Turns()
+        self.accounts: dict[Endpoint, WorkAccount] = {}  # shared by the connections to an executor
         self.connect_timeout_s = connect_timeout_s
         self.idle_timeout_s = idle_timeout_s * IDLE_TIMEOUT_FRACTION
         self.connections: dict[ExecutorConnection, None] = {}
@@ -164,6 +166,13 @@
         self.record_round_trip(endpoint, monotonic() - began_at)
         return self._add(endpoint, sock)
 
+    def account_of(self, endpoint: Endpoint) -> WorkAccount:
+        """Return the account of the processor time that an executor's responses have caused."""
+        account = self.accounts.get(endpoint)
+        if account is None:
+            account = self.accounts[endpoint] = self.turns.new_account()
+        return account
+
     def _add(self, endpoint: Endpoint, sock: socket.socket) -> ExecutorConnection:
         connection = ExecutorConnection(self, endpoint, sock)
         self.connections[connection] = None
@@ -220,8 +229,12 @@
     def forget_removed(self) -> None:
         """Drop what is kept of executors that the dispatcher has forgotten."""
         known = self.dispatcher.executors
-        if max(len(self.idle), len(self.round_trips_s), len(self.closed_early_at)) <= len(known):
+        sizes = (len(self.idle), len(self.round_trips_s), len(self.closed_early_at), len(self.accounts))
+        if max(sizes) <= len(known):
             return
+        self.accounts = {
+            endpoint: account for endpoint, account in self.accounts.items() if endpoint.name in known
+        }
         self.idle = {endpoint: idle for endpoint, idle in self.idle.items() if idle}
         self.round_trips_s = _select_known(self.round_trips_s, known)
         self.closed_early_at = _select_known(self.closed_early_at, known)
--- a/firwalk/net/turns.py
+++ b/firwalk/net/turns.py
@@ -5,7 +5,7 @@
 import asyncio
 from time import monotonic
 
-from firwalk.limits.fair_share import TURNS_PER_ITERATION, TurnQueue, WorkAccount
+from firwalk.limits.fair_share import LONG_ITERATION_S, TURNS_PER_ITERATION, TurnQueue, WorkAccount
 
 
 class Turns:
@@ -14,6 +14,7 @@
     def __init__(self) -> None:
         self._queue: TurnQueue[asyncio.Future[None]] = TurnQueue()
         self._is_scheduled = False
+        self._granted_at = 0.0
         self.waited_count = 0
 
     def new_account(self) -> WorkAccount:
@@ -35,13 +36,18 @@
         self._queue.append(turn)
         if not self._is_scheduled:
             self._is_scheduled = True
+            self._granted_at = monotonic()
             loop.call_soon(self._grant)
         await turn
 
     def _grant(self) -> None:
         """Give the next connections their turns; those whose task was cancelled are passed over."""
+        now = monotonic()
+        is_long = now - self._granted_at > LONG_ITERATION_S
+        self._granted_at = now
         granted_count = 0
-        while granted_count < TURNS_PER_ITERATION and (turn := self._queue.next()) is not None:
+        turn_count = 1 if is_long else TURNS_PER_ITERATION
+        while granted_count < turn_count and (turn := self._queue.next()) is not None:
             if not turn.done():
                 turn.set_result(None)
                 granted_count += 1
