Clients: looking at a socket again charges nothing for bytes that did not come

Cause: each look at a client with unparsed bytes charged another read of 8 KB, also when nothing was there, until all was parsed: 439 KB for 20 KB after 50 looks. Clients with a queue, looked at every 30 ms, could fill the pool, so that others were told 503. Change: a read is charged beyond what is kept already, not beyond the last charge. Result: the new test of tests/test_limits.py failed before and passes; 70 tests of limits, departures and endings pass.

--- a/firwalk/net/client_input.py
+++ b/firwalk/net/client_input.py
@@ -91,7 +91,11 @@
 
     def _has_memory(self, size_bytes: int) -> bool:
         """Charge the memory of a read; the first one is part of the memory of a connection."""
-        return not self._chunks or self._charge.grow(size_bytes + CHUNK_OBJECT_BYTES)
+        if not self._chunks:
+            return True
+        kept_bytes = self._unparsed_bytes + len(self._chunks) * CHUNK_OBJECT_BYTES
+        missing_bytes = kept_bytes + size_bytes + CHUNK_OBJECT_BYTES - self._charge.size_bytes
+        return missing_bytes <= 0 or self._charge.grow(missing_bytes)
 
     def _keep(self, data: memoryview) -> None:
         if not data:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -203,6 +203,18 @@
         sock.close()
 
 
+# Guards against a pool that is filled by looking again at a client that sends nothing more.
+def test_looking_again_at_the_socket_charges_nothing_more():
+    client_input, ours, theirs = new_input()
+    theirs.send(bytes(20_000))
+    client_input.receive()
+    for _ in range(50):
+        client_input.refresh()
+    assert client_input._charge._pool.used_bytes < 2 * 20_000
+    for sock in (ours, theirs):
+        sock.close()
+
+
 @pytest.mark.parametrize("pool_bytes", [0, 20_000, POOL_BYTES])
 def test_bytes_read_ahead_are_charged_and_returned(pool_bytes):
     client_input, ours, theirs = new_input(pool_bytes)
