--- a/review/rig2.py
+++ b/review/rig2.py
@@ -193,10 +193,20 @@
         self.server: asyncio.Server | None = None
 
     async def open(self) -> None:
-        """Listen at a free port."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen at a free port, after an outage at the same one."""
+        host, port = split_address(self.address or "127.0.0.1:0")
+        self.server = await asyncio.start_server(self._serve, host, port)
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
+        self.record.write(f"discovery is up at {self.address}")
+
+    def go_down(self) -> None:
+        """End all watches and refuse new connections."""
+        self.record.write("discovery goes down")
+        if self.server is not None:
+            self.server.close()
+        for writer in self.watches:
+            writer.transport.abort()
 
     def entry(self, executor: Executor) -> Json:
         """Return an executor's entry of the list."""
