--- a/review/rig2.py
+++ b/review/rig2.py
@@ -536,7 +536,8 @@
     finally:
         log = scratch / "node.log"
         if log.exists():
-            record.write("log of the node:\n" + log.read_text(errors="replace"))
+            text_of_log = log.read_text(errors="replace").replace(f"{ROOT}/", "")  # no path of this machine
+            record.write("log of the node:\n" + text_of_log)
         shutil.rmtree(scratch, ignore_errors=True)
     record.write(text)
     print(text)
