--- a/review/rig2.py
+++ b/review/rig2.py
@@ -20,7 +20,7 @@
 import tomllib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
@@ -275,6 +275,7 @@
     """A node: the program, started by the `run` command of the deploy file."""
 
     count = 0
+    all: ClassVar[list[Node]] = []
 
     def __init__(self, record: Record, folder: Path, config: Json, scratch: Path | None = None) -> None:
         self.record = record
@@ -283,6 +284,7 @@
         self.scratch = scratch  # `$TMPDIR` that processes of the node share; None: an empty one at each start
         self.address = split_address(config["listen"])
         Node.count += 1
+        Node.all.append(self)
         self.path = folder / f"config-{Node.count}.json"
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -534,6 +536,8 @@
     except Exception as problem:
         text = f"could not run: {problem!r}"
     finally:
+        for node in Node.all:
+            node.end()
         log = scratch / "node.log"
         if log.exists():
             text_of_log = log.read_text(errors="replace").replace(f"{ROOT}/", "")  # no path of this machine
