Selection: requests without importance have a share of slack, and are answered

Cause: `Selection._reach_costs` divided by the product of the request's work and the mean value, which is 0 then. The share is now a comparison first; a quotient is taken only of a smaller number by a greater one, which is above 0. In all other cases the result is the same to the bit.

--- a/firwalk/policy/selection.py
+++ b/firwalk/policy/selection.py
@@ -127,18 +127,27 @@
         own_zone = request.preferred_zone or executor_set.own_zone
         price = max(time_left, 0.0) * self.mean_value / max(request.value, MIN_VALUE)
         is_crossing_too_costly = crossing_price * self.mean_value > request.value
-        # A request with less value for its work than the mean may use only a part of its slack; otherwise it
-        # would delay requests of more value.
-        slack_share = min(request.value * self.mean_work / (request.work * self.mean_value), 1.0) ** 2
         return ReachCosts(
             own_zone,
             is_crossing_too_costly and bool(executor_set.near) and own_zone is executor_set.own_zone,
             price * crossing_price,
             price * self.limits.connection_price,
             NON_STICKY_COST * self.mean_work if request.sticky_executors else 0.0,
-            slack_share,
+            self._slack_share(request),
         )
 
+    def _slack_share(self, request: Request) -> float:
+        """Return the share of its slack that a request may spend in a queue.
+
+        A request with less value for its work than the mean may use only a part; otherwise it would delay
+        requests of more value. Both products can be 0: by importances of 0, or by underflow.
+        """
+        value_per_mean_work = request.value * self.mean_work
+        mean_value_per_work = request.work * self.mean_value
+        if value_per_mean_work >= mean_value_per_work:
+            return 1.0
+        return (value_per_mean_work / mean_value_per_work) ** 2
+
     def choose(
         self, now: float, request: Request, candidates: list[Executor], is_reassignment: bool = False
     ) -> Executor | None:
