Errors inside a decision: each request taken still gets one final answer

A timer that raised kept the others of that turn from running, and the periodic update of load reports was never set again.

Cause: errors were caught where they reach the socket (`RequestHandler.serve`, the readers, the timers), where nothing is known of the request any more but its connection.

Change: they are caught where the request is known. `PolicyHost` counts and logs the error; a request goes on while an attempt is in flight, else it is answered: 503 as long as not a byte of it was sent, else 500, reason `internal_error`. A result that an executor gave is passed on whatever the bookkeeping does. A request that ends without any decision is answered by `next_action`, the last guard. Errors before the dispatcher has accepted a request are answered 503 in `serve`; behind an error while reading earlier messages are answered first, then the one in hand. Timers, background actions and sends are contained one by one. Invariants of debug builds still raise.

test_words_of_events lists the new reason: a word more, none changed.

--- a/firwalk/dispatcher/actions.py
+++ b/firwalk/dispatcher/actions.py
@@ -13,6 +13,7 @@
     """Base class that compares actions by type and fields."""
 
     __slots__: tuple[str, ...] = ()
+    is_final_answer = False
     __hash__ = None  # type: ignore[assignment]  # mutable
 
     def _field_values(self) -> tuple[object, ...]:
@@ -57,6 +58,7 @@
     """Answer the client with the result."""
 
     __slots__ = ("result",)
+    is_final_answer = True
 
     def __init__(self, result: bytes) -> None:
         self.result = result
@@ -66,6 +68,7 @@
     """Answer that the client may retry safely; a `retry_after_s` of 0 gives no Retry-After."""
 
     __slots__ = ("retry_after_s",)
+    is_final_answer = True
 
     def __init__(self, retry_after_s: float) -> None:
         self.retry_after_s = retry_after_s
@@ -75,12 +78,14 @@
     """Answer that the outcome of the request is unknown."""
 
     __slots__ = ()
+    is_final_answer = True
 
 
 class RejectInvalidRequest(_Action):
     """Answer that an executor found the request itself invalid."""
 
     __slots__ = ()
+    is_final_answer = True
 
 
 FinalAnswer = CompleteRequest | RejectRequest | FailRequest | RejectInvalidRequest
--- a/firwalk/dispatcher/dispatcher.py
+++ b/firwalk/dispatcher/dispatcher.py
@@ -14,12 +14,13 @@
 
 from firwalk.config.policy_settings import build_policy, reconfigure
 from firwalk.dispatcher import zone_view
-from firwalk.dispatcher.actions import Action, CompleteRequest, RejectInvalidRequest
+from firwalk.dispatcher.actions import Action, CompleteRequest, RejectInvalidRequest, SendAttempt
 from firwalk.dispatcher.endpoint import Endpoint
 from firwalk.dispatcher.endpoint_list import EndpointEntry, EndpointFields, EndpointList
 from firwalk.dispatcher.load_report import parse_load_report
 from firwalk.dispatcher.pending_request import PendingRequest, RequestLabels, limit_budget
 from firwalk.dispatcher.policy_host import RESPONSE_MARGIN_S, PolicyHost, is_terminal
+from firwalk.observability.log import log_exception
 from firwalk.policy.interface import Idempotency, Outcome
 from firwalk.policy.policy import Executor
 
@@ -32,6 +33,10 @@
 Settings = dict[str, Any]  # Validated settings with the keys of the configuration file.
 
 
+class UndecidedRequestError(Exception):
+    """A request has ended without a decision on its final answer; the message is its request class."""
+
+
 class Dispatcher(PolicyHost):
     """The requests, attempts and executors of one node."""
 
@@ -89,6 +94,10 @@
         """Wait for the next action of the request; return None if there will be no more."""
         while not pending.actions:
             if pending.is_finished():
+                if not (pending.has_final_answer or pending.is_withdrawn):
+                    log_exception("ending a request", UndecidedRequestError(pending.labels[0]))
+                    self._answer_after_error(pending.request)
+                    continue
                 self._cancel_timers(pending)
                 return None
             pending.waiter = get_running_loop().create_future()
@@ -129,9 +138,12 @@
         pending.arrived_at = now - waited
         budget = max(min(budget, self.shutdown_deadline - now) - RESPONSE_MARGIN_S, 0.0)
         tenant_number = self.tenants.get(tenant, UNKNOWN_TENANT)
-        pending.request = self.policy.request_arrived(
-            now, pending, number, tenant_number, budget, cost, slots, memory, is_retry, key
-        )
+        request = self.policy.create_request(now, pending, number, budget, cost, slots, is_retry, key)
+        pending.request = request
+        try:
+            self.policy.place_new_request(now, request, tenant_number)
+        except Exception as error:
+            self._handle_request_error(request, "placing a request", error)
         self._record_arrival(pending, request_id, is_retry)
         self._finish_event(now)
         return pending
@@ -144,6 +156,17 @@
         if request.is_open:
             self._track(pending)
 
+    def report_request_error(self, pending: PendingRequest, error: Exception) -> None:
+        """Answer a request whose handling was ended by an unexpected error."""
+        log_exception("serving a request", error)
+        self._answer_after_error(pending.request)
+
+    def report_failed_action(self, pending: PendingRequest, action: Action, error: Exception) -> None:
+        """Record that an action of the request was not carried out, because of an unexpected error."""
+        log_exception(f"carrying out {type(action).__name__}", error)
+        if isinstance(action, SendAttempt):
+            self.report_outcome(pending, action.number, Outcome.NOT_SENT)
+
     def report_client_left(self, pending: PendingRequest, reason: str = "client_left") -> None:
         """Withdraw a request whose client has disconnected, and cancel its attempts in flight."""
         now = self.clock()
@@ -168,6 +191,7 @@
         now = self.clock()
         request = pending.request
         pending.deadline = request.deadline
+        pending.has_begun_attempt = bool(request.attempts)
         request.deadline = min(request.deadline, self.shutdown_deadline - RESPONSE_MARGIN_S)
         self._track(pending)
         for attempt in request.attempts:
@@ -200,6 +224,7 @@
         attempt = pending.request.attempts[number]
         if not self.policy.may_start_attempt(self.clock(), attempt):
             return False
+        pending.has_begun_attempt = True
         if pending.record is not None:
             self.monitor.attempt_begun(pending.record, attempt, pending.attempt_reason(number))
         return True
@@ -236,7 +261,10 @@
             if self.health_observer is not None:
                 zone = attempt.executor.zone.number
                 self.health_observer.count_start(zone, now - attempt.sent_at, now)
-            self.policy.attempt_started(now, attempt)
+            try:
+                self.policy.attempt_started(now, attempt)
+            except Exception as error:
+                self._handle_request_error(pending.request, "starting an attempt", error)
             self._finish_event(now)
 
     def report_progress(self, pending: PendingRequest, number: int, share: float) -> None:
--- a/firwalk/dispatcher/pending_request.py
+++ b/firwalk/dispatcher/pending_request.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self.actions: deque[Action] = deque()
         self.waiter: Future[None] | None = None
+        self.has_begun_attempt = False  # the first byte of an attempt may have been written
         self.committed: set[int] = set()  # attempts whose last byte may have been written
         self.deadline = 0.0  # the client's deadline, even if the node must shut down earlier
         self.arrived_at = 0.0
@@ -46,6 +47,7 @@
         # Whether the client has sent more than is read, so that it is not known whether it has left.
         self.is_client_overrun: Callable[[], bool] = lambda: False
         self.is_withdrawn = False  # the client has left, or another process continues the request
+        self.has_final_answer = False  # it is queued, or has been taken from the queue
         self.timers: list[Timer] = []
 
     def wake(self) -> None:
@@ -55,6 +57,7 @@
 
     def add(self, action: Action) -> None:
         """Queue an action."""
+        self.has_final_answer |= action.is_final_answer
         self.actions.append(action)
         self.wake()
 
--- a/firwalk/dispatcher/policy_host.py
+++ b/firwalk/dispatcher/policy_host.py
@@ -27,7 +27,7 @@
 from firwalk.dispatcher.pending_request import PendingRequest
 from firwalk.dispatcher.timers import TimerCallback, TimerQueue
 from firwalk.observability.events import EventLog, FailureReason
-from firwalk.observability.log import check_invariant
+from firwalk.observability.log import check_invariant, log_exception
 from firwalk.observability.monitor import Monitor
 from firwalk.policy.interface import Idempotency, Outcome
 from firwalk.policy.policy import Attempt, Executor, Policy, Request
@@ -84,13 +84,31 @@
         now = self.clock()
         while self.timers.next_due_at() <= now:
             callback, argument = self.timers.pop()
-            callback(now, argument)
+            self._run_timer(now, callback, argument)
             self._finish_event(now)
         background_actions = self.background_actions
         self.background_actions = []
         self.next_run_at = self.timers.next_due_at()
         return self.next_run_at, background_actions
 
+    def _run_timer(self, now: float, callback: TimerCallback, argument: Any) -> None:
+        """Run a timer; an unexpected error must not keep later ones from running.
+
+        Raises AssertionError in debug builds (`check_invariant`).
+        """
+        try:
+            callback(now, argument)
+        except Exception as error:
+            if isinstance(argument, Attempt):
+                self._handle_request_error(argument.request, "running the timer of an attempt", error)
+            elif isinstance(argument, PendingRequest):  # the last timer of a request, at its deadline
+                log_exception("running the last timer of a request", error)
+                self._answer_after_error(argument.request)
+            else:
+                log_exception("running a timer", error)
+            if isinstance(error, AssertionError):
+                raise
+
     def _finish_event(self, now: float) -> None:
         """Complete the handling of an event.
 
@@ -124,12 +142,30 @@
         self.set_timer(pending.request.deadline + OVERDUE_MARGIN_S, self._fail_overdue, pending)
 
     def _end_attempt(self, now: float, attempt: Attempt, outcome: Outcome, load_report: object) -> None:
-        """Record the outcome of an attempt and report it to the policy; ignore an attempt that has ended."""
+        """Record the outcome of an attempt and report it to the policy; ignore an attempt that has ended.
+
+        After a terminal outcome the caller answers the request, so that an unexpected error only closes it.
+        """
         request = attempt.request
         if not attempt.is_in_flight:
             return
-        pending = request.handle
         is_last = is_terminal(outcome) or not request.is_open
+        try:
+            self._report_end(now, attempt, outcome, is_last, load_report)
+        except Exception as error:
+            self._abandon_attempt(attempt)
+            if is_last:
+                log_exception("ending the last attempt of a request", error)
+                self._close_after_error(request)
+            else:
+                self._handle_request_error(request, "ending an attempt", error)
+        request.handle.wake()
+
+    def _report_end(
+        self, now: float, attempt: Attempt, outcome: Outcome, is_last: bool, load_report: object
+    ) -> None:
+        request = attempt.request
+        pending = request.handle
         if self.health_observer is not None:
             self._observe_health(self.health_observer, now, attempt, outcome)
         if self.rollout_counters is not None and outcome is Outcome.ERROR:
@@ -144,7 +180,6 @@
         if not request.is_open:
             self.open_requests.pop(pending, None)
             self._settle_charge(request)
-        pending.wake()
 
     def _observe_health(
         self, observer: HealthObserver, now: float, attempt: Attempt, outcome: Outcome
@@ -187,6 +222,47 @@
             self.policy.request_withdrawn(now, pending.request)
             self.fail(pending.request)
 
+    # -- unexpected errors -----------------------------------------------------------------------------
+
+    def _handle_request_error(self, request: Request, activity: str, error: Exception) -> None:
+        """Count and log an unexpected error in the handling of a request.
+
+        The request goes on while an attempt is in flight, since its outcome or timeout will end the request.
+        Otherwise nothing would, and it is answered now.
+        """
+        log_exception(activity, error)
+        if not (request.is_open and request.in_flight):
+            self._answer_after_error(request)
+
+    def _answer_after_error(self, request: Request) -> None:
+        """Answer a request that nothing else will answer: a rejection only while nothing of it was sent."""
+        pending = request.handle
+        self._close_after_error(request)
+        if pending.has_final_answer or pending.is_withdrawn:
+            return
+        pending.failure_reason = FailureReason.INTERNAL_ERROR
+        if pending.has_begun_attempt:
+            pending.add(FailRequest())
+        else:
+            pending.add(RejectRequest(max(self.policy.max_retry_after, 0.0)))
+
+    def _close_after_error(self, request: Request) -> None:
+        """Close a request and cancel its attempts in flight, without a call of the policy's decisions."""
+        request.is_open = False
+        self.open_requests.pop(request.handle, None)
+        for attempt in request.attempts:
+            if attempt.is_in_flight:
+                request.handle.add(CancelAttempt(attempt.number))
+                self._abandon_attempt(attempt)
+
+    def _abandon_attempt(self, attempt: Attempt) -> None:
+        """End an attempt that is in flight, if no outcome of it has been recorded."""
+        if not attempt.is_in_flight:
+            return
+        if attempt.request.in_flight:
+            self.policy.selection.subtract_attempt(attempt)
+        attempt.is_in_flight = False
+
     # -- firwalk.policy.interface.Host -----------------------------------------------------------------
 
     def send(self, request: Request, executor: Executor, limit: float) -> None:
--- a/firwalk/net/client_connection.py
+++ b/firwalk/net/client_connection.py
@@ -84,6 +84,7 @@
         self.queue_shrunk: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.is_backlogged = False  # the client has sent more than the slice that was parsed last
         self.is_busy = False  # a message is being served
+        self.has_begun_answer = False  # to the message that is being served
         self.has_sent_message = False
         self.has_sent_request = False  # one that the dispatcher has accepted
         self.pending: PendingRequest | None = None
@@ -122,6 +123,7 @@
             await self._handle_malformed(error)
         except Exception as error:
             log_exception("reading from a client", error)
+            await self._end_after_error()
 
     async def _receive(self) -> bool:
         """Wait until there are bytes to parse and room in the queue; return False at the client's end."""
@@ -216,6 +218,7 @@
         if self.is_busy or not (self.queue or self.rejected_count):
             return
         self.is_busy = self.has_sent_message = True
+        self.has_begun_answer = False
         self.account.charge(monotonic(), MESSAGE_WORK_S)
         if self.queue:
             message = self.queue.popleft()
@@ -256,19 +259,34 @@
         log_external(f"a client's bytes: {error}")
         self.parser.discard()
         self.input.discard()
-        if error.status == http.SERVICE_UNAVAILABLE:
-            self._serve_next()
-            while self.is_busy or self.queue:
-                await asyncio.sleep(DISCONNECT_CHECK_INTERVAL_S)
-                if has_hung_up(self.sock):
-                    return
-        self.rejection_status = error.status
-        self.close_reason = CloseReason.MALFORMED
+        if error.status == http.SERVICE_UNAVAILABLE and not await self._finish_messages():
+            return
+        await self._end_with_rejection(error.status, CloseReason.MALFORMED)
+
+    async def _end_after_error(self) -> None:
+        """End the connection after an error of this process, once earlier messages are answered."""
+        self.parser.discard()
+        self.input.discard()
+        if await self._finish_messages():
+            await self._end_with_rejection(http.SERVICE_UNAVAILABLE, CloseReason.FAILURE)
+
+    async def _finish_messages(self) -> bool:
+        """Serve the messages that are read; return False if the client hangs up meanwhile."""
+        self._serve_next()
+        while self.is_busy or self.queue:
+            await asyncio.sleep(DISCONNECT_CHECK_INTERVAL_S)
+            if has_hung_up(self.sock):
+                return False
+        return True
+
+    async def _end_with_rejection(self, status: int, reason: CloseReason) -> None:
+        self.rejection_status = status
+        self.close_reason = reason
         self.clients.mark_closing(self)
         self._drop_requests()
         while self.is_busy:  # a response is being written
             await asyncio.sleep(WRITE_CHECK_INTERVAL_S)
-        await self._write_rejection(error.status)
+        await self._write_rejection(status)
 
     def _drop_requests(self) -> None:
         """Drop the queue and cancel the request in work."""
@@ -333,6 +351,7 @@
     async def answer(self, status: int, body: bytes, keep_alive: bool, retry_after_s: float = 0.0) -> None:
         """Write the response to the message in work, and start on the next message."""
         check_invariant(self.is_busy, "a response belongs to a message")
+        self.has_begun_answer = True
         client_keeps_alive = keep_alive  # what the client asked for, whether or not this process closes
         # Queued messages have been read and must be answered too.
         has_unanswered = bool(self.queue or self.rejected_count or self.input.has_unparsed())
--- a/firwalk/net/client_requests.py
+++ b/firwalk/net/client_requests.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from firwalk.dispatcher.actions import (
+    Action,
     CancelAttempt,
     CompleteRequest,
     FailRequest,
@@ -62,10 +63,23 @@
             await self._serve_message(connection, message)
         except Exception as error:
             log_exception("serving a client", error)
-            connection.close(CloseReason.FAILURE)
+            await self._answer_after_error(connection, message)
         finally:
             message.request.charge.release()
 
+    async def _answer_after_error(self, connection: ClientConnection, message: ClientMessage) -> None:
+        """Answer a message of which nothing was sent, after an unexpected error.
+
+        Errors after the dispatcher has accepted a request are handled there. If an answer has begun, a second
+        one would be taken for the answer to the next message: the connection ends.
+        """
+        if connection.has_begun_answer:
+            connection.close(CloseReason.FAILURE)
+            return
+        request_id = message.request.headers.get(b"x-request-id", b"")
+        self._record_rejection(request_id, http.SERVICE_UNAVAILABLE, FailureReason.INTERNAL_ERROR)
+        await connection.answer(http.SERVICE_UNAVAILABLE, b"", message.request.keep_alive)
+
     async def _serve_message(self, connection: ClientConnection, message: ClientMessage) -> None:
         request = message.request
         if request.method == b"POST":
@@ -85,14 +99,9 @@
         charge = MemoryCharge(self.clients.budget.memory, MemoryUse.RESPONSE)
         charge.grow(http.BODY_COPIES * len(request.body) + http.MESSAGE_OBJECT_BYTES)
         self.request_ids.resume(request.request_id)
-        self._watch_client(connection, pending)
         try:
-            await self._execute_actions(connection, pending, request)
-        except Exception as error:
-            log_exception("serving a request that was handed over", error)
-            connection.close(CloseReason.FAILURE)
+            await self._serve_pending(connection, pending, request)
         finally:
-            self._end_request(pending, request.request_id)
             charge.release()
 
     def are_all_invalid(self, messages: Iterable[ClientMessage]) -> bool:
@@ -178,13 +187,24 @@
         connection.last_request_id = request_id
         connection.has_sent_request = True
         self.request_ids.begin(request_id)
-        self._watch_client(connection, pending)
         try:
-            await self._execute_actions(connection, pending, request)
+            await self._serve_pending(connection, pending, request)
         finally:
             if connection.last_request is request:
                 connection.last_request = None  # idle connections keep no request
-            self._end_request(pending, request_id)
+
+    async def _serve_pending(
+        self, connection: ClientConnection, pending: PendingRequest, request: ClientRequest
+    ) -> None:
+        """Serve a request that the dispatcher has accepted, up to the end of its last attempt."""
+        try:
+            self._watch_client(connection, pending)
+            await self._execute_actions(connection, pending, request)
+        except Exception as error:
+            self.dispatcher.report_request_error(pending, error)
+            await self._execute_actions(connection, pending, request)
+        finally:
+            self._end_request(pending, request.request_id)
 
     @staticmethod
     def _watch_client(connection: ClientConnection, pending: PendingRequest) -> None:
@@ -238,42 +258,50 @@
         self, connection: ClientConnection, pending: PendingRequest, request: ClientRequest
     ) -> None:
         """Carry out the dispatcher's actions until there are no more."""
-        keep_alive = request.keep_alive
         while (action := await self.dispatcher.next_action(pending)) is not None:
-            match action:
-                case SendAttempt():
-                    encode = attempt_encoder(
-                        request.target, request.headers, request.body, action.deadline, self.dispatcher.clock
-                    )
-                    self.executors.send_attempt(
-                        pending,
-                        action.number,
-                        action.endpoint,
-                        request.request_id,
-                        encode,
-                        action.is_non_idempotent,
-                    )
-                case CancelAttempt():
-                    self.executors.cancel_attempt(pending, action.number)
-                case _ if connection.pending is not pending:
-                    pass  # the connection has been rejected or has ended
-                case CompleteRequest():
-                    self._answer(connection, http.OK, action.result, keep_alive)
-                case RejectRequest():
-                    self._answer(
-                        connection,
-                        http.SERVICE_UNAVAILABLE,
-                        b"",
-                        keep_alive,
-                        action.retry_after_s,
-                        pending.failure_reason,
-                    )
-                case RejectInvalidRequest():
-                    reason = FailureReason.BAD_REQUEST
-                    self._answer(connection, http.BAD_REQUEST, b"", keep_alive, reason=reason)
-                case FailRequest():
-                    reason = pending.failure_reason
-                    self._answer(connection, http.INTERNAL_SERVER_ERROR, b"", keep_alive, reason=reason)
+            try:
+                self._execute_action(connection, pending, request, action)
+            except Exception as error:
+                self.dispatcher.report_failed_action(pending, action, error)
+
+    def _execute_action(
+        self, connection: ClientConnection, pending: PendingRequest, request: ClientRequest, action: Action
+    ) -> None:
+        keep_alive = request.keep_alive
+        match action:
+            case SendAttempt():
+                encode = attempt_encoder(
+                    request.target, request.headers, request.body, action.deadline, self.dispatcher.clock
+                )
+                self.executors.send_attempt(
+                    pending,
+                    action.number,
+                    action.endpoint,
+                    request.request_id,
+                    encode,
+                    action.is_non_idempotent,
+                )
+            case CancelAttempt():
+                self.executors.cancel_attempt(pending, action.number)
+            case _ if connection.pending is not pending:
+                pass  # the connection has been rejected or has ended
+            case CompleteRequest():
+                self._answer(connection, http.OK, action.result, keep_alive)
+            case RejectRequest():
+                self._answer(
+                    connection,
+                    http.SERVICE_UNAVAILABLE,
+                    b"",
+                    keep_alive,
+                    action.retry_after_s,
+                    pending.failure_reason,
+                )
+            case RejectInvalidRequest():
+                reason = FailureReason.BAD_REQUEST
+                self._answer(connection, http.BAD_REQUEST, b"", keep_alive, reason=reason)
+            case FailRequest():
+                reason = pending.failure_reason
+                self._answer(connection, http.INTERNAL_SERVER_ERROR, b"", keep_alive, reason=reason)
 
     def _answer(
         self,
@@ -286,10 +314,10 @@
     ) -> None:
         """Answer in a separate task, so that a slow client does not delay the cancellation of attempts."""
         pending = connection.pending
-        if pending is not None and pending.record is not None:
-            self.monitor.answered(pending.record, status, reason)
         connection.pending = None
         self.clients.spawn(connection.answer(status, body, keep_alive, retry_after_s))
+        if pending is not None and pending.record is not None:  # the answer is written once this has returned
+            self.monitor.answered(pending.record, status, reason)
 
 
 def attempt_encoder(
--- a/firwalk/net/executors.py
+++ b/firwalk/net/executors.py
@@ -24,7 +24,7 @@
 from firwalk.net.executor_pool import MAX_ROUND_TRIP_S, ConnectionPool, DescriptorShortage
 from firwalk.net.turns import Turns
 from firwalk.observability.events import CloseReason, EventLog
-from firwalk.observability.log import check_invariant, log_external
+from firwalk.observability.log import check_invariant, log_exception, log_external
 from firwalk.policy.interface import Outcome
 
 HOLD_ROUND_TRIPS = 2.0  # the last byte is held back for this many shortest round trips
@@ -269,6 +269,12 @@
                 if connection is not None:
                     connection.close(CloseReason.PEER_LEFT)
                 connection = None
+            except Exception as error:
+                log_exception("sending an attempt", error)
+                is_committed = call.number in call.pending.committed
+                call.end(Outcome.CONNECTION_LOST if is_committed else Outcome.NOT_SENT)
+                if connection is not None:
+                    connection.close(CloseReason.FAILURE)
 
     async def _write(
         self, call: AttemptCall, connection: ExecutorConnection, encode: Callable[[], bytes]
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -185,7 +185,10 @@
         if next_at != inf:
             self.timer_scheduler.schedule_after(max(next_at - self.clock(), MIN_TIMER_DELAY_S))
         for action in background_actions:
-            self._run_background_action(action)
+            try:
+                self._run_background_action(action)
+            except Exception as error:  # later actions, a call for the endpoint list among them, must run
+                log_exception("running a background action", error)
 
     def _run_background_action(self, action: BackgroundAction) -> None:
         match action:
--- a/firwalk/observability/events.py
+++ b/firwalk/observability/events.py
@@ -69,6 +69,7 @@
     BAD_REQUEST = "bad_request"
     DUPLICATE_ID = "duplicate_id"
     OVERRUN = "overrun"
+    INTERNAL_ERROR = "internal_error"
 
 
 class ProcessState(EventName):
--- a/firwalk/policy/load_reports.py
+++ b/firwalk/policy/load_reports.py
@@ -51,6 +51,12 @@
         Stale loads decay to the mean of their zone; otherwise slots that were reported free long ago would
         attract requests of hundreds of nodes.
         """
+        try:
+            self._update(now)
+        finally:
+            self.host.set_timer(now + UPDATE_INTERVAL_S, self.run_update, None)
+
+    def _update(self, now: float) -> None:
         executor_set = self.executor_set
         ready = executor_set.near + executor_set.far
         samples = sum(estimate.sample_count for estimate in executor_set.machine_type_speeds.values())
@@ -73,7 +79,6 @@
         self.slow_start.measure_capacity(now, ready)
         if self.config.polls_load:
             self.poll()
-        self.host.set_timer(now + UPDATE_INTERVAL_S, self.run_update, None)
 
     def _refresh_speed(self, executor: Executor, samples: float) -> None:
         """Move the speed of an idle executor towards that of its machine type.
--- a/firwalk/policy/policy.py
+++ b/firwalk/policy/policy.py
@@ -130,12 +130,27 @@
         is_retry: bool,
         key: bytes = b"",
     ) -> Request:
-        """Send a new request to an executor, or answer it.
+        """Send a new request to an executor, or answer it; parameters as of `create_request`."""
+        request = self.create_request(now, handle, request_class, budget, cost, slots, is_retry, key)
+        self.place_new_request(now, request, tenant)
+        return request
+
+    def create_request(
+        self,
+        now: float,
+        handle: object,
+        request_class: int,
+        budget: float,
+        cost: float,
+        slots: float,
+        is_retry: bool,
+        key: bytes = b"",
+    ) -> Request:
+        """Return a new request, for which nothing is decided yet.
 
         `budget` is the time in seconds that the client waits, `cost` a cost hint (0: none).
         """
-        limits = self.limits
-        class_settings = limits.request_classes[request_class]
+        class_settings = self.limits.request_classes[request_class]
         slots = max(slots, 1.0)
         hint = cost or slots
         cost = class_settings.cost(hint)
@@ -144,7 +159,13 @@
         request = Request(handle, class_settings, hint, cost, slots, random_draw, objective_at, now + budget)
         if key:
             request.sticky_executors = self.sticky_executors.executors_for(key)
-        value = class_settings.priority_weight * (request.work if limits.is_value_by_work else 1.0)
+        return request
+
+    def place_new_request(self, now: float, request: Request, tenant: int) -> None:
+        """Send a request that was just created to an executor, or answer it."""
+        limits = self.limits
+        priority_weight = request.request_class.priority_weight
+        value = priority_weight * (request.work if limits.is_value_by_work else 1.0)
         self.slow_start.record_arrival(now, request.work)
         self.retries.earn_extra_attempt()
         self.selection.record_arrival(request.work, value)
@@ -156,7 +177,6 @@
         if self.config.polls_load:
             # Before the selection, polled executors without an answer yet would come first in scan order.
             self.load_reports.poll()
-        return request
 
     def _objective(self, request_class: RequestClass, budget: float, cost: float, is_retry: bool) -> float:
         """Return the latency objective in seconds from now.
--- a/tests/golden/test_golden_stored.py
+++ b/tests/golden/test_golden_stored.py
@@ -328,6 +328,7 @@
             "bad_request",
             "duplicate_id",
             "overrun",
+            "internal_error",
         ],
         ["serving", "reloaded", "stopping", "draining", "final", "stopped"],
     ]
