Policy: a clock resolution of 0 no longer makes a timer due again at once, for ever

Only a slack that rounds to nothing beside the clock shows it, so it is rare on a real one.

Cause: `Policy.attempt_overdue` sets its timer again after a slack above the resolution. With 0 that can be 1e-8 s, and `now + slack` is `now`: `run_due_timers` never comes to an end.

Change: the resolution counts as 0.5 ms at least, the shortest delay of the node's timers.

The test with a process passed before as well and says so.

--- a/firwalk/policy/policy_config.py
+++ b/firwalk/policy/policy_config.py
@@ -10,6 +10,7 @@
 # others, and learns of failing executors without gossip.
 SMALL_FLEET = 10
 CRC32_RANGE = 4294967296.0
+MIN_CLOCK_RESOLUTION_S = 0.0005  # timers run no more often; with 0 one could be due again at once, for ever
 
 
 class PolicyConfig:
@@ -40,7 +41,7 @@
         self.node_index = node_index
         self.node_count = node_count
         self.zone = zone
-        self.clock_resolution_s = clock_resolution_s
+        self.clock_resolution_s = max(clock_resolution_s, MIN_CLOCK_RESOLUTION_S)
         self.allows_hedging = allows_hedging
         self.may_cancel = may_cancel
         self.may_poll_load = may_poll_load
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -309,6 +309,7 @@
             "load-report": {"how": "on_probe"},
             "specifics": {"tells-start": True},
         } | (settings or {})
+        self.settings = {key: value for key, value in self.settings.items() if value is not None}
         self.limits = {"memory_mb": 128, "sockets": 256} | (limits or {})
         self.version, self.watches, self.asked, self.asked_at = 1, [], [], []
 
--- a/tests/test_numeric_edges.py
+++ b/tests/test_numeric_edges.py
@@ -3,9 +3,12 @@
 Guards against arithmetic errors inside decisions, which once closed connections with no answer (review/7).
 """
 
+import asyncio
+
 import pytest
 from helpers import OFFERINGS, Fake, post, request_class
-from test_service import play
+from test_facade import DispatcherHarness
+from test_service import HEALTH_REQUEST, play
 
 # The smallest numbers of a float make a product with the work of a request underflow to 0.
 TINY_IMPORTANCES = [0, 0.0, 5e-324, 1e-320, 1e-300]
@@ -38,3 +41,48 @@
         f.node.selection.record_arrival(0.1, 0.0)
     f.request("worthless", 0.009)
     assert f.lines[-1].endswith("send worthless#0 to A") or f.lines[-1].endswith("send worthless#0 to B")
+
+
+async def start_only(executor, writer, name):
+    """Start a request and never end it."""
+    await executor.lines(writer, name, "started", whole=False)
+
+
+async def never_start(executor, writer, name):
+    pass
+
+
+# Guards against a timer that is due again at once, for ever: the process answered nobody any more. It takes
+# a slack that rounds to nothing beside the clock, which is rare on a real one.
+@pytest.mark.parametrize("resolution_us", [0, 5e-324])
+@pytest.mark.parametrize("now", [1000.0, 1.8e9, 1.75e9 + 0.123456])
+def test_timers_come_to_an_end_without_a_clock_resolution(resolution_us, now):
+    p = DispatcherHarness(executors=1, settings={"resolution-us": resolution_us})
+    p.now = now
+    for cost in (0.0077, 0.01, 0.0123):
+        p.dispatcher.report_request("read", "", 0.5, cost, 1.0, 0.0, False)
+    timers = p.dispatcher.timers
+    pop_timer, popped = timers.pop, []
+
+    def pop():
+        popped.append(timers.next_due_at())
+        assert len(popped) < 200, popped[-3:]
+        return pop_timer()
+
+    timers.pop = pop
+    p.advance_to(now + 3.0)
+
+
+# The same with a process. Its clock hardly ever rounds so: this test passed before as well.
+@pytest.mark.parametrize("resolution_us", [None, 0, 5e-324], ids=["absent", "0", "the smallest number"])
+def test_node_without_a_clock_resolution_goes_on_while_executors_are_silent(resolution_us):
+    async def scenario(world):
+        messages = [post("/read/k", f"s{number}", X_Deadline="900m") for number in range(8)]
+        waiting = [asyncio.create_task(world.ask(message)) for message in messages]
+        for _ in range(20):
+            assert await asyncio.wait_for(world.ask(HEALTH_REQUEST), 1) == (200, b"")
+            await asyncio.sleep(0.05)
+        for status, _ in await asyncio.gather(*waiting):
+            assert status in (500, 503)
+
+    play(scenario, never_start, never_start, start_only, settings={"resolution-us": resolution_us})
