Speeds: a result of an executor that has just started is passed on where it starts at 0

What callers saw: where `guarantees.cold-from` is 0 and discovery tells of an executor's restart while an attempt is out there, the result of the attempt never came (before errors were contained: 500 at the deadline; since then 200, with an error in the log).

Cause: the duration of the attempt is multiplied by the share of its speed that the executor has reached, 0 at its start, and `Selection.learn` divides by it. The floor of the duration was taken before the product.

Change: the product has a floor of 1 microsecond. Nothing else changes.

--- a/firwalk/policy/selection.py
+++ b/firwalk/policy/selection.py
@@ -33,6 +33,7 @@
 MAX_TIES = 4  # At most this number of executors of equal load are compared.
 MEAN_SMOOTHING = 0.02  # A request enters the means of work and value with this weight.
 MIN_VALUE = 1e-9
+MIN_DURATION_S = 1e-6  # Samples of speed have at least this duration.
 
 
 class ReachCosts:
@@ -252,9 +253,8 @@
             return
         duration_s = max(duration_s, self.config.clock_resolution_s)
         if executor.slow_start_until > now:
-            duration_s *= self.slow_start.warmup_factor(
-                now, executor
-            )  # otherwise the slow start would count twice
+            # Otherwise the slow start would count twice. The factor can be 0 at the executor's start.
+            duration_s = max(duration_s * self.slow_start.warmup_factor(now, executor), MIN_DURATION_S)
         machine_type_speed = self.executor_set.machine_type_speeds[executor.machine_type]
         machine_type_speed.sample_count += 1
         machine_type_speed.slots = max(machine_type_speed.slots, executor.slots)
--- a/tests/test_numeric_edges.py
+++ b/tests/test_numeric_edges.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 
 import pytest
 from helpers import OFFERINGS, Fake, post, request_class
@@ -86,3 +87,19 @@
             assert status in (500, 503)
 
     play(scenario, never_start, never_start, start_only, settings={"resolution-us": resolution_us})
+
+
+# Guards against a speed learned from no time at all: an executor at its start has 0 of its speed then.
+def test_result_of_an_executor_that_has_just_started_is_passed_on_where_it_starts_at_0():
+    async def restart_then_finish(executor, writer, name):
+        entry = executor.world.entry(0) | {"startedAtMs": int(time.time() * 1e3) + 60_000}
+        await executor.world.tell(entry)
+        await asyncio.sleep(0.05)
+        await executor.lines(writer, name, "started", "done")
+
+    async def scenario(world):
+        world.executors[0].world = world
+        assert await world.ask(post("/act/k", "t")) == (200, b"made of t")
+
+    guarantees = {"cold-from": 0, "cold-us": 9e6, "fall-multiple": 2.5, "tip-after-us": 2e6}
+    play(scenario, restart_then_finish, settings={"guarantees": guarantees})
