Executors: sums of fractional slots leave no rest behind the last attempt

Cause: clients may give slots such as 1.1 and 1.3. Their sum, with each taken off again, leaves 2e-16, so the executor counted as busy for ever: one on trial after an ejection would not have got a request again, nor one in slow start its first, and the sum of outstanding work was no longer set to 0.

Change: attempts in flight are counted, and both sums are 0 when there is none. In between no sum goes below 0.

Seen failing before: test_sums_of_fractions_leave_no_rest; passes now.

--- a/firwalk/policy/executor.py
+++ b/firwalk/policy/executor.py
@@ -79,7 +79,8 @@
         self.is_unused = False  # nothing was sent since its last start
         self.slow_start_sends: deque[tuple[float, float]] = deque(maxlen=MAX_SLOW_START_SENDS)  # time, work
         self.outstanding_work = 0.0  # sum of this node's outstanding estimates, in seconds
-        self.in_flight_slots = 0.0  # slots of this node's attempts in flight
+        self.attempts_in_flight = 0  # of this node
+        self.in_flight_slots = 0.0  # slots of these attempts
         self.slots_used_by_others = 0.0  # slots used by requests of other nodes
         self.idle_connections = 0
         self.used_slots_mean = 0.0  # moving average of the slots in use, from load reports
--- a/firwalk/policy/selection.py
+++ b/firwalk/policy/selection.py
@@ -92,6 +92,7 @@
         request = attempt.request
         executor = attempt.executor
         request.in_flight += 1
+        executor.attempts_in_flight += 1
         executor.in_flight_slots += request.slots
         executor.outstanding_work += attempt.estimate
         executor.is_unused = False
@@ -105,10 +106,13 @@
         executor = attempt.executor
         attempt.is_in_flight = False
         request.in_flight -= 1
-        executor.in_flight_slots -= request.slots
-        executor.outstanding_work = (
-            executor.outstanding_work - attempt.estimate if executor.in_flight_slots else 0.0
-        )
+        executor.attempts_in_flight -= 1
+        if executor.attempts_in_flight:
+            executor.in_flight_slots = max(executor.in_flight_slots - request.slots, 0.0)
+            executor.outstanding_work = max(executor.outstanding_work - attempt.estimate, 0.0)
+        else:  # sums of fractions leave a rest
+            executor.in_flight_slots = 0.0
+            executor.outstanding_work = 0.0
 
     def wait(self, now: float, executor: Executor, slots: float) -> float:
         """Return the expected seconds until `slots` slots are free, by own work and load reports."""
--- a/tests/test_numeric_edges.py
+++ b/tests/test_numeric_edges.py
@@ -11,6 +11,8 @@
 from test_facade import DispatcherHarness
 from test_service import HEALTH_REQUEST, play
 
+from firwalk.policy.interface import Outcome
+
 # The smallest numbers of a float make a product with the work of a request underflow to 0.
 TINY_IMPORTANCES = [0, 0.0, 5e-324, 1e-320, 1e-300]
 
@@ -103,3 +105,14 @@
 
     guarantees = {"cold-from": 0, "cold-us": 9e6, "fall-multiple": 2.5, "tip-after-us": 2e6}
     play(scenario, restart_then_finish, settings={"guarantees": guarantees})
+
+
+# Guards against a rest in the sum of slots: an executor on trial behind it would never get a request again.
+def test_sums_of_fractions_leave_no_rest():
+    f = Fake()
+    f.hear("A", slots=8)
+    first, second = f.request("first", slots=1.1), f.request("second", slots=1.3)
+    f.end(first, Outcome.COMPLETED)
+    f.end(second, Outcome.COMPLETED)
+    executor = f.executors["A"]
+    assert (executor.in_flight_slots, executor.outstanding_work) == (0.0, 0.0)
