--- a/firwalk/config/node_schema.py
+++ b/firwalk/config/node_schema.py
@@ -32,38 +32,59 @@
 MAX_NODES = 65535
 MAX_ZONES = 255
 MAX_ATTEMPTS = 255
+MAX_KINDS = 65535
+ANY_KIND = -1  # A request class that is not bound to a machine type.
 POSITIVE_DURATIONS = ("due-time-us", "expiry-us")  # Fields of a request class that must be above 0.
 MAX_SHOWN_VALUE_LENGTH = 40  # Longer invalid values are truncated in messages.
 
 
-def number(minimum: float, maximum: float = MAX_NUMBER) -> FieldCheck:
-    """Return a check that accepts numbers in a range."""
+class NumberCheck:
+    """Accepts numbers in a range, or only whole ones; the bounds are public for tests that draw values."""
 
-    def check(value: object) -> str:
-        is_number = isinstance(value, int | float) and not isinstance(value, bool)
-        fits = is_number and minimum <= value <= maximum  # type: ignore[operator]
-        return "" if fits else f"a number from {minimum:g} to {maximum:g}"
+    def __init__(self, minimum: float, maximum: float = MAX_NUMBER, is_whole: bool = False) -> None:
+        self.minimum = minimum
+        self.maximum = maximum
+        self.is_whole = is_whole
 
-    return check
+    def accepts(self, value: object) -> bool:
+        """Return whether the value is a number in the range."""
+        if isinstance(value, bool) or not isinstance(value, int if self.is_whole else int | float):
+            return False
+        return self.minimum <= value <= self.maximum
 
+    def __call__(self, value: object) -> str:
+        """Return a description of the expected values, or an empty text if the value is valid."""
+        kind = "a whole number" if self.is_whole else "a number"
+        return "" if self.accepts(value) else f"{kind} from {self.minimum:g} to {self.maximum:g}"
 
-def integer(minimum: float, maximum: float = MAX_NUMBER) -> FieldCheck:
-    """Return a check that accepts whole numbers in a range."""
 
-    def check(value: object) -> str:
-        fits = isinstance(value, int) and not isinstance(value, bool) and minimum <= value <= maximum
-        return "" if fits else f"a whole number from {minimum:g} to {maximum:g}"
+class NumberListCheck:
+    """Accepts lists of numbers in a range."""
+
+    def __init__(self, entry: NumberCheck) -> None:
+        self.entry = entry
+
+    def __call__(self, value: object) -> str:
+        """Return a description of the expected values, or an empty text if the value is valid."""
+        fits = isinstance(value, list) and all(self.entry.accepts(entry) for entry in value)
+        return "" if fits else f"a list with each entry {self.entry(None)}"
 
-    return check
 
+class WordCheck:
+    """Accepts one of some words."""
 
-def one_of(*words: str) -> FieldCheck:
-    """Return a check that accepts one of the words."""
+    def __init__(self, *words: str) -> None:
+        self.words = words
 
-    def check(value: object) -> str:
-        return "" if isinstance(value, str) and value in words else f"one of {', '.join(words)}"
+    def __call__(self, value: object) -> str:
+        """Return a description of the expected values, or an empty text if the value is valid."""
+        fits = isinstance(value, str) and value in self.words
+        return "" if fits else f"one of {', '.join(self.words)}"
 
-    return check
+
+def whole_number(minimum: float, maximum: float = MAX_NUMBER) -> NumberCheck:
+    """Return a check that accepts whole numbers in a range."""
+    return NumberCheck(minimum, maximum, is_whole=True)
 
 
 def boolean(value: object) -> str:
@@ -82,7 +103,7 @@
     return "" if fits else "a list of text"
 
 
-DURATION_US = number(0, MAX_DURATION_US)
+DURATION_US = NumberCheck(0, MAX_DURATION_US)
 CONFIG_FIELDS: Mapping[str, FieldCheck] = {
     "name": text,
     "listen": text,
@@ -92,38 +113,40 @@
     "peers_all": text,
     "management": text,
     "tag": text,
-    "limits.memory_mb": number(1),
-    "limits.sockets": integer(MIN_DESCRIPTORS),
+    "limits.memory_mb": NumberCheck(1),
+    "limits.sockets": whole_number(MIN_DESCRIPTORS),
 }
 SETTINGS_FIELDS: Mapping[str, FieldCheck] = {
-    "self-index": integer(0, MAX_NODES),
-    "siblings": integer(1, MAX_NODES),
-    "az": integer(0, MAX_ZONES),
+    "self-index": whole_number(0, MAX_NODES),
+    "siblings": whole_number(1, MAX_NODES),
+    "az": whole_number(0, MAX_ZONES),
     "azs": text_list,
     "kinds": text_list,
     "resolution-us": DURATION_US,
-    "discovery": one_of("ask", "push"),
-    "weights": one_of("off", "live", *SIZE_WEIGHTS),
-    "importance-by": one_of("work", "request"),
-    "excess-importance": number(0, 1),
+    "discovery": WordCheck("ask", "push"),
+    "weights": WordCheck("off", "live", *SIZE_WEIGHTS),
+    "importance-by": WordCheck("work", "request"),
+    "excess-importance": NumberCheck(0, 1),
     "clients.marks-retry": boolean,
     "load-report.how": text,
     "load-report.names": text_list,
     "specifics.tells-start": boolean,
-    "limits.most-assignments": integer(1, MAX_ATTEMPTS),
+    "specifics.class-kind": NumberListCheck(whole_number(ANY_KIND, MAX_KINDS)),
+    "specifics.class-stretch": NumberListCheck(NumberCheck(0)),
+    "limits.most-assignments": whole_number(1, MAX_ATTEMPTS),
     "limits.second-copies": boolean,
     "limits.cancel": boolean,
     "limits.probing": boolean,
     "limits.peers": boolean,
     "limits.retry-after": boolean,
     "limits.max-retry-after-us": DURATION_US,
-    "limits.connect-timeout-us": number(1, MAX_DURATION_US),
+    "limits.connect-timeout-us": NumberCheck(1, MAX_DURATION_US),
     "limits.idle-close-us": DURATION_US,
-    "prices.cross-zone": number(0),
-    "prices.handshake": number(0),
-    "guarantees.cold-from": number(0, 1),
+    "prices.cross-zone": NumberCheck(0),
+    "prices.handshake": NumberCheck(0),
+    "guarantees.cold-from": NumberCheck(0, 1),
     "guarantees.cold-us": DURATION_US,
-    "guarantees.fall-multiple": number(0),
+    "guarantees.fall-multiple": NumberCheck(0),
     "guarantees.tip-after-us": DURATION_US,
     "guarantees.ask-within-us": DURATION_US,
 }
@@ -131,13 +154,13 @@
     "name": text,
     "due-time-us": DURATION_US,
     "expiry-us": DURATION_US,
-    "importance": number(0),
-    "repeat": one_of(*IDEMPOTENCY_VALUES),
-    "group": one_of(*DEDUPLICATION_SCOPES),
+    "importance": NumberCheck(0),
+    "repeat": WordCheck(*IDEMPOTENCY_VALUES),
+    "group": WordCheck(*DEDUPLICATION_SCOPES),
     "key-ttl-us": DURATION_US,
-    "aim-stretch": number(0),
+    "aim-stretch": NumberCheck(0),
 }
-TENANT_FIELDS: Mapping[str, FieldCheck] = {"name": text, "quota-per-s": number(0)}
+TENANT_FIELDS: Mapping[str, FieldCheck] = {"name": text, "quota-per-s": NumberCheck(0)}
 LIST_FIELDS = {"offerings": REQUEST_CLASS_FIELDS, "tenants": TENANT_FIELDS}
 
 
--- a/firwalk/policy/policy.py
+++ b/firwalk/policy/policy.py
@@ -30,6 +30,10 @@
 # therefore wait longer.
 HEDGING_SLACK_DIVISOR = 2
 SLACK_DIVISOR = 3
+# Clients' figures count within these bounds, so that sums and products of them stay finite and above 0.
+MIN_COST = 1e-9
+MAX_COST = 1e9
+MAX_SLOTS = 1e6
 
 
 class Policy:
@@ -151,9 +155,9 @@
         `budget` is the time in seconds that the client waits, `cost` a cost hint (0: none).
         """
         class_settings = self.limits.request_classes[request_class]
-        slots = max(slots, 1.0)
-        hint = cost or slots
-        cost = class_settings.cost(hint)
+        slots = min(max(slots, 1.0), MAX_SLOTS)
+        hint = min(max(cost or slots, MIN_COST), MAX_COST)
+        cost = min(max(class_settings.cost(hint), MIN_COST), MAX_COST)
         objective_at = now + min(self._objective(class_settings, budget, cost, is_retry), budget)
         random_draw = self.random.draw()
         request = Request(handle, class_settings, hint, cost, slots, random_draw, objective_at, now + budget)
--- a/tests/test_numeric_edges.py
+++ b/tests/test_numeric_edges.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import time
 
 import pytest
@@ -116,3 +117,16 @@
     f.end(second, Outcome.COMPLETED)
     executor = f.executors["A"]
     assert (executor.in_flight_slots, executor.outstanding_work) == (0.0, 0.0)
+
+
+# Guards against sums that the figures of one request leave wrong for those after it.
+def test_requests_are_served_among_others_with_figures_at_the_edges():
+    extremes = ["0.000000001", "0.3", "1.1", "1.3", "999999999999999.999999999"]
+
+    async def scenario(world):
+        for number, (cost, slots) in enumerate(itertools.product(extremes, extremes)):
+            message = post("/read/k", f"e{number}", X_Cost_Hint=cost, X_Extras=f"slots={slots}")
+            assert (await world.ask(message))[0] in (200, 503)
+            assert (await world.ask(post("/read/k", f"x{number}", X_Extras="slots=1.1")))[0] in (200, 503)
+
+    play(scenario, None, None)
