Settings: null is turned down with one plain line where a value is wanted, also at SIGHUP

At the start a section that is null raised an error instead of a plain line.

Cause: the check passed over null as if the key were absent, while its readers take the default only of a key that is absent.

Change: a value of null is checked like any other. A section that is null counts as absent, as test_unknown_and_missing_settings_are_ignored has it; its readers follow that now (`node_config.section`). The texts outside the settings (management, peers_all, ...) may still be null. A node whose file has null for a value, which so far started with it or failed in use, is told the line at its start.

--- a/firwalk/config/node_config.py
+++ b/firwalk/config/node_config.py
@@ -38,6 +38,11 @@
 JsonObject = dict[str, Any]  # a parsed configuration, or a part of one
 
 
+def section(table: JsonObject, key: str) -> JsonObject:
+    """Return a section of a configuration; one that is absent or null is empty."""
+    return table.get(key) or {}
+
+
 def validate(config: object) -> None:
     """Raise ConfigurationError, with a line for each fault, unless the configuration is valid."""
     faults = find_faults(config)
@@ -53,8 +58,6 @@
     validate(reloaded)
     assert isinstance(reloaded, dict)
     faults = _missing_keys(running, reloaded)
-    if reloaded["settings"].get("limits", {}).get("most-assignments", 1) is None:
-        faults.append("settings.limits.most-assignments must be a whole number above 0")
     if faults:
         raise ConfigurationError(faults)
 
@@ -116,7 +119,7 @@
     names += _differing_keys(settings, new_settings, RELOADABLE_SETTINGS, "settings.")
     for key, reloadable in RELOADABLE_NESTED_SETTINGS.items():
         names += _differing_keys(
-            settings.get(key, {}), new_settings.get(key, {}), reloadable, f"settings.{key}."
+            section(settings, key), section(new_settings, key), reloadable, f"settings.{key}."
         )
     return names
 
--- a/firwalk/config/node_schema.py
+++ b/firwalk/config/node_schema.py
@@ -1,7 +1,8 @@
 """Schema of a node's configuration: the type and range of each field, and constraints between fields.
 
 Only fields that are present are checked; unknown ones are ignored, so that a newer configuration still loads.
-The keys are defined by the protocol.
+A value of null is no number, word or list. A section may be null, and so may the texts outside the settings:
+it counts as absent. The keys are defined by the protocol.
 """
 
 from __future__ import annotations
@@ -195,16 +196,23 @@
     value: object = table
     name = table_path
     for key in path.split("."):
-        if value is None:
+        if value is None and name != table_path:  # a section that is null counts as absent
             return ""
         if not isinstance(value, dict):
             return f"{name} must be an object"
+        if key not in value:
+            return ""
         name = f"{name}.{key}" if name else key
-        value = value.get(key)
-    expected = "" if value is None else check(value)
+        value = value[key]
+    is_unset = value is None and check is text and not table_path  # such as no management address
+    expected = "" if is_unset else check(value)
     if not expected:
         return ""
-    return f"{name} must be {expected}, not {orjson.dumps(value).decode()[:MAX_SHOWN_VALUE_LENGTH]}"
+    return f"{name} must be {expected}, not {_shown(value)}"
+
+
+def _shown(value: object) -> str:
+    return orjson.dumps(value).decode()[:MAX_SHOWN_VALUE_LENGTH]
 
 
 def _check_list(settings: dict[str, object], key: str, fields: Mapping[str, FieldCheck]) -> list[str]:
--- a/firwalk/config/operations.py
+++ b/firwalk/config/operations.py
@@ -14,6 +14,7 @@
 from firwalk.cluster.zones import ZonePolicy
 from firwalk.config import validation
 from firwalk.config.errors import raise_conflicts
+from firwalk.config.node_config import section
 
 DurationSeconds = Annotated[float, Meta(gt=0, le=600)]
 NodeIds = list[Annotated[int, Meta(ge=0, le=65535)]]
@@ -214,7 +215,7 @@
     cluster_size = len(config.get("peers") or [])
     node_id = settings.get("self-index", 0)
     conflicts = []
-    if not settings.get("limits", {}).get("peers"):
+    if not section(settings, "limits").get("peers"):
         conflicts.append(
             "settings.limits.peers: must be true: nodes of a cluster send messages to each other"
         )
--- a/firwalk/config/policy_settings.py
+++ b/firwalk/config/policy_settings.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from firwalk.config.node_config import SECONDS_PER_US, JsonObject
+from firwalk.config.node_config import SECONDS_PER_US, JsonObject, section
 from firwalk.config.node_schema import DEDUPLICATION_SCOPES, IDEMPOTENCY_VALUES, SIZE_WEIGHTS
 from firwalk.policy.interface import DeduplicationScope, Host, Idempotency
 from firwalk.policy.policy import Policy
@@ -64,8 +64,8 @@
 
 def _policy_config(settings: JsonObject) -> PolicyConfig:
     """Return the settings that only a restart can change."""
-    limits = settings.get("limits", {})
-    guarantees = settings.get("guarantees", {})
+    limits = section(settings, "limits")
+    guarantees = section(settings, "guarantees")
     return PolicyConfig(
         node_index=settings.get("self-index", 0),
         node_count=max(settings.get("siblings", 1), 1),
@@ -74,10 +74,10 @@
         allows_hedging=limits.get("second-copies", False),
         may_cancel=limits.get("cancel", False),
         may_poll_load=limits.get("probing", False),
-        load_reports=settings.get("load-report", {}).get("how", "off"),
-        reports_starts=bool(settings.get("specifics", {}).get("tells-start", False)),
+        load_reports=section(settings, "load-report").get("how", "off"),
+        reports_starts=bool(section(settings, "specifics").get("tells-start", False)),
         must_watch_endpoints=settings.get("discovery") == "ask",
-        marks_retries=settings.get("clients", {}).get("marks-retry", True),
+        marks_retries=section(settings, "clients").get("marks-retry", True),
         has_sizes=settings.get("weights") in SIZE_WEIGHTS,
         slow_start_initial=guarantees.get("cold-from", 1.0),
         slow_start_s=guarantees.get("cold-us", 0) * SECONDS_PER_US,
@@ -90,8 +90,8 @@
 
 def _policy_limits(settings: JsonObject) -> PolicyLimits:
     """Return the settings that a running policy can apply."""
-    limits = settings.get("limits", {})
-    prices = settings.get("prices", {})
+    limits = section(settings, "limits")
+    prices = section(settings, "prices")
     max_retry_after_us = limits.get("max-retry-after-us", 0) if limits.get("retry-after") else 0
     return PolicyLimits(
         request_classes=_request_classes(settings),
@@ -106,7 +106,7 @@
 
 
 def _request_classes(settings: JsonObject) -> list[RequestClass]:
-    specifics = settings.get("specifics", {})
+    specifics = section(settings, "specifics")
     stretches = specifics.get("class-stretch", [])
     kinds = specifics.get("class-kind", [])
     return [
--- a/firwalk/dispatcher/dispatcher.py
+++ b/firwalk/dispatcher/dispatcher.py
@@ -12,6 +12,7 @@
 from math import inf
 from typing import Any
 
+from firwalk.config.node_config import section
 from firwalk.config.policy_settings import build_policy, reconfigure
 from firwalk.dispatcher import zone_view
 from firwalk.dispatcher.actions import Action, CompleteRequest, RejectInvalidRequest, SendAttempt
@@ -51,7 +52,7 @@
         self.zones = {name: number for number, name in enumerate(settings.get("azs", []))}
         self.machine_types = {name: number for number, name in enumerate(settings.get("kinds", []))}
         # A health check may wait in the executor's queue, so it gets twice the connect timeout.
-        connect_timeout_us = settings.get("limits", {}).get("connect-timeout-us", 0)
+        connect_timeout_us = section(settings, "limits").get("connect-timeout-us", 0)
         self.health_check_timeout_s = 2e-6 * connect_timeout_us or DEFAULT_HEALTH_CHECK_TIMEOUT_S
         self.policy = build_policy(self, seed, settings, clock())
         self.endpoint_list = EndpointList(
--- a/firwalk/net/service.py
+++ b/firwalk/net/service.py
@@ -11,7 +11,13 @@
 from time import monotonic, time
 from typing import TYPE_CHECKING, Any
 
-from firwalk.config.node_config import JsonObject, longest_deadline, needs_restart, validate_reload
+from firwalk.config.node_config import (
+    JsonObject,
+    longest_deadline,
+    needs_restart,
+    section,
+    validate_reload,
+)
 from firwalk.dispatcher.actions import (
     BackgroundAction,
     CheckHealth,
@@ -84,7 +90,7 @@
 
     def __init__(self, config: JsonObject) -> None:
         settings = config["settings"]
-        limits = config.get("limits", {})
+        limits = section(config, "limits")
         self.config = config
         self.clock: Callable[[], float] = Clock()
         self.loop = asyncio.get_running_loop()
@@ -103,7 +109,7 @@
         self.budget = Budget(self.files, self.memory, caller_count + self.has_management)
         self.buffers = Buffers()
         self.turns = Turns()
-        self.executors = self._new_executors(settings.get("limits", {}))
+        self.executors = self._new_executors(section(settings, "limits"))
         self.clients = Clients(
             self.dispatcher, self.executors, self.budget, self.buffers, self.dispatcher.monitor, self.turns
         )
@@ -265,7 +271,7 @@
         self.listener.listen(LISTEN_BACKLOG)
 
     def _bind_peers(self) -> None:
-        allows_gossip = self.config["settings"].get("limits", {}).get("peers")
+        allows_gossip = section(self.config["settings"], "limits").get("peers")
         if not self.config.get("peer_listen") or not allows_gossip:
             return
         try:
--- a/firwalk/wirehost/node.py
+++ b/firwalk/wirehost/node.py
@@ -9,7 +9,7 @@
 from typing import Any
 from zlib import crc32
 
-from firwalk.config.node_config import SECONDS_PER_US, JsonObject
+from firwalk.config.node_config import SECONDS_PER_US, JsonObject, section
 from firwalk.config.policy_settings import LOAD_REPORT_FIELDS, build_policy
 from firwalk.dispatcher import failure_gossip
 from firwalk.policy.executor import Executor, LoadReport
@@ -41,7 +41,7 @@
         self.timers: dict[int, Timer] = {}
         self.last_timer_id = 0
         self.executor_index: failure_gossip.ExecutorIndex[Executor] = failure_gossip.ExecutorIndex()
-        names = settings.get("load-report", {}).get("names", [])
+        names = section(settings, "load-report").get("names", [])
         self.load_report_fields = [LOAD_REPORT_FIELDS.get(name, name) for name in names]
         self.policy = build_policy(self, seed, settings, now)
 
--- a/tests/test_numeric_edges.py
+++ b/tests/test_numeric_edges.py
@@ -6,12 +6,15 @@
 import asyncio
 import itertools
 import time
+from math import inf, nan
 
 import pytest
 from helpers import OFFERINGS, Fake, post, request_class
+from settings_strategy import ordinary_settings
 from test_facade import DispatcherHarness
 from test_service import HEALTH_REQUEST, play
 
+from firwalk.config import node_schema
 from firwalk.policy.interface import Outcome
 
 # The smallest numbers of a float make a product with the work of a request underflow to 0.
@@ -130,3 +133,58 @@
             assert (await world.ask(post("/read/k", f"x{number}", X_Extras="slots=1.1")))[0] in (200, 503)
 
     play(scenario, None, None)
+
+
+def setting_paths():
+    """Return the path of each field of the settings that the schema knows."""
+    lists = {"offerings": node_schema.REQUEST_CLASS_FIELDS, "tenants": node_schema.TENANT_FIELDS}
+    paths = [tuple(path.split(".")) for path in node_schema.SETTINGS_FIELDS]
+    return paths + [(key, 0, path) for key, entry_fields in lists.items() for path in entry_fields]
+
+
+def settings_with(path, value):
+    """Return ordinary settings with one field changed."""
+    changed = ordinary_settings() | {"tenants": [{"name": "t0", "quota-per-s": 5.0}]}
+    part = changed
+    for key in path[:-1]:
+        part = part[key] if isinstance(part, list) else part.setdefault(key, {})
+    part[path[-1]] = value
+    return changed
+
+
+# Guards against a value that the check takes and a decision cannot use, such as null for an importance.
+@pytest.mark.parametrize("value", [None, {}, "x", [None], ["x"], -5, 1e300, nan, inf], ids=str)
+@pytest.mark.parametrize("path", setting_paths(), ids=str)
+def test_unusable_value_of_a_setting_is_one_plain_line(path, value):
+    faults = node_schema.find_faults({"settings": settings_with(path, value)})
+    is_text = path[-1] == "name" or path == ("load-report", "how")
+    is_names = path in (("azs",), ("kinds",), ("load-report", "names"))
+    if is_text and value == "x" or is_names and value == ["x"]:
+        assert faults == []
+        return
+    assert len(faults) == 1 and "\n" not in faults[0]
+    assert str(path[-1]) in faults[0]
+
+
+# Guards against a section that is null, which the check takes for an absent one: it raised an error.
+@pytest.mark.parametrize("part", ["limits", "prices", "guarantees", "specifics", "clients", "load-report"])
+def test_section_that_is_null_counts_as_absent(part):
+    with_null = ordinary_settings() | {part: None}
+    assert node_schema.find_faults({"limits": None, "settings": with_null}) == []
+    p = DispatcherHarness(executors=1, settings=with_null)
+    pending = p.dispatcher.report_request("c0", "t0", 2.0, 0.009, 1.0, 0.0, False)
+    assert pending.request.attempts
+    p.dispatcher.apply_settings(with_null)
+
+
+# Guards against settings that are half applied, or a node that closes connections after a SIGHUP.
+@pytest.mark.parametrize("field", ["importance", "due-time-us", "key-ttl-us", "aim-stretch"])
+def test_reloaded_null_changes_nothing(field):
+    async def scenario(world):
+        offerings = [entry | {field: None} for entry in OFFERINGS]
+        world.reload(settings=world.settings | {"offerings": offerings})
+        await world.logs(f"settings.offerings[0].{field} must be")
+        for number in range(4):
+            assert await world.ask(post("/read/k", f"t{number}")) == (200, f"made of t{number}".encode())
+
+    play(scenario, None)
