Cluster: reports and requests for quotas fit their messages whatever work clients state

What others saw: one client that states 10^15 microseconds of work, or many slots, made a node's report on its zone one that all others drop as malformed (demand over 32 bits), and ended its requests for quotas for good: the demand did not fit the encoder's integers, the timer's function raised an error before setting itself again.

Change: both figures are limited to what their field holds.

--- a/firwalk/cluster/health_observations.py
+++ b/firwalk/cluster/health_observations.py
@@ -87,7 +87,7 @@
     def build_early_report(self, capacities: list[float]) -> HealthObservations:
         """Return the observations so far, ahead of the next report, which repeats them."""
         rows = [self._row(zone, capacities) for zone in range(min(self.zone_count, MAX_ZONES))]
-        return HealthObservations(self.zone, int(self.demand * THOUSANDTHS), rows, True)
+        return HealthObservations(self.zone, _thousandths(self.demand), rows, True)
 
     def build_report(self, now: float, capacities: list[float]) -> HealthObservations:
         """Return the next report; attempts in a zone add up over reports until they suffice for a vote.
@@ -99,7 +99,7 @@
         for zone in range(min(self.zone_count, MAX_ZONES)):
             rows.append(self._row(zone, capacities))
             self._close_report(zone)
-        return HealthObservations(self.zone, int(self.demand * THOUSANDTHS), rows)
+        return HealthObservations(self.zone, _thousandths(self.demand), rows)
 
     def _close_report(self, zone: int) -> None:
         observation = self.observations[zone]
@@ -125,8 +125,8 @@
             observation.attempts,
             observation.unreachable,
             observation.errors,
-            int(observation.start_delay_s * THOUSANDTHS),
-            int(capacities[zone] * THOUSANDTHS),
+            _thousandths(observation.start_delay_s),
+            _thousandths(capacities[zone]),
         )
 
     def _measure_demand(self, now: float) -> None:
@@ -146,6 +146,11 @@
         self.decayed_time_s *= decay
 
 
+def _thousandths(value: float) -> int:
+    """Return a value in thousandths, limited to what a message holds: others would drop it as malformed."""
+    return int(min(value * THOUSANDTHS, messages.MAX_UINT32))
+
+
 def decode_observations(message: HealthObservations) -> tuple[float, dict[int, ZoneObservation]]:
     """Return the demand of the sender's clients, and its observations by zone."""
     observations = {
--- a/firwalk/cluster/messages.py
+++ b/firwalk/cluster/messages.py
@@ -35,8 +35,10 @@
 StateCode = Annotated[int, Meta(ge=0, le=3)]
 PieceMask = Annotated[int, Meta(ge=0, lt=2**62)]
 UInt16 = Annotated[int, Meta(ge=0, le=65535)]
-UInt32 = Annotated[int, Meta(ge=0, le=2**32 - 1)]
-MicroRate = Annotated[int, Meta(ge=0, le=2**48)]  # Millionths of work per second.
+MAX_UINT32 = 2**32 - 1
+MAX_MICRO_RATE = 2**48
+UInt32 = Annotated[int, Meta(ge=0, le=MAX_UINT32)]
+MicroRate = Annotated[int, Meta(ge=0, le=MAX_MICRO_RATE)]  # Millionths of work per second.
 Ballot = tuple[Count, NodeId, Generation]  # Ballots are compared in this order of fields.
 NO_BALLOT: Ballot = (0, 0, 0)
 
--- a/firwalk/cluster/quota_client.py
+++ b/firwalk/cluster/quota_client.py
@@ -10,6 +10,7 @@
 
 from firwalk.cluster.host import Host
 from firwalk.cluster.messages import (
+    MAX_MICRO_RATE,
     MAX_QUOTA_ROWS,
     NO_BALLOT,
     Ballot,
@@ -99,9 +100,9 @@
         self._request(now, [row for row in demands if row.demand or row.held or row.team in self.requested])
 
     def _demand(self, now: float, account: Account) -> Demand:
-        return Demand(
-            account.number, int(account.update_demand(now) * MICRO), account.current_lease_rate(now)
-        )
+        # Limited to what a message holds: clients may state any work.
+        demand = int(min(account.update_demand(now) * MICRO, MAX_MICRO_RATE))
+        return Demand(account.number, demand, account.current_lease_rate(now))
 
     def _request(self, now: float, demands: list[Demand]) -> None:
         """Send the demands; an empty request reports which contracts the node has."""
--- a/tests/test_numeric_edges.py
+++ b/tests/test_numeric_edges.py
@@ -11,9 +11,12 @@
 import pytest
 from helpers import OFFERINGS, Fake, post, request_class
 from settings_strategy import ordinary_settings
+from test_budgets import ClientHost
 from test_facade import DispatcherHarness
 from test_service import HEALTH_REQUEST, play
 
+from firwalk.cluster import messages
+from firwalk.cluster.health_observations import HealthObserver
 from firwalk.config import node_schema
 from firwalk.policy.interface import Outcome
 
@@ -188,3 +191,29 @@
             assert await world.ask(post("/read/k", f"t{number}")) == (200, f"made of t{number}".encode())
 
     play(scenario, None)
+
+
+def received(message):
+    """Return a message as another node decodes it."""
+    return messages.decode(7, messages.encode(7, 1, 0, 0, message)).message
+
+
+# Guards against a node whose reports others drop, since one client has stated more work than a message holds.
+@pytest.mark.parametrize("work", [0.0, 5e-324, 1.0, 1e9, 1e15])
+def test_report_of_a_zone_reaches_other_nodes_whatever_work_clients_state(work):
+    observer = HealthObserver(0, 2, 0.0)
+    observer.count_request(work)
+    observer.count_outcome(0, False, False, 0.01, 0.0)
+    observer.count_start(0, work, 0.02)
+    report = observer.build_report(0.5, [work, 3.0])
+    assert received(report) == report
+    assert received(observer.build_early_report([work, 3.0])).early
+
+
+# Guards against requests for quotas that end for good, since the demand of a team does not fit a message.
+@pytest.mark.parametrize("work", [0.0, 5e-324, 1.0, 1e9, 1e15])
+def test_quotas_are_requested_whatever_work_clients_state(work):
+    requester = ClientHost()
+    requester.account.add_demand(0.0, work)
+    requester.client.request_leases(0.5)
+    assert received(requester.sent[-1]) == requester.sent[-1]
