--- a/firwalk/policy/policy.py
+++ b/firwalk/policy/policy.py
@@ -36,6 +36,10 @@
 MAX_SLOTS = 1e6
 
 
+def _limit_cost(cost: float) -> float:
+    return MIN_COST if cost < MIN_COST else MAX_COST
+
+
 class Policy:
     """The load balancing decisions of one dispatcher, with one method per event."""
 
@@ -155,9 +159,14 @@
         `budget` is the time in seconds that the client waits, `cost` a cost hint (0: none).
         """
         class_settings = self.limits.request_classes[request_class]
-        slots = min(max(slots, 1.0), MAX_SLOTS)
-        hint = min(max(cost or slots, MIN_COST), MAX_COST)
-        cost = min(max(class_settings.cost(hint), MIN_COST), MAX_COST)
+        if not 1.0 <= slots <= MAX_SLOTS:
+            slots = 1.0 if slots < 1.0 else MAX_SLOTS
+        hint = cost or slots
+        if not MIN_COST <= hint <= MAX_COST:
+            hint = _limit_cost(hint)
+        cost = class_settings.cost(hint)
+        if not MIN_COST <= cost <= MAX_COST:
+            cost = _limit_cost(cost)
         objective_at = now + min(self._objective(class_settings, budget, cost, is_retry), budget)
         random_draw = self.random.draw()
         request = Request(handle, class_settings, hint, cost, slots, random_draw, objective_at, now + budget)
--- a/firwalk/policy/selection.py
+++ b/firwalk/policy/selection.py
@@ -107,12 +107,12 @@
         attempt.is_in_flight = False
         request.in_flight -= 1
         executor.attempts_in_flight -= 1
+        slots = work = 0.0  # sums of fractions would leave a rest
         if executor.attempts_in_flight:
-            executor.in_flight_slots = max(executor.in_flight_slots - request.slots, 0.0)
-            executor.outstanding_work = max(executor.outstanding_work - attempt.estimate, 0.0)
-        else:  # sums of fractions leave a rest
-            executor.in_flight_slots = 0.0
-            executor.outstanding_work = 0.0
+            slots = executor.in_flight_slots - request.slots
+            work = executor.outstanding_work - attempt.estimate
+        executor.in_flight_slots = slots if slots > 0.0 else 0.0
+        executor.outstanding_work = work if work > 0.0 else 0.0
 
     def wait(self, now: float, executor: Executor, slots: float) -> float:
         """Return the expected seconds until `slots` slots are free, by own work and load reports."""
@@ -132,27 +132,22 @@
         own_zone = request.preferred_zone or executor_set.own_zone
         price = max(time_left, 0.0) * self.mean_value / max(request.value, MIN_VALUE)
         is_crossing_too_costly = crossing_price * self.mean_value > request.value
+        # A request with less value for its work than the mean may use only a part of its slack; otherwise it
+        # would delay requests of more value. Both products can be 0: by importances of 0, or by underflow.
+        value_at_mean_work = request.value * self.mean_work
+        mean_value_at_work = request.work * self.mean_value
+        slack_share = 1.0
+        if value_at_mean_work < mean_value_at_work:
+            slack_share = (value_at_mean_work / mean_value_at_work) ** 2
         return ReachCosts(
             own_zone,
             is_crossing_too_costly and bool(executor_set.near) and own_zone is executor_set.own_zone,
             price * crossing_price,
             price * self.limits.connection_price,
             NON_STICKY_COST * self.mean_work if request.sticky_executors else 0.0,
-            self._slack_share(request),
+            slack_share,
         )
 
-    def _slack_share(self, request: Request) -> float:
-        """Return the share of its slack that a request may spend in a queue.
-
-        A request with less value for its work than the mean may use only a part; otherwise it would delay
-        requests of more value. Both products can be 0: by importances of 0, or by underflow.
-        """
-        value_per_mean_work = request.value * self.mean_work
-        mean_value_per_work = request.work * self.mean_value
-        if value_per_mean_work >= mean_value_per_work:
-            return 1.0
-        return (value_per_mean_work / mean_value_per_work) ** 2
-
     def choose(
         self, now: float, request: Request, candidates: list[Executor], is_reassignment: bool = False
     ) -> Executor | None:
