Discovery: the end of an update is found, in any form of JSON

What operators saw: lists that come indented, with text outside ASCII in any key (zone names with accents, a key that the node does not use), were never taken; each call ended with "not a list of executors". The same, in ASCII too, for lists with over 64 lines that end with a brace (nested objects, commas first).

Cause: `_Response.receive_line` tried to decode whenever a line ended with a brace, and took the list for unfinished if the decoder's error lay at its end: it compared the error's position, in characters, with the length, in bytes. After 64 tries it gave up.

Change: `net/object_stream.py` finds the end. An object on a line of its own is decoded at the end of the line, as before: what decodes is whole. For any other one brackets outside of strings are counted, each byte once; the one attempt to decode is at the last bracket. An object is also taken without a line break behind it, and where several stand on a line. What RFC 8259 allows but orjson does not read (1e400, single surrogates, a byte order mark) is read by the standard library. Bounded as before: 4 MiB, 131,072 values, now 1,024 brackets deep too. The parser of responses gives parts of the body; lines are the executors' affair alone.

A test was wrong: it wanted a blank line inside an update to end the watch. RFC 8259 allows blank lines as any white space, so a service that writes them was never heard: the same fault. Two tests take its place: such a list is taken, and blank lines inside an update don't put the end of a silent watch off (same bound as before).

Hypothesis: all forms of lists, split anywhere; no part taken for a whole; any bytes.

--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -6,13 +6,12 @@
 from collections.abc import Callable
 from time import monotonic
 
-import orjson
-
 from firwalk.dispatcher.dispatcher import Dispatcher
 from firwalk.limits.fair_share import WorkAccount
 from firwalk.net import http, listing
 from firwalk.net.address import host_header, new_socket
 from firwalk.net.buffers import Buffers
+from firwalk.net.object_stream import ObjectStream
 from firwalk.net.socket_io import connect
 from firwalk.net.turns import Turns
 from firwalk.observability.log import log_exception, log_external
@@ -24,8 +23,6 @@
 WATCH_SILENCE_TIMEOUT_S = 2.4  # the service sends an update or blank line every two seconds
 # The time starts with the request; the service answers a queued call 503 after two seconds.
 FIRST_LIST_TIMEOUT_S = 2.2
-MAX_UPDATE_BYTES = 1 << 22  # all lines of an update count together
-MAX_DECODE_ATTEMPTS = 64  # of an update on several lines, each of which might be the last
 SLICE_BYTES = 1024  # parsed at a time, so that the process does other work between slices
 
 
@@ -118,9 +115,7 @@
         sock = new_socket(address)
         buffer = self.buffers.acquire()
         view = memoryview(buffer)
-        parser = http.ResponseParser(
-            response.begin, response.receive_line, response.end, response.receive_blank_line
-        )
+        parser = http.StreamResponseParser(response.begin, response.receive, response.end)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await connect(sock, address)
@@ -134,13 +129,15 @@
                 if not count:
                     return
                 await self._parse(parser, view[:count], account)
+                if count < len(view):
+                    self._pause(response, account)
         finally:
             parser.discard()  # not left to the garbage collector
             view.release()
             self.buffers.release(buffer)
             sock.close()
 
-    async def _parse(self, parser: http.ResponseParser, data: memoryview, account: WorkAccount) -> None:
+    async def _parse(self, parser: http.StreamResponseParser, data: memoryview, account: WorkAccount) -> None:
         """Parse received bytes, in turns with others if they cause much work. Raise http.Malformed."""
         for start in range(0, len(data), SLICE_BYTES):
             await self.turns.take(account)
@@ -149,12 +146,20 @@
             now = monotonic()
             account.charge(now, now - began_at)
 
+    @staticmethod
+    def _pause(response: _Response, account: WorkAccount) -> None:
+        """Let the response look at what it has, since all that had arrived is parsed."""
+        began_at = monotonic()
+        response.pause()
+        now = monotonic()
+        account.charge(now, now - began_at)
+
 
 class _Response:
-    """The response to one call: assembles its updates and keeps its deadline.
+    """The response to one call: reports its updates and keeps its deadline.
 
-    An update is a JSON object, on one line or, indented, on several. Only a complete update, or one of the
-    blank lines that a watch sends while nothing changes, extends the deadline; other bytes do not.
+    An update is a JSON object. Only a complete update, or one of the blank lines that a watch sends between
+    updates while nothing changes, extends the deadline; other bytes do not.
     """
 
     def __init__(self, receive_update: Callable[[listing.Update], None], is_watch: bool) -> None:
@@ -164,8 +169,7 @@
         self.update_count = 0
         self.has_ended = False
         self.deadline = 0.0
-        self.partial_update = bytearray()
-        self.decode_attempts = 0
+        self.updates = ObjectStream(self._receive_object, self._extend_deadline)
 
     def start_deadline(self) -> None:
         """Start the deadline of the first list, before the request is written."""
@@ -183,40 +187,21 @@
         """Store the response's status."""
         self.status = status
 
-    def receive_line(self, line: bytes) -> None:
-        """Report the update that ends with this line, if any. Raise http.Malformed."""
-        if self.status != 200:
-            return
-        is_first = not self.partial_update
-        if len(self.partial_update) + len(line) >= MAX_UPDATE_BYTES:
-            raise http.Malformed(400, "update exceeds the size limit")
-        self.partial_update += line
-        self.partial_update += b"\n"
-        # To avoid parsing after every line, only a single line or one with a closing brace is tried.
-        if not is_first and not line.rstrip().endswith(b"}"):
-            return
-        try:
-            update = listing.decode(self.partial_update)
-        except orjson.JSONDecodeError as error:
-            self.decode_attempts += 1
-            is_incomplete = error.pos >= len(self.partial_update.rstrip())
-            if is_incomplete and self.decode_attempts < MAX_DECODE_ATTEMPTS:
-                return  # an indented update that is not complete yet
-            raise http.Malformed(400, f"not a list of executors: {error}") from error
-        self.partial_update = bytearray()
-        self.decode_attempts = 0
-        self.receive_update(listing.read(update))
-        self.update_count += 1
-        self._extend_deadline()
+    def receive(self, part: bytes) -> None:
+        """Report the updates that a part of the body completes. Raise http.Malformed."""
+        if self.status == http.OK:
+            self.updates.feed(part)
 
-    def receive_blank_line(self) -> None:
-        """Extend the deadline of a watch. Raise http.Malformed inside an update."""
-        if self.partial_update:
-            raise http.Malformed(400, "blank line inside an update")
-        self._extend_deadline()
+    def pause(self) -> None:
+        """Report an update that is whole, since nothing more has arrived. Raise http.Malformed."""
+        self.updates.pause()
 
     def end(self, keep_alive: bool) -> None:
         """Handle the end of the response. Raise http.Malformed inside an update."""
         self.has_ended = True
-        if self.partial_update:
-            raise http.Malformed(400, "response ended inside an update")
+        self.updates.finish()
+
+    def _receive_object(self, update: listing.Json) -> None:
+        self.receive_update(listing.read(update))
+        self.update_count += 1
+        self._extend_deadline()
--- a/firwalk/net/http.py
+++ b/firwalk/net/http.py
@@ -48,7 +48,7 @@
 MAX_FIELDS = 128  # of the header and trailer sections of a message together
 # The parser library keeps an element of a message, such as a header value, until it is complete.
 MAX_ELEMENT_BYTES = MAX_HEAD_BYTES
-MAX_LINE_BYTES = 1 << 22  # the full endpoint list of a large fleet is a single line of a streamed body
+MAX_LINE_BYTES = 1 << 22
 MESSAGE_OBJECT_BYTES = 2048  # the objects of a message take this much memory beside its bytes
 BODY_COPIES = 2  # memory holds the body itself and the encoded attempt
 LENGTH_HEADERS = (b"content-length", b"transfer-encoding")
@@ -274,43 +274,69 @@
         self.on_request(request)
 
 
-def _ignore_blank_line() -> None:
-    pass
+class StreamResponseParser(_MessageParser):
+    """Parses responses; reports the status and headers, the parts of the body as they arrive, and the end."""
 
+    kept_headers = RESPONSE_HEADERS
 
-class ResponseParser(_MessageParser):
-    """Parses responses of executors and of the discovery service, whose bodies are streams of lines.
+    def __init__(
+        self,
+        on_head: Callable[[int, Headers], None],
+        on_part: Callable[[bytes], None],
+        on_end: Callable[[bool], None],
+    ) -> None:
+        super().__init__()
+        self.on_head = on_head
+        self.on_part = on_part
+        self.on_end = on_end
+        self.parser: HttpResponseParser = HttpResponseParser(self)
 
-    Reports the status and headers, each line as it arrives, and the end. Blank lines have a callback of their
-    own. A line may have `max_line_bytes`; with a charge, its memory is counted while it is incomplete.
-    """
+    def on_headers_complete(self) -> None:
+        """Report the status and headers. Called by httptools."""
+        self.has_reported = True
+        self.on_head(self.parser.get_status_code(), self.headers)
+
+    def on_body(self, part: bytes) -> None:
+        """Report a part of the body. Called by httptools."""
+        self.has_reported = True
+        self.on_part(part)
+
+    def discard(self) -> None:
+        """Drop what is kept of an incomplete response."""
+        self.headers = {}
+        self.error = None
+
+    def on_message_complete(self) -> None:
+        """Report the end of the response. Called by httptools."""
+        self.has_reported = True
+        self.on_end(self.parser.should_keep_alive())
 
-    kept_headers = RESPONSE_HEADERS
+
+class ResponseParser(StreamResponseParser):
+    """Parses responses of executors, whose bodies are streams of lines.
+
+    Reports the status and headers, each line as it arrives unless it is blank, and the end. A line may have
+    `max_line_bytes`; with a charge, its memory is counted while it is incomplete.
+    """
 
     def __init__(
         self,
         on_head: Callable[[int, Headers], None],
         on_line: Callable[[bytes], None],
         on_end: Callable[[bool], None],
-        on_blank_line: Callable[[], None] = _ignore_blank_line,
         max_line_bytes: int = MAX_LINE_BYTES,
         charge: MemoryCharge | None = None,
     ) -> None:
-        super().__init__()
-        self.on_head = on_head
+        super().__init__(on_head, on_line, on_end)
         self.on_line = on_line
-        self.on_end = on_end
-        self.on_blank_line = on_blank_line
         self.max_line_bytes = max_line_bytes
         self.charge = charge
         self.partial_line = bytearray()
-        self.parser: HttpResponseParser = HttpResponseParser(self)
 
     def on_headers_complete(self) -> None:
         """Report the status and headers. Called by httptools."""
-        self.has_reported = True
         self._reset_line()
-        self.on_head(self.parser.get_status_code(), self.headers)
+        super().on_headers_complete()
 
     def on_body(self, part: bytes) -> None:
         """Report each line that is complete. Called by httptools."""
@@ -336,14 +362,11 @@
     def _report_line(self, line: bytes) -> None:
         if line.strip():
             self.on_line(line)
-        else:
-            self.on_blank_line()
 
     def discard(self) -> None:
         """Drop what is kept of an incomplete response and release its memory."""
         self._reset_line()
-        self.headers = {}
-        self.error = None
+        super().discard()
 
     def _reset_line(self) -> None:
         self.partial_line = bytearray()
@@ -352,12 +375,10 @@
 
     def on_message_complete(self) -> None:
         """Report the last line, if any, and the end of the response. Called by httptools."""
-        self.has_reported = True
         line = bytes(self.partial_line)
         self._reset_line()
-        if line.strip():
-            self.on_line(line)
-        self.on_end(self.parser.should_keep_alive())
+        self._report_line(line)
+        super().on_message_complete()
 
 
 def encode_response(
--- a/firwalk/net/listing.py
+++ b/firwalk/net/listing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 from functools import lru_cache
 from typing import Any, NamedTuple
 
@@ -70,6 +71,23 @@
     return orjson.loads(text)
 
 
+def decode_exotic(text: bytes) -> Json:
+    """Decode JSON as `decode` does, also where RFC 8259 allows what orjson does not read.
+
+    These are numbers beyond the range of a float, which become infinite, and escapes of single surrogates,
+    which become question marks. Raise ValueError, or http.Malformed for too many values.
+    """
+    try:
+        return decode(text)
+    except orjson.JSONDecodeError:
+        value = json.loads(text, parse_constant=_reject_constant)
+        return json.loads(json.dumps(value, ensure_ascii=False).encode(errors="replace"))
+
+
+def _reject_constant(word: str) -> None:
+    raise ValueError(f"{word} is not JSON")
+
+
 def _read_entries(instances: list[object]) -> list[EndpointEntry]:
     entries = []
     errors = []
