Texts: limits count bytes, and names outside ASCII are the ones of the settings

- a tenant in UTF-8 (X-Tenant) was read as Latin-1, so that "são" was an unknown tenant without a quota;
- a class outside ASCII could not be requested: the path's escapes were not read, the answer was 404;
- operators could not drain a zone with accents (`ZONE DRAIN são-paulo`: no such zone), nor read its name in an agent's answer;
- the agent's report of a failed change (200 characters) could exceed the 256 bytes of a command: it was never acknowledged;
- the simulator's notes were cut inside a character.

Now `limits/text_size.py` cuts by bytes and decodes UTF-8, else Latin-1 as before.

Places looked at without a finding: the parsers of HTTP (bytes throughout), the control channel (bytes), request ids (ASCII by their pattern), event and log lines.

--- a/firwalk/agent/host_processes.py
+++ b/firwalk/agent/host_processes.py
@@ -21,6 +21,7 @@
 from firwalk.agent.supervisor_state import ChildProcess, RolloutOrder, SupervisorState
 from firwalk.cluster.rollout import GOING, HELD
 from firwalk.config.rollout_file import NAME_PATTERN
+from firwalk.limits.text_size import decode_text, truncate
 from firwalk.observability import log
 from firwalk.observability.log import log_external
 
@@ -29,7 +30,7 @@
 CHECK_INTERVAL_S = 1.0
 CHECK_TIMEOUT_S = 5.0
 MAX_REASON_LENGTH = 90
-MAX_REPORT_LENGTH = 200
+MAX_REPORT_BYTES = 200
 EMPTY_FIELD = "-"  # Stands for an empty field in a node's reply.
 ORDER_FIELD_COUNT = 4
 
@@ -174,7 +175,7 @@
         serving = self.state.serving
         if serving is None:
             return
-        line = f"ROLL FAILED {rollout_number} {reason}"[:MAX_REPORT_LENGTH]
+        line = truncate(f"ROLL FAILED {rollout_number} {reason}", MAX_REPORT_BYTES)
         answer = await self._call(serving, line, REPORT_TIMEOUT_S)
         if answer is not None and answer.startswith("+OK"):
             self.supervisor.failure_acknowledged(rollout_number)
@@ -283,7 +284,7 @@
             reader, writer = await asyncio.open_connection(host, int(port))
             try:
                 writer.write(line.encode() + b"\n")
-                return (await reader.read()).decode("latin-1").strip()
+                return decode_text(await reader.read()).strip()
             finally:
                 writer.close()
     except (OSError, TimeoutError, ValueError):
--- a/firwalk/cluster/cluster_member.py
+++ b/firwalk/cluster/cluster_member.py
@@ -24,6 +24,7 @@
 from firwalk.cluster.random_source import RandomSource
 from firwalk.cluster.zone_coordination import CommandOutcome, ZoneCoordinator, ZoneReporter
 from firwalk.cluster.zones import ZonePolicy, Zones
+from firwalk.limits.text_size import truncate
 
 if TYPE_CHECKING:
     from firwalk.cluster.rollout_controller import RolloutController
@@ -363,7 +364,7 @@
             self._send_result(sender, message.number, outcome)
 
     def _send_result(self, node_id: int, number: int, outcome: CommandOutcome) -> None:
-        text = outcome.text[: m.MAX_RESULT_CHARS]
+        text = truncate(outcome.text, m.MAX_RESULT_BYTES)
         self.host.send(node_id, m.CommandResult(number, outcome.done, text))
 
     def _on_rollout_metrics(
--- a/firwalk/cluster/messages.py
+++ b/firwalk/cluster/messages.py
@@ -21,11 +21,12 @@
 MAX_UPDATES = 16  # A message carries at most this many membership updates.
 MEMBERSHIP_UPDATE_BYTES = 16  # An encoded membership update is estimated to have at most this size.
 MAX_PIECES = 62  # A mask of the pieces of a plan fits a signed 64-bit integer.
-MAX_RESULT_CHARS = 180
+MAX_RESULT_BYTES = 180  # of text, as the next two; a datagram holds no more
 MAX_ZONES = 8
 MAX_QUOTA_ROWS = 8  # A quota request or grant has a row for each of at most this many tenants.
 MAX_METRICS_ROWS = 3  # A message of rollout metrics has a row for each of at most this many request classes.
-MAX_ROLLOUT_NAME_CHARS = 40
+MAX_ROLLOUT_NAME_BYTES = 40
+MAX_REASON_BYTES = 100
 PIECE_BYTES = 176  # A piece carries at most this many bytes of an encoded plan.
 
 NodeId = Annotated[int, Meta(ge=0, le=65535)]
@@ -238,7 +239,7 @@
 
     number: Count
     done: bool
-    text: Annotated[str, Meta(max_length=MAX_RESULT_CHARS)]
+    text: Annotated[str, Meta(max_length=MAX_RESULT_BYTES)]
 
 
 class QuotaRequest(Struct, array_like=True, tag=18):
@@ -290,9 +291,9 @@
 
     number: Count
     action: Annotated[str, Meta(max_length=8)]
-    name: Annotated[str, Meta(max_length=MAX_ROLLOUT_NAME_CHARS)] = ""
+    name: Annotated[str, Meta(max_length=MAX_ROLLOUT_NAME_BYTES)] = ""
     argument: Checksum = 0
-    text: Annotated[str, Meta(max_length=100)] = ""
+    text: Annotated[str, Meta(max_length=MAX_REASON_BYTES)] = ""
 
 
 Message = (
--- a/firwalk/net/cluster_commands.py
+++ b/firwalk/net/cluster_commands.py
@@ -10,16 +10,16 @@
 
 import orjson
 
-from firwalk.cluster.messages import MAX_ROLLOUT_NAME_CHARS, NO_BALLOT
+from firwalk.cluster.messages import MAX_REASON_BYTES, MAX_ROLLOUT_NAME_BYTES, NO_BALLOT
 from firwalk.cluster.operator_commands import OnResult
 from firwalk.cluster.zones import REGION, Mode
+from firwalk.limits.text_size import truncate
 
 if TYPE_CHECKING:
     from firwalk.net.cluster_state import ClusterState
 
 MAX_PAGE_DIGITS = 6
 MAX_ROLLOUT_NUMBER_DIGITS = 9
-MAX_REASON_CHARS = 100
 
 
 class CommandReply(NamedTuple):
@@ -149,7 +149,7 @@
         number, _, reason = argument.partition(" ")
         if not number.isdecimal() or len(number) > MAX_ROLLOUT_NUMBER_DIGITS:
             return CommandReply("", "the number of a change is wanted, and why")
-        return await self._send_rollout_command("failed", "", int(number), reason[:MAX_REASON_CHARS])
+        return await self._send_rollout_command("failed", "", int(number), truncate(reason, MAX_REASON_BYTES))
 
     async def _send_rollout_command(
         self, command: str, name: str = "", number: int = 0, text: str = ""
@@ -158,7 +158,7 @@
         member = self.cluster.member
         if member is None:
             return CommandReply("", "another process speaks for this node")
-        short_name = name[:MAX_ROLLOUT_NAME_CHARS]
+        short_name = truncate(name, MAX_ROLLOUT_NAME_BYTES)
         return await self._await_leader(
             lambda now, on_result: member.send_rollout_command(
                 now, command, short_name, number, text, on_result
--- a/firwalk/net/fields.py
+++ b/firwalk/net/fields.py
@@ -9,13 +9,19 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from firwalk.limits.text_size import decode_text
+
 SECONDS_PER_UNIT = {b"m": 1e-3, b"u": 1e-6}
 # This excludes signs, exponents and other forms that `float` accepts.
 NUMBER_REGEX = rb"[0-9]{1,15}(?:\.[0-9]{1,9})?"
 DURATION_PATTERN = re.compile(rb"(%s)([mu])" % NUMBER_REGEX)
 NUMBER_PATTERN = re.compile(NUMBER_REGEX)
 TOKEN_PATTERN = re.compile(rb"[!-~]{1,128}")  # request ids and idempotency keys must match this
-TARGET_PATTERN = re.compile(rb"/([\w.~-]+)(?:[\w.~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*", re.ASCII)
+# The first part of the path is the request class; characters outside ASCII are escaped (RFC 3986).
+TARGET_PATTERN = re.compile(
+    rb"/((?:[\w.~-]++|%[0-9A-Fa-f]{2})++)(?:[\w.~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})*", re.ASCII
+)
+ESCAPE_PATTERN = re.compile(rb"%([0-9A-Fa-f]{2})")
 
 Headers = Mapping[bytes, bytes]
 
@@ -87,6 +93,13 @@
     return float(number) * SECONDS_PER_UNIT[unit]
 
 
+def _unescape(segment: bytes) -> str:
+    """Return a path segment as text; an escape that is not UTF-8 becomes a replacement character."""
+    if b"%" not in segment:
+        return segment.decode()
+    return ESCAPE_PATTERN.sub(lambda escape: bytes([int(escape[1], 16)]), segment).decode(errors="replace")
+
+
 def _routing_key(target: bytes) -> bytes:
     """Return the last path segment after the request class."""
     path = target.partition(b"?")[0]
@@ -103,8 +116,8 @@
     extras = _parse_extras(headers.get(b"x-extras", b""))
     cost_us = _match(NUMBER_PATTERN, headers.get(b"x-cost-hint", b"0"), "the cost hint")[0]
     head = RequestHead(
-        request_class=_match(TARGET_PATTERN, target, "the target")[1].decode(),
-        tenant=headers.get(b"x-tenant", b"").decode("latin-1"),
+        request_class=_unescape(_match(TARGET_PATTERN, target, "the target")[1]),
+        tenant=decode_text(headers.get(b"x-tenant", b"")),
         budget_s=parse_duration(headers.get(b"x-deadline")),
         cost_s=float(cost_us) * 1e-6,
         slots=extras.get(b"slots", 1.0),
--- a/firwalk/net/management.py
+++ b/firwalk/net/management.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 
+from firwalk.limits.text_size import decode_text
 from firwalk.net.address import new_socket
 from firwalk.net.errors import Backoff, is_connection_error
 from firwalk.observability.log import log_exception, log_external
@@ -131,7 +132,7 @@
 
     async def _run(self, line: bytes) -> Reply:
         """Execute a command and return its reply. Raises InvalidCommand."""
-        text = line.decode("latin-1")
+        text = decode_text(line)
         command = self.commands.get(text)
         if command is not None:
             return await command()
--- a/firwalk/wirehost/__main__.py
+++ b/firwalk/wirehost/__main__.py
@@ -12,6 +12,7 @@
 import orjson
 
 from firwalk.config.node_config import SECONDS_PER_US
+from firwalk.limits.text_size import truncate
 from firwalk.wirehost import codec
 from firwalk.wirehost.node import Fields, WireNode
 
@@ -121,7 +122,7 @@
         try:
             node.handle(code, fields, content, now)
         except Exception as error:  # the protocol requires exceptions of the policy to be reported as Fatal
-            text = f"{type(error).__name__}: {error}".encode()[:MAX_ERROR_SIZE]
+            text = truncate(f"{type(error).__name__}: {error}", MAX_ERROR_SIZE).encode()
             self.reply_records.append(codec.TEXT.pack(codec.DO_FATAL, node_number, len(text)) + text)
 
 
--- a/firwalk/wirehost/node.py
+++ b/firwalk/wirehost/node.py
@@ -12,6 +12,7 @@
 from firwalk.config.node_config import SECONDS_PER_US, JsonObject, section
 from firwalk.config.policy_settings import LOAD_REPORT_FIELDS, build_policy
 from firwalk.dispatcher import failure_gossip
+from firwalk.limits.text_size import truncate
 from firwalk.policy.executor import Executor, LoadReport
 from firwalk.policy.interface import EndpointState
 from firwalk.policy.request import Attempt, Request
@@ -116,7 +117,7 @@
 
     def log_line(self, line: str) -> None:
         """Write a line for the operators."""
-        text = line.encode()[: codec.MAX_TEXT_SIZE]
+        text = truncate(line, codec.MAX_TEXT_SIZE).encode()
         self.reply_records.append(codec.TEXT.pack(codec.DO_TRACE, self.node_number, len(text)) + text)
 
     # -- events from the simulator -----------------------------------------------------------------------
--- a/tests/cluster/test_messages.py
+++ b/tests/cluster/test_messages.py
@@ -21,7 +21,7 @@
         m.Report(2**48, LARGEST_BALLOT, 2**48, LARGEST_BALLOT, 2**48, 2**62 - 1),
         m.HealthObservations(65535, 2**32 - 1, [(65535,) * 4 + (2**32 - 1,) * 2] * m.MAX_ZONES),
         m.OperatorCommand(2**48, "restore", 65535),
-        m.CommandResult(2**48, True, "x" * m.MAX_RESULT_CHARS),
+        m.CommandResult(2**48, True, "x" * m.MAX_RESULT_BYTES),
         m.Answer(2**48, LARGEST_BALLOT, 2**48),
         m.Fetch(LARGEST_BALLOT, 2**48),
         m.Piece(LARGEST_BALLOT, 2**48, 61, 62, 2**32 - 1, b"x" * m.PIECE_BYTES),
