--- a/firwalk/net/client_connection.py
+++ b/firwalk/net/client_connection.py
@@ -13,6 +13,7 @@
 from firwalk.limits.memory import MemoryCharge, MemoryUse
 from firwalk.net import http
 from firwalk.net.client_input import ClientInput
+from firwalk.net.lingering import LINGER_S, wait_for_hang_up, write_and_discard
 from firwalk.net.socket_io import has_hung_up, wait_readable
 from firwalk.observability.events import CloseReason
 from firwalk.observability.log import check_invariant, log_exception, log_external
@@ -25,10 +26,7 @@
     from firwalk.net.turns import Turns
 
 WRITE_TIMEOUT_S = 20.0  # a response must be written within this time
-LINGER_S = 1.0  # a client has this long to read the last response before its connection closes
 TIMEOUT_LINGER_S = 0.25  # a client whose message timed out has this long to read the response
-LINGER_INTERVAL_S = 0.02  # a pause between reads that discard bytes; doubled after each of them
-DISCARDED_BYTES_PER_READ = 65536
 EVICTABLE_AFTER_S = 0.1  # a connection without a request may be evicted after this time without a message
 IDLE_EVICTABLE_AFTER_S = 1.0  # one that has had a response may be evicted after this time without a message
 MAX_IMMEDIATE_RETRIES = 2  # after this many in a row, each is delayed to keep CPU time for other clients
@@ -302,33 +300,13 @@
             self.clients.dispatcher.report_client_left(pending)
 
     async def _write_rejection(self, status: int) -> None:
-        """Write an error response, and discard further bytes briefly.
-
-        Closing a socket with unread bytes resets the connection, and the response could be lost.
-        """
+        """Write an error response, and discard further bytes briefly."""
         linger_s = TIMEOUT_LINGER_S if status == http.REQUEST_TIMEOUT else LINGER_S
-        try:
-            async with asyncio.timeout(linger_s):
-                response = http.encode_response(status, keep_alive=False)
-                await asyncio.get_running_loop().sock_sendall(self.sock, response)
-                self.sock.shutdown(socket.SHUT_WR)
-                self.is_lingering = True
-                await self._discard_received()
-        except (OSError, TimeoutError):
-            pass
+        response = http.encode_response(status, keep_alive=False)
+        await write_and_discard(self.sock, response, linger_s, self._begin_lingering)
 
-    async def _discard_received(self) -> None:
-        """Discard received bytes until the client closes the connection. Raises OSError if it is reset."""
-        interval_s = LINGER_INTERVAL_S
-        while True:
-            await asyncio.sleep(interval_s)
-            interval_s *= 2
-            try:
-                # The kernel copies nothing (tcp(7), MSG_TRUNC).
-                if not self.sock.recv(DISCARDED_BYTES_PER_READ, socket.MSG_TRUNC | socket.MSG_DONTWAIT):
-                    return
-            except BlockingIOError:
-                pass
+    def _begin_lingering(self) -> None:
+        self.is_lingering = True
 
     def _on_reader_done(self, _: asyncio.Task[None]) -> None:
         """Close or hand over the socket.
@@ -380,7 +358,10 @@
         elif self._is_fully_read():
             self.close(CloseReason.STOPPING if client_keeps_alive else CloseReason.LAST_ANSWER)
         elif not client_keeps_alive:
-            await self._linger()
+            self.is_closing = True
+            self.close_reason = CloseReason.LAST_ANSWER
+            await wait_for_hang_up(self.sock)
+            self.reader.cancel()
         # Otherwise more bytes arrived during the write: they are read, and their messages answered.
 
     def _continue_serving(self) -> None:
@@ -414,22 +395,6 @@
             self.writer = None
         return True
 
-    async def _linger(self) -> None:
-        """Give the client time to read its response before the close, without reading from it.
-
-        Closing a socket with unread bytes resets the connection, and the response could be lost.
-        """
-        self.is_closing = True
-        self.close_reason = CloseReason.LAST_ANSWER
-        try:
-            self.sock.shutdown(socket.SHUT_WR)
-            end = monotonic() + LINGER_S
-            while monotonic() < end and not has_hung_up(self.sock):
-                await asyncio.sleep(LINGER_INTERVAL_S)
-        except OSError:
-            pass
-        self.reader.cancel()
-
     # -- closing --------------------------------------------------------------------------------------------
 
     def reject_malformed(self, status: int, reason: str) -> None:
