--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -115,7 +115,7 @@
         sock = new_socket(address)
         buffer = self.buffers.acquire()
         view = memoryview(buffer)
-        parser = http.StreamResponseParser(response.begin, response.receive, response.end)
+        parser = http.StreamResponseParser(response.begin, response.updates.feed, response.end)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await connect(sock, address)
@@ -184,13 +184,9 @@
             self.deadline = monotonic() + WATCH_SILENCE_TIMEOUT_S
 
     def begin(self, status: int, headers: dict[bytes, bytes]) -> None:
-        """Store the response's status."""
+        """Store the response's status; the body of an error is no list."""
         self.status = status
-
-    def receive(self, part: bytes) -> None:
-        """Report the updates that a part of the body completes. Raise http.Malformed."""
-        if self.status == http.OK:
-            self.updates.feed(part)
+        self.updates.is_ignored = status != http.OK
 
     def pause(self) -> None:
         """Report an update that is whole, since nothing more has arrived. Raise http.Malformed."""
--- a/firwalk/net/listing.py
+++ b/firwalk/net/listing.py
@@ -31,6 +31,7 @@
 MAX_STARTED_MS = 1e14  # later times, after the year 5138, count as unknown
 MIN_WEIGHT = 1.0
 MAX_WEIGHT = 1e6
+NUMBER_TYPES = (int, float)
 
 Json = Any  # values are decoded JSON that is not validated yet
 
@@ -149,13 +150,13 @@
 
 def _read_started_at(value: object) -> float:
     """Return the start as Unix time in seconds; 0 if unknown."""
-    if isinstance(value, int | float) and 0.0 <= value <= MAX_STARTED_MS:
+    if isinstance(value, NUMBER_TYPES) and 0.0 <= value <= MAX_STARTED_MS:
         return value / 1e3
     return 0.0
 
 
 def _read_weight(value: object) -> float:
     """Return the weight; `MIN_WEIGHT` if unknown."""
-    if isinstance(value, int | float) and MIN_WEIGHT <= value < MAX_WEIGHT:
+    if isinstance(value, NUMBER_TYPES) and MIN_WEIGHT <= value < MAX_WEIGHT:
         return float(value)
     return MIN_WEIGHT
--- a/firwalk/net/object_stream.py
+++ b/firwalk/net/object_stream.py
@@ -44,11 +44,14 @@
         self.position = 0  # of the object in progress, or of what follows the last object
         self.scanned = 0  # up to here, outside of strings, brackets are counted
         self.depth = 0  # brackets that are open there; 0: no scan is in progress
+        self.is_ignored = False  # the bytes are something else
         self.is_at_line_start = True  # no object has ended on the line of `position`
         self.next_scan_size = 0  # of the buffer, at which an object without a line break is scanned again
 
     def feed(self, data: bytes) -> None:
         """Add bytes, and report what they complete up to their last line break."""
+        if self.is_ignored:
+            return
         self.buffer += data
         if b"\n" in data:
             self._report_objects(self.buffer.rfind(b"\n") + 1, is_line_end=True)
--- a/firwalk/policy/executor.py
+++ b/firwalk/policy/executor.py
@@ -97,7 +97,8 @@
 
     def effective_speed(self) -> float:
         """Return the speed multiplied by (1 - utilisation by other nodes)."""
-        return self.speed * max(1.0 - self.slots_used_by_others / self.slots, MIN_FREE_SHARE)
+        free_share = 1.0 - self.slots_used_by_others / self.slots
+        return self.speed * (free_share if free_share > MIN_FREE_SHARE else MIN_FREE_SHARE)
 
     def apply_report(self, now: float, values: LoadReport, own_share: float) -> None:
         """Update the load by other nodes from a load report.
@@ -131,7 +132,8 @@
 
         If all executors of a zone are late, reassigning requests within it only adds churn.
         """
-        return zone_lag + (self.lag - zone_lag) * max(1.0 - (now - self.lag_at) / LAG_DECAY_S, 0.0)
+        remaining = 1.0 - (now - self.lag_at) / LAG_DECAY_S
+        return zone_lag + (self.lag - zone_lag) * remaining if remaining > 0.0 else zone_lag
 
     def record_start_delay(self, now: float, delay: float) -> None:
         """Update the lags with a start `delay` seconds later than this node's work explains."""
