Errors in decisions: the quota of a request is settled, and what is left of a list is dropped

Found when the change was read again. After an error in the end of a request its quota stayed reserved for good: its team's work never came back, and its limit of open requests filled up. It is settled now where the request is closed. A start that the zone's observer cannot count no longer ends the executor's connection. Bytes of an incomplete list are dropped at the end of the call, not left to the garbage collector.

--- a/firwalk/dispatcher/dispatcher.py
+++ b/firwalk/dispatcher/dispatcher.py
@@ -259,10 +259,10 @@
         attempt = pending.request.attempts[number]
         if attempt.is_in_flight and not attempt.started_at:
             now = self.clock()
-            if self.health_observer is not None:
-                zone = attempt.executor.zone.number
-                self.health_observer.count_start(zone, now - attempt.sent_at, now)
             try:
+                if self.health_observer is not None:
+                    zone = attempt.executor.zone.number
+                    self.health_observer.count_start(zone, now - attempt.sent_at, now)
                 self.policy.attempt_started(now, attempt)
             except Exception as error:
                 self._handle_request_error(pending.request, "starting an attempt", error)
--- a/firwalk/dispatcher/policy_host.py
+++ b/firwalk/dispatcher/policy_host.py
@@ -254,6 +254,10 @@
             if attempt.is_in_flight:
                 request.handle.add(CancelAttempt(attempt.number))
                 self._abandon_attempt(attempt)
+        try:
+            self._settle_charge(request)
+        except Exception as error:
+            log_exception("settling a quota", error)
 
     def _abandon_attempt(self, attempt: Attempt) -> None:
         """End an attempt that is in flight, if no outcome of it has been recorded."""
--- a/firwalk/net/discovery.py
+++ b/firwalk/net/discovery.py
@@ -133,6 +133,7 @@
                     self._pause(response, account)
         finally:
             parser.discard()  # not left to the garbage collector
+            response.updates.discard()
             view.release()
             self.buffers.release(buffer)
             sock.close()
--- a/firwalk/net/object_stream.py
+++ b/firwalk/net/object_stream.py
@@ -76,6 +76,11 @@
         if self.is_partial():
             raise http.Malformed(http.BAD_REQUEST, "response ended inside an update")
 
+    def discard(self) -> None:
+        """Drop the bytes of an incomplete object."""
+        self.buffer = bytearray()
+        self.is_ignored = True
+
     def is_partial(self) -> bool:
         """Return whether an object has begun and is not complete."""
         return not _WHITESPACE.fullmatch(self.buffer)
--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -226,6 +226,30 @@
     assert log.violations["placing a request"] == before.get("placing a request", 0) + 1
 
 
+class Charge:
+    """A quota reserved for a request."""
+
+    def __init__(self):
+        self.settled = []
+
+    def settle(self, work, may_have_run):
+        self.settled.append((work, may_have_run))
+
+
+# Guards against quotas that stay reserved for good, so that a team is turned away in the end.
+@pytest.mark.parametrize("outcome", [Outcome.COMPLETED, Outcome.ERROR])
+def test_quota_of_a_request_is_settled_after_an_error(outcome):
+    p = DispatcherHarness(executors=1)
+    pending = p.submit("act")
+    pending.charge = Charge()
+    p.dispatcher.policy.ejection.record_outcome = refuse
+    p.dispatcher.report_sending(pending, 0)
+    p.dispatcher.report_committing(pending, 0)
+    p.dispatcher.report_outcome(pending, 0, outcome, None, b"result")
+    assert [may_have_run for _, may_have_run in pending.charge.settled] == [True]
+    assert p.queued_actions(pending)[-1] == "over"
+
+
 # Guards against requests that are lost in an upgrade, since the new process cannot continue one of them.
 def test_request_that_a_new_process_cannot_continue_is_answered_as_failed(faulty_program):
     faulty_resume = """
