Properties of decisions: figures of clients, reports and lists are drawn from their whole range

Found when the change was read again: they came from lists of edges, so that the property was one of cases for them. Costs, slots and deadlines are any text that the parser of heads accepts now; values of load reports any number, NaN and infinity too; cells, starts and weights of lists, and pauses, any in their range; edges and usual ones more often.

--- a/tests/test_decision_properties.py
+++ b/tests/test_decision_properties.py
@@ -16,35 +16,48 @@
 from firwalk.dispatcher import policy_host
 from firwalk.dispatcher.endpoint_list import EndpointEntry
 from firwalk.net import fields
-from firwalk.net.listing import MAX_STARTED_MS, MAX_WEIGHT, MIN_WEIGHT
+from firwalk.net.listing import MAX_CELL, MAX_STARTED_MS, MAX_WEIGHT, MIN_WEIGHT
+from firwalk.policy.executor import UNKNOWN_NUMBER
 from firwalk.policy.interface import EndpointState, Outcome
 
 START_S = 1.8e9  # the clock of a node counts from 1970
 EXECUTOR_COUNT = 4
 MAX_TIMERS_AT_ONCE = 500  # with the few requests of an example, more show a loop
 
-# The widest numbers that `firwalk.net.fields` accepts of clients, in text.
-COST_HINTS_US = ["0", "0.000000001", "0.5", "9000", "9000", "9000", "3000000", "999999999999999.999999999"]
-SLOTS = ["0", "0.000000001", "0.3", "1", "1", "1", "1.1", "1.3", "999999999999999.999999999"]
-DEADLINES = [None, "0m", "0.000000001u", "20m", "250m", "2000m", "2000m", "999999999999999.999999999m"]
-REPORT_VALUES = [0, 1, 2, 0.5, True, 5e-324, 999999.9, -999999.9, -1, 1e300, "x", None]
+# Numbers of clients are text: up to 15 digits, and up to 9 behind the point (`firwalk.net.fields`).
+MAX_FIGURE = "999999999999999.999999999"
+USUAL_COST_HINTS_US = ["0", "0.000000001", "9000", "9000", "9000", "3000000", MAX_FIGURE]
+USUAL_SLOTS = ["0", "0.000000001", "1", "1", "1", "1.1", "1.3", MAX_FIGURE]
+USUAL_DEADLINES = [None, "0m", "0.000000001u", "250m", "2000m", "2000m", f"{MAX_FIGURE}m"]
+FIGURES = st.from_regex(fields.NUMBER_REGEX.decode(), fullmatch=True)
+USUAL_REPORT_VALUES = [0, 1, 2, 0.5, True, 5e-324, 999999.9, -999999.9, 1e300, "x", None]
 REPORT_FIELDS = ["x0", "x1", "util", "inflight", "rif", "busy", "queue"]
 STARTED_AT_S = [0.0, 5e-324, START_S - 1.0, START_S, START_S + 0.5, MAX_STARTED_MS / 1e3]
-WEIGHTS = [MIN_WEIGHT, 1.5, 3.0, MAX_WEIGHT - 0.1]
+MAX_CELL_NUMBER = MAX_CELL - 1
 PAUSES_S = [0.0, 1e-7, 0.003, 0.06, 0.4, 1.2]
+MAX_PAUSE_S = 3.0
+
+
+def with_usual(usual, others):
+    """Draw one of the usual values and edges, or any other one."""
+    return st.one_of(st.sampled_from(usual), st.sampled_from(usual), others)
+
+
 DEFAULT_ATTRIBUTES = (EndpointState.READY, ZONES[0], KINDS[0], 0, 0.0, 1.0)
 
 indices = st.integers(0, 7)
+report_values = with_usual(USUAL_REPORT_VALUES, st.one_of(st.floats(), st.integers()))
 load_reports = st.one_of(
-    st.none(), st.dictionaries(st.sampled_from(REPORT_FIELDS), st.sampled_from(REPORT_VALUES), max_size=3)
+    st.none(), st.dictionaries(st.sampled_from(REPORT_FIELDS), report_values, max_size=3)
 )
+pauses = st.tuples(st.just("pause"), with_usual(PAUSES_S, st.floats(0.0, MAX_PAUSE_S)))
 requests = st.tuples(
     st.just("request"),
     st.integers(0, 2),
     st.sampled_from([*TENANT_NAMES, ""]),
-    st.sampled_from(DEADLINES),
-    st.sampled_from(COST_HINTS_US),
-    st.sampled_from(SLOTS),
+    with_usual(USUAL_DEADLINES, st.builds("{}{}".format, FIGURES, st.sampled_from("mu"))),
+    with_usual(USUAL_COST_HINTS_US, FIGURES),
+    with_usual(USUAL_SLOTS, FIGURES),
     st.booleans(),
     st.sampled_from([b"", b"k"]),
 )
@@ -54,9 +67,9 @@
     st.sampled_from([EndpointState.READY, EndpointState.READY, *EndpointState]),
     st.sampled_from([*ZONES, "?"]),
     st.sampled_from([*KINDS, "?"]),
-    st.sampled_from([-1, 0, (1 << 31) - 1]),
-    st.sampled_from(STARTED_AT_S),
-    st.sampled_from(WEIGHTS),
+    with_usual([UNKNOWN_NUMBER, 0, MAX_CELL_NUMBER], st.integers(0, MAX_CELL_NUMBER)),
+    with_usual(STARTED_AT_S, st.floats(0.0, MAX_STARTED_MS / 1e3)),
+    with_usual([MIN_WEIGHT, 3.0], st.floats(MIN_WEIGHT, MAX_WEIGHT, exclude_max=True)),
 )
 steps = st.one_of(
     requests,
@@ -67,8 +80,8 @@
     st.tuples(st.just("end"), indices, st.sampled_from([Outcome.COMPLETED, *Outcome]), load_reports),
     st.tuples(st.just("end"), indices, st.just(Outcome.COMPLETED), load_reports),
     st.tuples(st.just("check"), indices, st.sampled_from([Outcome.COMPLETED, *Outcome]), load_reports),
-    st.tuples(st.just("pause"), st.sampled_from(PAUSES_S)),
-    st.tuples(st.just("pause"), st.sampled_from(PAUSES_S)),
+    pauses,
+    pauses,
     st.tuples(st.just("peer_error"), indices),
     st.tuples(st.just("reload"), accepted_settings()),
 )
